--- /dev/null
+++ b/bench/Workload.cpp
@@ -0,0 +1,232 @@
+#include "Workload.h"
+
+#include "net/Timer.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cmath>
+#include <fmt/format.h>
+#include <numbers>
+
+namespace HickoryHollow {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::string_view endMarker = "data: [DONE]\n\n";
+constexpr std::string_view wordStart = "\"content\":\"";
+constexpr double maxTokens = 4000;
+
+double millisecondsSince(Clock::time_point time)
+{
+    return std::chrono::duration<double, std::milli>(Clock::now() - time).count();
+}
+
+UpstreamOptions clientOptions()
+{
+    return { .connectTimeout = std::chrono::seconds(5), .headTimeout = std::chrono::minutes(5), .pieceTimeout = std::chrono::minutes(5), .maxIdlePerServer = 4096 };
+}
+
+} // namespace
+
+double ClassResult::quantile(std::vector<double> values, double q)
+{
+    if (values.empty())
+        return 0;
+    const auto place = values.begin() + static_cast<std::ptrdiff_t>(q * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+Workload::Workload(asio::io_context& loop, WorkloadOptions options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_client(makeUpstreamClient(loop, clientOptions()))
+{
+    for (const auto& it : m_options.classes)
+        m_result[it.name] = {};
+}
+
+void Workload::start()
+{
+    m_startedAt = Clock::now();
+    asio::co_spawn(m_loop, arrivals(), asio::detached);
+}
+
+double Workload::uniform()
+{
+    return (static_cast<double>(m_random.next() >> 11U) + 0.5) / 9007199254740992.0;
+}
+
+double Workload::normal()
+{
+    return std::sqrt(-2 * std::log(uniform())) * std::cos(2 * std::numbers::pi * uniform());
+}
+
+double Workload::rateAt(Clock::time_point time) const
+{
+    const auto part = (time - m_startedAt) * 3 / m_options.duration;
+    return part == 1 ? m_options.requestsPerSecond * m_options.burstFactor : m_options.requestsPerSecond;
+}
+
+Task<void> Workload::pause(std::chrono::microseconds time)
+{
+    Timer timer(m_loop.get_executor());
+    timer.expires_after(time);
+    co_await timer.async_wait(asTuple);
+}
+
+// Arrivals do not wait for answers: callers do not slow down because the system does.
+Task<void> Workload::arrivals()
+{
+    auto next = m_startedAt;
+    Timer timer(m_loop.get_executor());
+    while (next < m_startedAt + m_options.duration) {
+        timer.expires_at(next);
+        co_await timer.async_wait(asTuple);
+        asio::co_spawn(m_loop, runRequest(makeRequest()), asio::detached);
+        const auto gap = -std::log(uniform()) / rateAt(next);
+        next += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap));
+    }
+}
+
+std::shared_ptr<Workload::Request> Workload::makeRequest()
+{
+    auto request = std::make_shared<Request>();
+    auto draw = uniform();
+    request->load = &m_options.classes.back();
+    for (const auto& it : m_options.classes) {
+        draw -= it.share;
+        if (draw < 0) {
+            request->load = &it;
+            break;
+        }
+    }
+    request->nonce = fmt::format("{}n{}", m_options.seed, ++m_lastNonce);
+    request->tokens = static_cast<std::uint64_t>(std::clamp(request->load->medianTokens * std::exp(request->load->sigma * normal()), 1.0, maxTokens));
+    const auto repeats = m_options.repeatsPerRequest;
+    request->repeatsLeft = static_cast<std::uint64_t>(repeats) + (uniform() < repeats - std::floor(repeats) ? 1 : 0);
+    request->body = fmt::format(R"({{"model":"{}","stream":true,"standin_nonce":"{}","standin_tokens":{},"messages":[{{"role":"system","content":"prefix {}"}}]}})", m_options.model, request->nonce, request->tokens, m_random.below(m_options.workspaces));
+    request->startedAt = Clock::now();
+    return request;
+}
+
+HttpRequest Workload::makeHttp(const Request& request) const
+{
+    HttpRequest http { .method = "POST", .target = "/v1/chat/completions", .fields = {}, .body = request.body };
+    http.fields.add("Authorization", "Bearer " + m_options.key);
+    http.fields.add("X-Hickory-Class", request.load->name);
+    http.fields.add("Content-Type", "application/json");
+    return http;
+}
+
+Workload::Outcome Workload::judge(const Request& request, const std::string& body)
+{
+    if (body.find("event: error") != std::string::npos || !body.ends_with(endMarker))
+        return Outcome::Failed;
+    std::string expected;
+    for (std::uint64_t i = 0; i < request.tokens; ++i)
+        expected += fmt::format("{}:{} ", request.nonce, i);
+    std::string text;
+    for (auto at = body.find(wordStart); at != std::string::npos; at = body.find(wordStart, at)) {
+        at += wordStart.size();
+        text += body.substr(at, body.find('"', at) - at);
+    }
+    return text == expected ? Outcome::Whole : Outcome::Wrong;
+}
+
+Task<Workload::Attempt> Workload::runAttempt(const Request& request, const std::string& target)
+{
+    Attempt attempt;
+    const auto call = m_client->open(target);
+    auto isOver = std::make_shared<bool>(false);
+    auto isAbandoned = std::make_shared<bool>(false);
+    const auto patience = std::make_shared<Timer>(m_loop.get_executor());
+    if (request.load->patience.count() > 0 && request.repeatsLeft > 0) {
+        patience->expires_after(request.load->patience);
+        patience->async_wait([isOver, isAbandoned, patience, raw = call.get()](const auto& ec) {
+            if (ec || *isOver)
+                return;
+            *isAbandoned = true;
+            raw->cancel();
+        });
+    }
+    const auto head = co_await call->begin(makeHttp(request));
+    std::string body;
+    auto isBroken = static_cast<bool>(head.ec);
+    while (!isBroken) {
+        const auto piece = co_await call->readPiece();
+        if (!piece.bytes.empty() && body.empty())
+            attempt.firstTokenMilliseconds = millisecondsSince(request.startedAt);
+        body.append(piece.bytes);
+        isBroken = static_cast<bool>(piece.ec);
+        if (piece.isLast)
+            break;
+    }
+    *isOver = true;
+    patience->cancel();
+    const auto retryAfter = std::string(head.fields.find("Retry-After"));
+    if (!retryAfter.empty())
+        attempt.retryAfter = std::chrono::seconds(std::stol(retryAfter));
+    if (*isAbandoned)
+        attempt.outcome = Outcome::Abandoned;
+    else if (isBroken)
+        attempt.outcome = Outcome::Failed;
+    else if (head.status == 200)
+        attempt.outcome = judge(request, body);
+    else if (head.fields.find("X-Hickory-Verdict") == "not-run")
+        attempt.outcome = Outcome::Refused;
+    co_return attempt;
+}
+
+void Workload::count(const Request& request, const Attempt& attempt)
+{
+    auto& result = m_result[request.load->name];
+    switch (attempt.outcome) {
+    case Outcome::Whole: {
+        const auto whole = millisecondsSince(request.startedAt);
+        ++result.whole;
+        result.deliveredTokens += request.tokens;
+        result.firstTokenMilliseconds.push_back(attempt.firstTokenMilliseconds);
+        result.wholeMilliseconds.push_back(whole);
+        const auto isInTime = attempt.firstTokenMilliseconds <= static_cast<double>(request.load->firstTokenTarget.count()) && whole <= static_cast<double>(request.load->wholeTarget.count());
+        result.inTarget += isInTime ? 1 : 0;
+        break;
+    }
+    case Outcome::Refused:
+        ++result.refused;
+        break;
+    case Outcome::Failed:
+        ++result.failed;
+        break;
+    case Outcome::Abandoned:
+        ++result.abandoned;
+        break;
+    case Outcome::Wrong:
+        ++result.wrong;
+        break;
+    }
+}
+
+Task<void> Workload::runRequest(std::shared_ptr<Request> request)
+{
+    ++m_result[request->load->name].requests;
+    for (;;) {
+        const auto& target = m_options.targets[m_random.below(m_options.targets.size())];
+        const auto attempt = co_await runAttempt(*request, target);
+        count(*request, attempt);
+        if (attempt.outcome == Outcome::Whole || request->repeatsLeft == 0)
+            co_return;
+        --request->repeatsLeft;
+        ++m_result[request->load->name].repeats;
+        // Impatient callers heed Retry-After only in part, and come back within a second.
+        const auto wait = std::min(attempt.retryAfter, std::chrono::milliseconds(1000));
+        if (attempt.outcome != Outcome::Abandoned)
+            co_await pause(std::chrono::milliseconds(50) + wait);
+    }
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/test/error/replica_votes.cpp
@@ -0,0 +1,157 @@
+/** \file
+ * Single rules of the agreement protocol that random faults seldom reach.
+ */
+#include "agreement/Replica.h"
+#include "base/SeededRandom.h"
+
+#include <catch2/catch.hpp>
+
+using namespace HickoryHollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+TimePoint at(std::chrono::milliseconds time)
+{
+    return TimePoint(std::chrono::hours(1)) + time;
+}
+
+Member member(const std::string& name, std::uint64_t replica)
+{
+    return { .instance = InstanceId(name), .replica = ReplicaId(replica) };
+}
+
+const Members members { member("a", 1), member("b", 2), member("c", 3) };
+
+RecoveredReplica formed(Term term)
+{
+    return { .vote = { .term = term, .votedFor = std::nullopt }, .snapshot = {}, .entries = { { .term = Term(1), .kind = LogEntry::Kind::Membership, .command = {}, .members = members } } };
+}
+
+ReplicaOptions options()
+{
+    return { .self = members[0], .incarnation = Incarnation(1), .peers = { InstanceId("b"), InstanceId("c") }, .timings = {} };
+}
+
+AgreementMessage from(const Member& sender, AgreementPayload payload)
+{
+    return { .from = sender, .fromIncarnation = Incarnation(1), .to = InstanceId("a"), .toReplica = ReplicaId(1), .payload = std::move(payload) };
+}
+
+VoteRequest voteRequest(std::uint64_t term, std::uint64_t lastIndex = 1, std::uint64_t lastTerm = 1)
+{
+    return { .isPreVote = false, .term = Term(term), .lastIndex = LogIndex(lastIndex), .lastTerm = Term(lastTerm) };
+}
+
+bool grants(const ReplicaOutput& out)
+{
+    const auto* reply = out.messages.empty() ? nullptr : std::get_if<VoteReply>(&out.messages.back().payload);
+    return reply && reply->isGranted;
+}
+
+} // namespace
+
+TEST_CASE("one vote a term, and it is durable before it is sent", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), formed(Term(1)), random, at(0ms));
+    ReplicaOutput first;
+    replica.receive(from(members[1], voteRequest(2)), at(1000ms), first);
+    REQUIRE(grants(first));
+    VoteRecord recorded;
+    for (const auto& it : first.records) {
+        if (const auto* vote = std::get_if<VoteRecord>(&it))
+            recorded = *vote;
+    }
+    CHECK(recorded.term == Term(2));
+    CHECK(recorded.votedFor == ReplicaId(2));
+    ReplicaOutput second;
+    replica.receive(from(members[2], voteRequest(2)), at(1001ms), second);
+    CHECK_FALSE(grants(second));
+    // After a restart on what was recorded the answer is the same.
+    auto recovered = formed(Term(2));
+    recovered.vote = recorded;
+    Replica restarted(options(), recovered, random, at(2000ms));
+    ReplicaOutput third;
+    restarted.receive(from(members[2], voteRequest(2)), at(3000ms), third);
+    CHECK_FALSE(grants(third));
+    ReplicaOutput again;
+    restarted.receive(from(members[1], voteRequest(2)), at(3001ms), again);
+    CHECK(grants(again));
+}
+
+TEST_CASE("no vote for a log that lacks what this one holds", "[agreement]")
+{
+    SeededRandom random(1);
+    auto recovered = formed(Term(3));
+    recovered.entries.push_back({ .term = Term(3), .kind = LogEntry::Kind::Noop, .command = {}, .members = {} });
+    Replica replica(options(), recovered, random, at(0ms));
+    ReplicaOutput shorter;
+    replica.receive(from(members[1], voteRequest(4, 1, 1)), at(1000ms), shorter);
+    CHECK_FALSE(grants(shorter));
+    ReplicaOutput olderTerm;
+    replica.receive(from(members[1], voteRequest(4, 9, 2)), at(1001ms), olderTerm);
+    CHECK_FALSE(grants(olderTerm));
+    ReplicaOutput equal;
+    replica.receive(from(members[1], voteRequest(4, 2, 3)), at(1002ms), equal);
+    CHECK(grants(equal));
+}
+
+TEST_CASE("no vote within the leader's lease, nor right after a start", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), formed(Term(1)), random, at(0ms));
+    ReplicaOutput afterStart;
+    replica.receive(from(members[1], voteRequest(2)), at(500ms), afterStart);
+    CHECK_FALSE(grants(afterStart));
+    ReplicaOutput heartbeat;
+    replica.receive(from(members[2], AppendRequest { .term = Term(1), .previousIndex = LogIndex(1), .previousTerm = Term(1), .entries = {}, .committed = LogIndex(1), .round = 1 }), at(1000ms), heartbeat);
+    ReplicaOutput within;
+    replica.receive(from(members[1], voteRequest(2)), at(1500ms), within);
+    CHECK_FALSE(grants(within));
+    ReplicaOutput after;
+    replica.receive(from(members[1], voteRequest(2)), at(1700ms), after);
+    CHECK(grants(after));
+}
+
+TEST_CASE("a message for another folder of the instance is dropped", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), formed(Term(1)), random, at(0ms));
+    auto message = from(members[1], voteRequest(2));
+    message.toReplica = ReplicaId(99);
+    ReplicaOutput out;
+    replica.receive(message, at(1000ms), out);
+    CHECK(out.messages.empty());
+    CHECK(out.records.empty());
+}
+
+TEST_CASE("an entry of an earlier term is not committed by counting copies", "[agreement]")
+{
+    SeededRandom random(1);
+    auto recovered = formed(Term(1));
+    recovered.entries.push_back({ .term = Term(1), .kind = LogEntry::Kind::Command, .command = "old", .members = {} });
+    Replica replica(options(), recovered, random, at(0ms));
+    auto now = at(0ms);
+    ReplicaOutput out;
+    while (out.messages.empty()) {
+        now += 50ms;
+        replica.tick(now, out);
+    }
+    const auto term = Term(2);
+    ReplicaOutput preVote;
+    replica.receive(from(members[1], VoteReply { .isPreVote = true, .term = term, .isGranted = true }), now, preVote);
+    ReplicaOutput vote;
+    replica.receive(from(members[1], VoteReply { .isPreVote = false, .term = term, .isGranted = true }), now, vote);
+    REQUIRE(replica.role() == Replica::Role::Leader);
+    ReplicaOutput synced;
+    replica.synced(now, synced);
+    ReplicaOutput oldOnly;
+    replica.receive(from(members[1], AppendReply { .term = term, .isAccepted = true, .matched = LogIndex(2), .round = 1 }), now, oldOnly);
+    CHECK(oldOnly.committed.empty());
+    CHECK_FALSE(replica.mayServeReads(now));
+    ReplicaOutput withOwn;
+    replica.receive(from(members[1], AppendReply { .term = term, .isAccepted = true, .matched = LogIndex(3), .round = 1 }), now, withOwn);
+    CHECK(withOwn.committed.size() == 3);
+    CHECK(replica.mayServeReads(now));
+}
