--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -24,9 +24,11 @@
     return std::chrono::duration<double, std::milli>(Clock::now() - time).count();
 }
 
+constexpr UpstreamTimeouts callerTimeouts { .head = std::chrono::minutes(5), .piece = std::chrono::minutes(5) };
+
 UpstreamOptions clientOptions()
 {
-    return { .connectTimeout = std::chrono::seconds(5), .headTimeout = std::chrono::minutes(5), .pieceTimeout = std::chrono::minutes(5), .maxIdlePerServer = 4096 };
+    return { .connectTimeout = std::chrono::seconds(5), .maxIdlePerServer = 4096 };
 }
 
 } // namespace
@@ -141,7 +143,7 @@
 Task<Workload::Attempt> Workload::runAttempt(const Request& request, const std::string& target)
 {
     Attempt attempt;
-    const auto call = m_client->open(target);
+    const auto call = m_client->open(target, callerTimeouts);
     auto isOver = std::make_shared<bool>(false);
     auto isAbandoned = std::make_shared<bool>(false);
     const auto patience = std::make_shared<Timer>(m_loop.get_executor());
@@ -159,8 +161,11 @@
     auto isBroken = static_cast<bool>(head.ec);
     while (!isBroken) {
         const auto piece = co_await call->readPiece();
-        if (!piece.bytes.empty() && body.empty())
+        if (!piece.bytes.empty() && body.empty()) {
             attempt.firstTokenMilliseconds = millisecondsSince(request.startedAt);
+            // Whoever sees words come waits for the rest.
+            *isOver = true;
+        }
         body.append(piece.bytes);
         isBroken = static_cast<bool>(piece.ec);
         if (piece.isLast)
--- a/bench/WorkloadOptions.h
+++ b/bench/WorkloadOptions.h
@@ -18,7 +18,7 @@
     double sigma = 0.5; ///< Of the logarithm of the length.
     std::chrono::milliseconds firstTokenTarget { 440 };
     std::chrono::milliseconds wholeTarget { 8000 };
-    std::chrono::milliseconds patience { 0 }; ///< After which a caller gives up and asks again; 0 is never.
+    std::chrono::milliseconds patience { 0 }; ///< Without a first token, after which a caller gives up and asks again; 0 is never.
 };
 
 struct WorkloadOptions {
--- a/bench/orders.cpp
+++ b/bench/orders.cpp
@@ -40,7 +40,7 @@
         , m_key(std::move(key))
         , m_random(seed)
         , m_seed(seed)
-        , m_client(makeUpstreamClient(loop, { .headTimeout = std::chrono::seconds(8) }))
+        , m_client(makeUpstreamClient(loop, {}))
     {
     }
 
@@ -101,7 +101,7 @@
         request.body = "order " + key;
         request.fields.add("Authorization", "Bearer " + m_key);
         request.fields.add("Idempotency-Key", key);
-        const auto call = m_client->open(m_targets[m_random.below(m_targets.size())]);
+        const auto call = m_client->open(m_targets[m_random.below(m_targets.size())], { .head = std::chrono::seconds(8) });
         const auto head = co_await call->begin(request);
         std::string body;
         auto isBroken = static_cast<bool>(head.ec);
--- /dev/null
+++ b/bench/slopes.cpp
@@ -0,0 +1,179 @@
+/** \file
+ * Slopes for docs/CAPACITY.md: what one more server, queued request, claim or announcement costs in time.
+ */
+#include "base/SeededRandom.h"
+#include "ledger/SharedState.h"
+#include "membership/BackendDirectory.h"
+#include "scheduling/EstimatedLoadChoice.h"
+#include "scheduling/Scheduler.h"
+#include "settings/RoutingSettings.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace HickoryHollow;
+
+const PoolId pool { "model:m" };
+
+TimePoint at(std::int64_t microseconds)
+{
+    return TimePoint(std::chrono::hours(1)) + Duration(microseconds);
+}
+
+std::vector<BackendInfo> backends(std::int64_t count)
+{
+    std::vector<BackendInfo> infos;
+    for (std::int64_t i = 0; i < count; ++i)
+        infos.push_back({ .id = BackendId(fmt::format("10.0.{}.{}:9000", i / 250, i % 250)), .incarnation = Incarnation(1), .failureDomain = FailureDomainId("a"), .pools = { pool }, .slots = 1000 });
+    return infos;
+}
+
+Job job(std::uint64_t id, std::int64_t now)
+{
+    Job made;
+    made.id = RequestId(id);
+    made.pool = pool;
+    made.workspace = WorkspaceId(fmt::format("w{}", id % 210));
+    made.requestClass = ClassId("chat");
+    made.tier = Tier(static_cast<std::uint32_t>(1 + id % 7));
+    made.arrival = at(now);
+    made.deadline = at(now) + std::chrono::hours(1);
+    return made;
+}
+
+/** One request through submit, first token and end, by number of servers. */
+void scheduleRequest(benchmark::State& state)
+{
+    EstimatedLoadChoice choice;
+    SeededRandom random(1);
+    Scheduler scheduler({ .ownDomain = FailureDomainId("a") }, choice, random);
+    Decisions decisions;
+    scheduler.setBackends(backends(state.range(0)), at(0), decisions);
+    std::uint64_t id = 0;
+    for (auto _ : state) {
+        ++id;
+        const auto now = static_cast<std::int64_t>(id * 10);
+        decisions.clear();
+        scheduler.submit(job(id, now), at(now), decisions);
+        scheduler.firstToken(RequestId(id), at(now + 1));
+        scheduler.finished(RequestId(id), true, 10, at(now + 5), decisions);
+    }
+}
+BENCHMARK(scheduleRequest)->Arg(12)->Arg(35)->Arg(100)->Arg(400);
+
+/** One request into and out of a queue of the given length. */
+void queueRequest(benchmark::State& state)
+{
+    EstimatedLoadChoice choice;
+    SeededRandom random(1);
+    Scheduler scheduler({ .ownDomain = FailureDomainId("a"), .limits = { .queueRequests = 1'000'000, .queueBytes = 1ULL << 40U } }, choice, random);
+    Decisions decisions;
+    auto infos = backends(1);
+    infos.front().slots = 1;
+    scheduler.setBackends(infos, at(0), decisions);
+    std::uint64_t id = 0;
+    for (; id < static_cast<std::uint64_t>(state.range(0));)
+        scheduler.submit(job(++id, 0), at(0), decisions);
+    auto running = RequestId(1);
+    std::int64_t now = 0;
+    for (auto _ : state) {
+        decisions.clear();
+        ++now;
+        scheduler.submit(job(++id, now), at(now), decisions);
+        scheduler.finished(running, true, 0, at(now), decisions);
+        for (const auto& it : decisions) {
+            if (it.kind == Decision::Kind::Start)
+                running = it.id;
+        }
+    }
+}
+BENCHMARK(queueRequest)->Arg(100)->Arg(1000)->Arg(10000);
+
+/** One renewal of a backend server, by size of the fleet, with the instances of the design size. */
+void announce(benchmark::State& state)
+{
+    BackendDirectory directory({ .self = InstanceId("n0") });
+    std::set<InstanceId> peers;
+    for (int i = 1; i < 340; ++i)
+        peers.insert(InstanceId(fmt::format("n{}", i)));
+    directory.setPeers(peers, at(0));
+    std::vector<BackendRecord> records;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        BackendRecord record;
+        record.id = BackendId(fmt::format("10.{}.{}.{}:9000", i / 62500, i / 250 % 250, i % 250));
+        record.incarnation = Incarnation(1);
+        record.models = { ModelId("m") };
+        records.push_back(record);
+        directory.announce(record, at(0));
+    }
+    directory.takeTransitions();
+    std::uint64_t sequence = 0;
+    std::size_t i = 0;
+    for (auto _ : state) {
+        auto& record = records[i++ % records.size()];
+        record.sequence = ++sequence;
+        directory.announce(record, at(1));
+        if (sequence % 1000 == 0)
+            benchmark::DoNotOptimize(directory.takeRenewals());
+    }
+}
+BENCHMARK(announce)->Arg(12)->Arg(1200)->Arg(12000);
+
+/** One sweep over the directory for lapses; the homes of all entries are worked out. */
+void sweepDirectory(benchmark::State& state)
+{
+    BackendDirectory directory({ .self = InstanceId("n0") });
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        BackendRecord record;
+        record.id = BackendId(fmt::format("10.{}.{}.{}:9000", i / 62500, i / 250 % 250, i % 250));
+        record.sequence = 1;
+        directory.announce(record, at(0));
+    }
+    for (auto _ : state)
+        directory.tick(at(1));
+}
+BENCHMARK(sweepDirectory)->Arg(12)->Arg(1200)->Arg(12000);
+
+/** One claim and its completion, by claims held. */
+void claimAndComplete(benchmark::State& state)
+{
+    SharedState ledger({ .maxClaimBytes = 1ULL << 40U });
+    std::uint64_t n = 0;
+    const auto claim = [&n] {
+        ++n;
+        return ClaimWork { .work = { .workspace = WorkspaceId(fmt::format("w{}", n % 210)), .service = ServiceId("orders"), .key = IdempotencyKey(fmt::format("key-{}", n)) }, .requestDigest = std::string(64, 'd'), .claimant = { .instance = InstanceId("n1"), .incarnation = Incarnation(1), .sequence = n } };
+    };
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        ledger.apply({ .time = LedgerTime(1), .body = claim() });
+    for (auto _ : state) {
+        const auto made = claim();
+        ledger.apply({ .time = LedgerTime(1), .body = made });
+        ledger.apply({ .time = LedgerTime(1), .body = CompleteWork { .work = made.work, .claimant = made.claimant, .verdict = Verdict::Ran, .answer = {} } });
+    }
+    state.counters["bytes_per_claim"] = static_cast<double>(ledger.claimBytes()) / static_cast<double>(ledger.claims().size());
+}
+BENCHMARK(claimAndComplete)->Arg(1000)->Arg(50000);
+
+/** Parsing of the settings at the design size, which each change costs on every instance. */
+void parseSettings(benchmark::State& state)
+{
+    SettingsText text;
+    for (int i = 0; i < 7; ++i) {
+        text.inventory += fmt::format("[service s{}]\nmodels = m{}\n", i, i);
+        text.rules += fmt::format("[class c{}]\ntier = {}\n", i, i + 1);
+    }
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        text.inventory += fmt::format("[workspace w{}]\nkey-sha256 = {:064x}\nclasses = c0, c1, c2\nmax-concurrent = 50\nrequests-per-second = 100\n", i, i);
+    for (auto _ : state) {
+        Complaints complaints;
+        benchmark::DoNotOptimize(parseRoutingSettings(text, SettingsVersion(1), complaints));
+    }
+    state.counters["bytes"] = static_cast<double>(text.inventory.size() + text.rules.size());
+}
+BENCHMARK(parseSettings)->Arg(10)->Arg(210);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -11,7 +11,6 @@
 
 enum class LogEvent {
     DaemonStarted = 1001,
-    DaemonReady = 1002,
     DrainStarted = 1003,
     DrainFinished = 1004,
     DrainCut = 1005,
@@ -31,7 +30,7 @@
     SettingsLeaseLost = 4004,
     SettingsLeaseGained = 4005,
     ReplicaRejected = 4006,
-    ReplicaReplaced = 4007,
+    MembersChanged = 4007,
     StorageFailed = 5001,
     StorageTailCut = 5002,
     StorageDamaged = 5003,
--- a/src/base/RouterError.cpp
+++ b/src/base/RouterError.cpp
@@ -29,7 +29,7 @@
     ErrorRow { RouterError::KeyOutcomeUnknown, "outcome_unknown", 409, "the work under this Idempotency-Key may have run" },
     ErrorRow { RouterError::Overloaded, "overloaded", 503, "the queue has no room for this class" },
     ErrorRow { RouterError::WorkspaceLimit, "workspace_limit", 429, "the workspace is at its limit" },
-    ErrorRow { RouterError::DeadlinePassed, "deadline_passed", 504, "the deadline passed before the work was started" },
+    ErrorRow { RouterError::DeadlinePassed, "deadline_passed", 504, "the deadline passed" },
     ErrorRow { RouterError::NoBackend, "no_backend", 503, "no backend server serves this model or service" },
     ErrorRow { RouterError::Draining, "draining", 503, "this instance is shutting down" },
     ErrorRow { RouterError::SettingsStale, "settings_stale", 503, "this instance does not know the settings in force" },
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "entry/Dispatcher.h"
 
+#include "base/LogEvent.h"
 #include "entry/CallerRequest.h"
 #include "net/Timer.h"
 
@@ -147,6 +148,8 @@
     Decisions decisions;
     m_scheduler.tick(monotonicNow(), decisions);
     deliver(decisions);
+    for (const auto& it : m_scheduler.takeStragglerNotices())
+        logEvent(it.isEjected ? LogEvent::BackendEjected : LogEvent::BackendRestored, "backend={} pool={} slowness={:.1f}", it.backend.value(), it.pool.value(), it.slowness);
 }
 
 std::optional<Duration> Dispatcher::enterWorkspace(const Workspace& workspace)
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -8,7 +8,9 @@
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
+#include "net/Timer.h"
 
+#include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 #include <charconv>
 #include <fmt/format.h>
@@ -18,6 +20,10 @@
 namespace {
 
 constexpr std::uint32_t maxAttempts = 3;
+constexpr Duration minHeadTimeout = std::chrono::seconds(10);
+constexpr int firstTokenFactor = 10;
+constexpr int betweenTokensFactor = 100;
+constexpr int wholeAnswerFactor = 4;
 constexpr std::size_t maxWholeAnswer = 32U << 20U;
 constexpr std::string_view attemptField = "X-Hickory-Attempt-Id";
 
@@ -53,6 +59,49 @@
     return passed;
 }
 
+/** Ends a call when the caller's deadline passes: what comes later is worthless. */
+class DeadlineWatch {
+public:
+    /** Watches nothing without a deadline. */
+    DeadlineWatch(const Executor& executor, std::optional<TimePoint> deadline, UpstreamCall& call)
+        : m_state(std::make_shared<State>(executor))
+    {
+        if (!deadline)
+            return;
+        m_state->timer.expires_at(*deadline);
+        m_state->timer.async_wait([state = m_state, &call](const boost::system::error_code& ec) {
+            if (ec || state->isOver)
+                return;
+            state->hasPassed = true;
+            call.cancel();
+        });
+    }
+    ~DeadlineWatch()
+    {
+        m_state->isOver = true;
+        m_state->timer.cancel();
+    }
+    DeadlineWatch(const DeadlineWatch&) = delete;
+    DeadlineWatch& operator=(const DeadlineWatch&) = delete;
+
+    bool hasPassed() const { return m_state->hasPassed; }
+
+private:
+    /** Outlives the watch until the timer's handler has run. */
+    struct State {
+        explicit State(const Executor& executor)
+            : timer(executor)
+        {
+        }
+
+        Timer timer;
+        bool isOver = false;
+        bool hasPassed = false;
+    };
+
+    std::shared_ptr<State> m_state;
+};
+
 } // namespace
 
 RequestRunner::RequestRunner(RunnerContext context, const CallerRequest& request, const HttpRequest& http, ResponseWriter& writer)
@@ -210,6 +259,17 @@
     co_return result;
 }
 
+// A silent backend server is given up long after the target and long before a caller would despair.
+UpstreamTimeouts RequestRunner::timeouts() const
+{
+    const auto& requestClass = *m_request.requestClass;
+    const auto longest = std::max(minHeadTimeout, requestClass.wholeAnswer * wholeAnswerFactor);
+    UpstreamTimeouts timeouts;
+    timeouts.head = m_request.wantsStream ? std::max(minHeadTimeout, requestClass.firstToken * firstTokenFactor) : longest;
+    timeouts.piece = std::max(minHeadTimeout, requestClass.betweenTokens * betweenTokensFactor);
+    return timeouts;
+}
+
 std::string RequestRunner::attemptName(RequestId id) const
 {
     return fmt::format("{:x}-{}", m_context.processIncarnation, id.value());
@@ -230,8 +290,10 @@
 
 Task<RequestRunner::AttemptResult> RequestRunner::callBackend(RequestId id, const BackendId& backend)
 {
-    const auto call = m_context.upstream.open(backend.value());
+    const auto call = m_context.upstream.open(backend.value(), timeouts());
     m_writer.onCallerGone([&call = *call] { call.cancel(); });
+    const auto executor = co_await asio::this_coro::executor;
+    const DeadlineWatch watch(executor, m_request.hasCallerDeadline ? std::optional(m_request.deadline) : std::nullopt, *call);
     const auto head = co_await call->begin(upstreamRequest(id));
     AttemptResult result;
     result.failure = judgeHead(id, head);
@@ -244,6 +306,8 @@
     }
     // The callback holds a reference to the call, which ends here.
     m_writer.onCallerGone({});
+    if (result.failure && watch.hasPassed())
+        result.failure->error = RouterError::DeadlinePassed;
     if (result.failure && m_writer.callerGone())
         result.failure->error = RouterError::CallerGone;
     co_return result;
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -22,6 +22,7 @@
 class UpstreamClient;
 struct ClassMetrics;
 struct UpstreamHead;
+struct UpstreamTimeouts;
 
 /** What a runner works with; all outlive it. */
 struct RunnerContext {
@@ -65,6 +66,7 @@
     void noteFirstToken(RequestId);
     void noteEnd(const AttemptResult&);
     std::string attemptName(RequestId) const;
+    UpstreamTimeouts timeouts() const;
 
     RunnerContext m_context;
     const CallerRequest& m_request;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -84,9 +84,10 @@
 
 class SocketCall final : public UpstreamCall {
 public:
-    SocketCall(std::shared_ptr<ConnectionPool> pool, std::string address)
+    SocketCall(std::shared_ptr<ConnectionPool> pool, std::string address, const UpstreamTimeouts& timeouts)
         : m_pool(std::move(pool))
         , m_address(std::move(address))
+        , m_timeouts(timeouts)
     {
     }
 
@@ -99,7 +100,7 @@
         if (head.ec)
             co_return head;
         fillMessage(request);
-        m_connection->stream.expires_after(m_pool->options().headTimeout);
+        m_connection->stream.expires_after(m_timeouts.head);
         // A failed write may still have sent a part, so from here on the request may have run.
         head.verdict = Verdict::MayHaveRun;
         const auto [writeEc, written] = co_await http::async_write(m_connection->stream, m_message, asTuple);
@@ -129,7 +130,7 @@
         }
         m_parser.get().body().data = m_bytes.data();
         m_parser.get().body().size = m_bytes.size();
-        m_connection->stream.expires_after(m_pool->options().pieceTimeout);
+        m_connection->stream.expires_after(m_timeouts.piece);
         const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, m_parser, asTuple);
         const auto isFull = ec == http::error::need_buffer;
         if (ec && !isFull) {
@@ -201,6 +202,7 @@
 
     std::shared_ptr<ConnectionPool> m_pool;
     std::string m_address;
+    UpstreamTimeouts m_timeouts;
     std::unique_ptr<Connection> m_connection; // Null before begin and after the answer was read whole.
     http::request<http::string_body> m_message;
     http::response_parser<http::buffer_body> m_parser;
@@ -214,9 +216,9 @@
     {
     }
 
-    std::unique_ptr<UpstreamCall> open(const std::string& address) override
+    std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts& timeouts) override
     {
-        return std::make_unique<SocketCall>(m_pool, address);
+        return std::make_unique<SocketCall>(m_pool, address, timeouts);
     }
 
 private:
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -17,10 +17,14 @@
 
 namespace HickoryHollow {
 
+/** How long one call waits for a backend server. */
+struct UpstreamTimeouts {
+    Duration head = std::chrono::seconds(120); ///< From the sent request to the answer's header.
+    Duration piece = std::chrono::seconds(30); ///< Between two pieces of the body.
+};
+
 struct UpstreamOptions {
     Duration connectTimeout = std::chrono::seconds(1);
-    Duration headTimeout = std::chrono::seconds(120); ///< From the sent request to the answer's header.
-    Duration pieceTimeout = std::chrono::seconds(30); ///< Between two pieces of the body.
     std::size_t maxIdlePerServer = 256;
     Duration idleLimit = std::chrono::seconds(20); ///< A connection idle for longer is not used again.
 };
@@ -57,7 +61,8 @@
     virtual ~UpstreamClient() = default;
 
     /** `address` is `ip:port` of the backend server. */
-    virtual std::unique_ptr<UpstreamCall> open(const std::string& address) = 0;
+    virtual std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) = 0;
+    std::unique_ptr<UpstreamCall> open(const std::string& address) { return open(address, UpstreamTimeouts {}); }
 };
 
 /** The client over real sockets. */
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -76,6 +76,8 @@
 
     /** Another instance told lately that a job waits there. */
     bool isPressedByPeers(TimePoint now) const;
+    /** Backend servers that were set aside as stragglers or came back since the last call. */
+    std::vector<StragglerDetector::Notice> takeStragglerNotices() { return m_servers.stragglers().takeNotices(); }
     std::size_t queued() const { return m_poolOfQueued.size(); }
     std::uint64_t queuedBytes() const { return m_queuedBytes; }
     std::size_t running() const { return m_running.size(); }
--- a/src/scheduling/StragglerDetector.cpp
+++ b/src/scheduling/StragglerDetector.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/StragglerDetector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace HickoryHollow {
 
@@ -54,48 +55,46 @@
     return std::max(ratioToMedian(servers, server, &Server::firstToken), ratioToMedian(servers, server, &Server::tokenInterval));
 }
 
-StragglerDetector::Change StragglerDetector::judge(Servers& servers, Server& server) const
+void StragglerDetector::judge(const PoolId& pool, const BackendId& backend)
 {
+    auto& servers = m_pools[pool];
+    auto& server = servers[backend];
     const auto ratio = slownessOf(servers, server);
-    if (server.isEjected) {
-        if (ratio > m_options.restoreRatio)
-            return Change::None;
-        server.isEjected = false;
-        return Change::Restored;
-    }
     const auto ejected = std::count_if(servers.begin(), servers.end(), [](const auto& it) { return it.second.isEjected; });
     const auto permitted = m_options.maxEjectedShare * static_cast<double>(servers.size());
-    if (ratio < m_options.ejectRatio || static_cast<double>(ejected) + 1 > permitted)
-        return Change::None;
-    server.isEjected = true;
-    return Change::Ejected;
+    const auto comesBack = server.isEjected && ratio <= m_options.restoreRatio;
+    const auto goesOut = !server.isEjected && ratio >= m_options.ejectRatio && static_cast<double>(ejected) + 1 <= permitted;
+    if (!comesBack && !goesOut)
+        return;
+    server.isEjected = goesOut;
+    m_notices.push_back({ .pool = pool, .backend = backend, .isEjected = goesOut, .slowness = ratio });
 }
 
-StragglerDetector::Change StragglerDetector::observeFirstToken(const PoolId& pool, const BackendId& backend, Duration value)
+void StragglerDetector::observeFirstToken(const PoolId& pool, const BackendId& backend, Duration value)
 {
-    auto& servers = m_pools[pool];
-    auto& server = servers[backend];
-    server.firstToken.add(toMilliseconds(value));
-    return judge(servers, server);
+    m_pools[pool][backend].firstToken.add(toMilliseconds(value));
+    judge(pool, backend);
 }
 
-StragglerDetector::Change StragglerDetector::observeTokenInterval(const PoolId& pool, const BackendId& backend, Duration value)
+void StragglerDetector::observeTokenInterval(const PoolId& pool, const BackendId& backend, Duration value)
 {
-    auto& servers = m_pools[pool];
-    auto& server = servers[backend];
-    server.tokenInterval.add(toMilliseconds(value));
-    return judge(servers, server);
+    m_pools[pool][backend].tokenInterval.add(toMilliseconds(value));
+    judge(pool, backend);
 }
 
-StragglerDetector::Change StragglerDetector::observeSilence(const PoolId& pool, const BackendId& backend, Duration waited)
+void StragglerDetector::observeSilence(const PoolId& pool, const BackendId& backend, Duration waited)
 {
-    auto& servers = m_pools[pool];
-    auto& server = servers[backend];
+    auto& server = m_pools[pool][backend];
     const auto sample = toMilliseconds(waited);
     if (sample <= server.firstToken.value)
-        return Change::None;
+        return;
     server.firstToken.add(sample);
-    return judge(servers, server);
+    judge(pool, backend);
+}
+
+std::vector<StragglerDetector::Notice> StragglerDetector::takeNotices()
+{
+    return std::exchange(m_notices, {});
 }
 
 double StragglerDetector::slowness(const PoolId& pool, const BackendId& backend) const
--- a/src/scheduling/StragglerDetector.h
+++ b/src/scheduling/StragglerDetector.h
@@ -24,21 +24,22 @@
         Duration probeInterval = std::chrono::milliseconds(500);
     };
 
-    /** What an observation changed. */
-    enum class Change {
-        None,
-        Ejected,
-        Restored,
+    /** A backend server was set aside or brought back. */
+    struct Notice {
+        PoolId pool;
+        BackendId backend;
+        bool isEjected = false;
+        double slowness = 1;
     };
 
     StragglerDetector();
     explicit StragglerDetector(Options);
 
     /** Takes one sample of `perToken` time: the first token's time or the time between two, of one backend server. */
-    Change observeFirstToken(const PoolId&, const BackendId&, Duration);
-    Change observeTokenInterval(const PoolId&, const BackendId&, Duration);
+    void observeFirstToken(const PoolId&, const BackendId&, Duration);
+    void observeTokenInterval(const PoolId&, const BackendId&, Duration);
     /** Takes an attempt that has been silent for `waited`: a lower bound of its first token's time. */
-    Change observeSilence(const PoolId&, const BackendId&, Duration waited);
+    void observeSilence(const PoolId&, const BackendId&, Duration waited);
 
     /** How many times slower than the median of its peers; 1 while too little is known. */
     double slowness(const PoolId&, const BackendId&) const;
@@ -46,6 +47,8 @@
     /** True once per probe interval for an ejected backend server: it may be sent one job. */
     bool takeProbe(const PoolId&, const BackendId&, TimePoint now);
     void forget(const BackendId&);
+    /** What changed since the last call. */
+    std::vector<Notice> takeNotices();
 
 private:
     /** Exponentially weighted mean. */
@@ -67,10 +70,11 @@
 
     double ratioToMedian(const Servers&, const Server&, Mean Server::*) const;
     double slownessOf(const Servers&, const Server&) const;
-    Change judge(Servers&, Server&) const;
+    void judge(const PoolId&, const BackendId&);
 
     Options m_options;
     std::map<PoolId, Servers> m_pools;
+    std::vector<Notice> m_notices; // Since takeNotices.
 };
 
 } // namespace HickoryHollow
--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -234,6 +234,8 @@
             const auto command = decodeCommand(it.entry.command);
             internalAssert(command.has_value(), "a committed command can be read");
             outcome = m_state.apply(*command);
+        } else if (it.entry.kind == LogEntry::Kind::Membership) {
+            logEvent(LogEvent::MembersChanged, "instance={} members={} index={}", m_options.self.value(), it.entry.members.size(), it.index.value());
         }
         const auto pending = m_pending.find(it.index);
         if (pending == m_pending.end())
--- a/test/correctness/drain_under_load.cpp
+++ b/test/correctness/drain_under_load.cpp
@@ -47,7 +47,9 @@
 {
     const auto client = makeUpstreamClient(loop, {});
     Timer timer(loop.get_executor());
-    for (auto isReady = false; !isReady;) {
+    constexpr int maxTries = 500;
+    auto isReady = false;
+    for (int i = 0; i < maxTries && !isReady; ++i) {
         HttpRequest request { .method = "POST", .target = "/v1/chat/completions", .fields = {}, .body = R"({"model":"m","messages":[],"standin_tokens":1})" };
         request.fields.add("Authorization", std::string("Bearer ") + key);
         const auto call = client->open("127.0.0.1:7901");
@@ -56,7 +58,8 @@
         timer.expires_after(20ms);
         co_await timer.async_wait(asTuple);
     }
-    workload.start();
+    if (isReady)
+        workload.start();
     timer.expires_after(400ms);
     co_await timer.async_wait(asTuple);
     daemon.requestDrain();
--- a/test/error/request_verdicts.cpp
+++ b/test/error/request_verdicts.cpp
@@ -37,6 +37,14 @@
     return script;
 }
 
+/** Takes the request and answers nothing until it is cancelled. */
+Script stalled()
+{
+    Script script;
+    script.isStalled = true;
+    return script;
+}
+
 std::string verdictOf(const RequestBench& bench)
 {
     return std::string(bench.writer.response->fields.find("X-Hickory-Verdict"));
@@ -214,3 +222,18 @@
     CHECK(bench.writer.response->status == 503);
     CHECK(verdictOf(bench) == "not-run");
 }
+
+TEST_CASE("a caller's deadline ends an attempt, and no deadline ends none", "[entry]")
+{
+    RequestBench bench;
+    bench.upstream.scripts = { whole(R"({"a":1})") };
+    auto request = RequestBench::chat(false);
+    bench.run(request);
+    CHECK(verdictOf(bench) == "ran");
+    bench.upstream.scripts = { stalled() };
+    request.fields.add("X-Hickory-Deadline-Ms", "30");
+    bench.run(request);
+    CHECK(bench.writer.response->status == 504);
+    CHECK(verdictOf(bench) == "may-have-run");
+    CHECK(bench.running() == 0);
+}
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -7,6 +7,9 @@
 #include "entry/OnceLedger.h"
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
+#include "net/Timer.h"
+
+#include <boost/asio/this_coro.hpp>
 
 #include <deque>
 #include <optional>
@@ -23,6 +26,7 @@
     std::string contentType = "application/json";
     std::optional<std::string> echo; ///< Name of the attempt that it answers; the right one where empty.
     bool saysNotRun = false;
+    bool isStalled = false; ///< No header before the call is cancelled.
     std::vector<std::string> pieces;
     std::error_code breaksWith; ///< After the pieces; else they are complete.
 };
@@ -33,7 +37,7 @@
     std::vector<std::string> addresses; ///< Of the attempts made.
     std::vector<HttpRequest> requests;
 
-    std::unique_ptr<UpstreamCall> open(const std::string& address) override
+    std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) override
     {
         addresses.push_back(address);
         auto script = scripts.at(0);
@@ -54,6 +58,11 @@
         {
             m_owner.requests.push_back(request);
             UpstreamHead head;
+            if (m_script.isStalled) {
+                m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, Timer::time_point::max());
+                co_await m_stall->async_wait(asTuple);
+                m_script.beginError = make_error_code(RouterError::UpstreamBroken);
+            }
             head.ec = m_script.beginError;
             head.verdict = m_script.beginVerdict;
             head.status = m_script.status;
@@ -75,12 +84,17 @@
             co_return piece;
         }
 
-        void cancel() override { }
+        void cancel() override
+        {
+            if (m_stall)
+                m_stall->cancel();
+        }
 
     private:
         FakeUpstream& m_owner;
         Script m_script;
         std::size_t m_next = 0;
+        std::unique_ptr<Timer> m_stall;
     };
 };
 
