--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -171,6 +171,7 @@
             fmt::print("round {} with {:3} open: single sync {:7.0f}/s p50={:.2f} p99={:.2f} ms; grouped {:7.0f}/s p50={:.2f} p99={:.2f} ms\n", round, open, one.perSecond, one.p50, one.p99, many.perSecond, many.p50, many.p99);
         }
     }
-    measureChange(grouped);
+    Trio fresh(folder / "fresh", 4096);
+    measureChange(fresh);
     return 0;
 }
--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -489,11 +489,12 @@
         if (isMember(peer.member) || peer.matched.value() + caughtUpWithin < m_log.last().value())
             continue;
         auto members = m_log.members();
-        const auto old = std::find_if(members.begin(), members.end(), [&peer](const auto& it) { return it.instance == peer.member.instance; });
+        const auto joining = peer.member;
+        const auto old = std::find_if(members.begin(), members.end(), [&joining](const auto& it) { return it.instance == joining.instance; });
         if (old != members.end())
             members.erase(old);
         else
-            members.push_back(peer.member);
+            members.push_back(joining);
         std::sort(members.begin(), members.end());
         appendOwn({ .term = m_vote.term, .kind = LogEntry::Kind::Membership, .command = {}, .members = members }, out);
         startRound(now, out);
--- a/src/cluster/Cluster.cpp
+++ b/src/cluster/Cluster.cpp
@@ -165,7 +165,7 @@
     });
 }
 
-void Cluster::serveRequest(const Wire::Request& request, std::function<void(const Wire::Reply&)> respond)
+void Cluster::serveRequest(const Wire::Request& request, const Respond& respond)
 {
     const auto id = request.id;
     if (!m_node) {
--- a/src/cluster/Cluster.h
+++ b/src/cluster/Cluster.h
@@ -52,9 +52,11 @@
     boost::json::value dump() const;
 
 private:
+    using Respond = std::function<void(const Wire::Reply&)>;
+
     void takeMessage(const InstanceId& from, const Wire::PeerMessage&);
     void sendRequest(const InstanceId& to, const Wire::Request&);
-    void serveRequest(const Wire::Request&, std::function<void(const Wire::Reply&)> respond);
+    void serveRequest(const Wire::Request&, const Respond&);
     Task<void> settingsLoop();
     Task<void> fleetLoop();
     Task<void> followSettings();
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -29,6 +29,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval { 20 };
+constexpr int ticksPerSweep = 5; // A sweep looks at every backend server that is known.
 constexpr std::chrono::milliseconds drainPoll { 20 };
 constexpr std::size_t operatorBodyBytes = 16U << 20U;
 constexpr std::size_t announcementBodyBytes = 64U << 10U;
@@ -181,10 +182,11 @@
 Task<void> Daemon::Parts::tickLoop()
 {
     Timer timer(loops.at(0).get_executor());
-    for (;;) {
+    for (int turn = 0;; ++turn) {
         timer.expires_after(tickInterval);
         co_await timer.async_wait(asTuple);
-        fleet.tick();
+        if (turn % ticksPerSweep == 0)
+            fleet.tick();
         if (!cluster) {
             fleet.takeTransitions();
             fleet.takeRenewals();
--- a/src/scheduling/StragglerDetector.cpp
+++ b/src/scheduling/StragglerDetector.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double sampleWeight = 0.2;
-constexpr std::size_t minPeers = 2; // A median over fewer says nothing about the one that is judged.
+constexpr std::size_t minServers = 3; // A median over fewer says nothing about one of them.
 
 double toMilliseconds(Duration value)
 {
@@ -33,58 +33,73 @@
     ++samples;
 }
 
-double StragglerDetector::ratioToMedian(const Servers& servers, const Server& server, Mean Server::*mean) const
+double StragglerDetector::medianOf(const Pool& pool, Mean Server::*mean) const
 {
-    const auto& own = server.*mean;
-    if (own.samples < m_options.minSamples)
-        return 1;
-    std::vector<double> peers;
-    for (const auto& [id, it] : servers) {
-        if (&it != &server && (it.*mean).samples >= m_options.minSamples)
-            peers.push_back((it.*mean).value);
+    std::vector<double> values;
+    for (const auto& [id, server] : pool.servers) {
+        if ((server.*mean).samples >= m_options.minSamples)
+            values.push_back((server.*mean).value);
     }
-    if (peers.size() < minPeers)
-        return 1;
-    const auto middle = peers.begin() + static_cast<std::ptrdiff_t>(peers.size() / 2);
-    std::nth_element(peers.begin(), middle, peers.end());
-    return own.value / *middle;
+    if (values.size() < minServers)
+        return 0;
+    // The lower middle: with an even number the slower half must not hide itself.
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+void StragglerDetector::updateMedians(Pool& pool) const
+{
+    if (pool.samplesUntilMedians > 0) {
+        --pool.samplesUntilMedians;
+        return;
+    }
+    pool.samplesUntilMedians = pool.servers.size();
+    pool.firstTokenMedian = medianOf(pool, &Server::firstToken);
+    pool.tokenIntervalMedian = medianOf(pool, &Server::tokenInterval);
+}
+
+double StragglerDetector::ratio(const Mean& mean, double median) const
+{
+    return mean.samples < m_options.minSamples || median <= 0 ? 1 : mean.value / median;
 }
 
-double StragglerDetector::slownessOf(const Servers& servers, const Server& server) const
+double StragglerDetector::slownessOf(const Pool& pool, const Server& server) const
 {
-    return std::max(ratioToMedian(servers, server, &Server::firstToken), ratioToMedian(servers, server, &Server::tokenInterval));
+    return std::max(ratio(server.firstToken, pool.firstTokenMedian), ratio(server.tokenInterval, pool.tokenIntervalMedian));
 }
 
-void StragglerDetector::judge(const PoolId& pool, const BackendId& backend)
+void StragglerDetector::judge(const PoolId& poolId, const BackendId& backend)
 {
-    auto& servers = m_pools[pool];
-    auto& server = servers[backend];
-    const auto ratio = slownessOf(servers, server);
-    const auto ejected = std::count_if(servers.begin(), servers.end(), [](const auto& it) { return it.second.isEjected; });
-    const auto permitted = m_options.maxEjectedShare * static_cast<double>(servers.size());
-    const auto comesBack = server.isEjected && ratio <= m_options.restoreRatio;
-    const auto goesOut = !server.isEjected && ratio >= m_options.ejectRatio && static_cast<double>(ejected) + 1 <= permitted;
+    auto& pool = m_pools[poolId];
+    updateMedians(pool);
+    auto& server = pool.servers[backend];
+    const auto slow = slownessOf(pool, server);
+    const auto ejected = std::count_if(pool.servers.begin(), pool.servers.end(), [](const auto& it) { return it.second.isEjected; });
+    const auto permitted = m_options.maxEjectedShare * static_cast<double>(pool.servers.size());
+    const auto comesBack = server.isEjected && slow <= m_options.restoreRatio;
+    const auto goesOut = !server.isEjected && slow >= m_options.ejectRatio && static_cast<double>(ejected) + 1 <= permitted;
     if (!comesBack && !goesOut)
         return;
     server.isEjected = goesOut;
-    m_notices.push_back({ .pool = pool, .backend = backend, .isEjected = goesOut, .slowness = ratio });
+    m_notices.push_back({ .pool = poolId, .backend = backend, .isEjected = goesOut, .slowness = slow });
 }
 
 void StragglerDetector::observeFirstToken(const PoolId& pool, const BackendId& backend, Duration value)
 {
-    m_pools[pool][backend].firstToken.add(toMilliseconds(value));
+    m_pools[pool].servers[backend].firstToken.add(toMilliseconds(value));
     judge(pool, backend);
 }
 
 void StragglerDetector::observeTokenInterval(const PoolId& pool, const BackendId& backend, Duration value)
 {
-    m_pools[pool][backend].tokenInterval.add(toMilliseconds(value));
+    m_pools[pool].servers[backend].tokenInterval.add(toMilliseconds(value));
     judge(pool, backend);
 }
 
 void StragglerDetector::observeSilence(const PoolId& pool, const BackendId& backend, Duration waited)
 {
-    auto& server = m_pools[pool][backend];
+    auto& server = m_pools[pool].servers[backend];
     const auto sample = toMilliseconds(waited);
     if (sample <= server.firstToken.value)
         return;
@@ -99,25 +114,25 @@
 
 double StragglerDetector::slowness(const PoolId& pool, const BackendId& backend) const
 {
-    const auto servers = m_pools.find(pool);
-    if (servers == m_pools.end())
+    const auto it = m_pools.find(pool);
+    if (it == m_pools.end())
         return 1;
-    const auto server = servers->second.find(backend);
-    return server == servers->second.end() ? 1 : slownessOf(servers->second, server->second);
+    const auto server = it->second.servers.find(backend);
+    return server == it->second.servers.end() ? 1 : slownessOf(it->second, server->second);
 }
 
 bool StragglerDetector::isEjected(const PoolId& pool, const BackendId& backend) const
 {
-    const auto servers = m_pools.find(pool);
-    if (servers == m_pools.end())
+    const auto it = m_pools.find(pool);
+    if (it == m_pools.end())
         return false;
-    const auto server = servers->second.find(backend);
-    return server != servers->second.end() && server->second.isEjected;
+    const auto server = it->second.servers.find(backend);
+    return server != it->second.servers.end() && server->second.isEjected;
 }
 
 bool StragglerDetector::takeProbe(const PoolId& pool, const BackendId& backend, TimePoint now)
 {
-    auto& server = m_pools[pool][backend];
+    auto& server = m_pools[pool].servers[backend];
     if (now - server.lastProbe < m_options.probeInterval)
         return false;
     server.lastProbe = now;
@@ -126,8 +141,8 @@
 
 void StragglerDetector::forget(const BackendId& backend)
 {
-    for (auto& [pool, servers] : m_pools)
-        servers.erase(backend);
+    for (auto& [id, pool] : m_pools)
+        pool.servers.erase(backend);
 }
 
 } // namespace HickoryHollow
--- a/src/scheduling/StragglerDetector.h
+++ b/src/scheduling/StragglerDetector.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "scheduling/Job.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -66,14 +67,22 @@
         TimePoint lastProbe {};
     };
 
-    using Servers = std::map<BackendId, Server>;
+    /** The servers of one pool. The medians are of the servers with enough samples; 0 while those are too few. */
+    struct Pool {
+        std::map<BackendId, Server> servers;
+        double firstTokenMedian = 0;
+        double tokenIntervalMedian = 0;
+        std::size_t samplesUntilMedians = 0; // They are worked out anew once for as many samples as there are servers.
+    };
 
-    double ratioToMedian(const Servers&, const Server&, Mean Server::*) const;
-    double slownessOf(const Servers&, const Server&) const;
+    double medianOf(const Pool&, Mean Server::*) const;
+    double ratio(const Mean&, double median) const;
+    double slownessOf(const Pool&, const Server&) const;
+    void updateMedians(Pool&) const;
     void judge(const PoolId&, const BackendId&);
 
     Options m_options;
-    std::map<PoolId, Servers> m_pools;
+    std::map<PoolId, Pool> m_pools;
     std::vector<Notice> m_notices; // Since takeNotices.
 };
 
