--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -165,7 +165,7 @@
     Trio single(folder / "single", 1);
     Trio grouped(folder / "grouped", 4096);
     for (int round = 1; round <= arguments["rounds"].as<int>(); ++round) {
-        for (const std::size_t open : { 1, 64, 512 }) {
+        for (const auto open : { std::size_t(1), std::size_t(64), std::size_t(512) }) {
             const auto one = claimFor(single, open, arguments["seconds"].as<double>(), fmt::format("a{}-{}-", round, open));
             const auto many = claimFor(grouped, open, arguments["seconds"].as<double>(), fmt::format("b{}-{}-", round, open));
             fmt::print("round {} with {:3} open: single sync {:7.0f}/s p50={:.2f} p99={:.2f} ms; grouped {:7.0f}/s p50={:.2f} p99={:.2f} ms\n", round, open, one.perSecond, one.p50, one.p99, many.perSecond, many.p50, many.p99);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -243,10 +243,9 @@
 }
 
 template <typename SharedState>
-Task<void> serveConnection(std::shared_ptr<SharedState> shared, Stream::socket_type socket)
+Task<void> serveConnection(std::shared_ptr<SharedState> shared, std::shared_ptr<ConnectionState> state)
 {
     const CountGuard guard(shared->connections);
-    const auto state = std::make_shared<ConnectionState>(std::move(socket));
     boost::system::error_code ignored;
     state->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     beast::flat_buffer buf;
@@ -289,7 +288,7 @@
             co_await pause.async_wait(asTuple);
             continue;
         }
-        asio::co_spawn(acceptor.get_executor(), serveConnection(shared, std::move(socket)), asio::detached);
+        asio::co_spawn(acceptor.get_executor(), serveConnection(shared, std::make_shared<ConnectionState>(std::move(socket))), asio::detached);
     }
 }
 
--- a/src/wire/AgreementCodec.cpp
+++ b/src/wire/AgreementCodec.cpp
@@ -53,6 +53,7 @@
 std::vector<LogEntry> entriesFromWire(const std::vector<Wire::LogEntry>& all)
 {
     std::vector<LogEntry> entries;
+    entries.reserve(all.size());
     for (const auto& it : all)
         entries.push_back({ .term = Term(toUnsigned(it.term)), .kind = static_cast<LogEntry::Kind>(it.kind), .command = it.command, .members = membersFromWire(it.members) });
     return entries;
--- a/test/error/state_matrix.cpp
+++ b/test/error/state_matrix.cpp
@@ -176,7 +176,7 @@
     for (const auto& fault : faultRows()) {
         for (std::size_t node = 0; node < replicas; ++node) {
             for (int at = 0; at < workSteps; at += 3) {
-                const auto seed = static_cast<std::uint64_t>(at + 1);
+                const auto seed = static_cast<std::uint64_t>(at) + 1;
                 CAPTURE(fault.name, node, at, seed);
                 Workload load(seed);
                 workThrough(load, 0, at);
@@ -203,7 +203,7 @@
             // Two lost disks of three are beyond what a majority survives; that case has a test of its own.
             if (first.name == "empty disk" && second.name == "empty disk")
                 continue;
-            const auto seed = static_cast<std::uint64_t>(cases + 1);
+            const auto seed = static_cast<std::uint64_t>(cases) + 1;
             CAPTURE(first.name, second.name, seed);
             Workload load(seed);
             workThrough(load, 0, 4);
