--- a/src/entry/BackendApi.cpp
+++ b/src/entry/BackendApi.cpp
@@ -2,8 +2,8 @@
 
 #include "base/LogEvent.h"
 #include "entry/AnnouncementJson.h"
-#include "entry/Refusal.h"
 #include "http/BearerKey.h"
+#include "http/Refusal.h"
 #include "http/ResponseWriter.h"
 
 namespace HickoryHollow {
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -1,7 +1,7 @@
 #include "entry/CallerApi.h"
 
 #include "entry/CallerRequest.h"
-#include "entry/Refusal.h"
+#include "http/Refusal.h"
 #include "http/ResponseWriter.h"
 #include "metrics/Metrics.h"
 
--- a/src/entry/CallerRequest.h
+++ b/src/entry/CallerRequest.h
@@ -5,7 +5,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
-#include "entry/Refusal.h"
+#include "http/Refusal.h"
 #include "scheduling/Job.h"
 #include "settings/RoutingSettings.h"
 
--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -1,7 +1,7 @@
 #include "entry/OperatorApi.h"
 
-#include "entry/Refusal.h"
 #include "http/BearerKey.h"
+#include "http/Refusal.h"
 #include "http/ResponseWriter.h"
 
 #include <boost/json.hpp>
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "entry/CallerRequest.h"
-#include "entry/Refusal.h"
 #include "http/HttpMessage.h"
+#include "http/Refusal.h"
 #include "net/Task.h"
 #include "scheduling/Decision.h"
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,8 +1,8 @@
 #include "http/HttpServer.h"
 
-#include "base/RouterError.h"
 #include "http/HttpHandler.h"
 #include "http/HttpMessage.h"
+#include "http/Refusal.h"
 #include "http/ResponseWriter.h"
 #include "net/EventLoops.h"
 #include "net/Listener.h"
@@ -13,7 +13,6 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <fmt/format.h>
 #include <mutex>
 #include <set>
 
@@ -205,13 +204,6 @@
     return request;
 }
 
-HttpResponse errorResponse(RouterError error)
-{
-    auto response = jsonResponse(httpStatusOf(error), fmt::format(R"({{"error":{{"code":"{}","message":"{}","verdict":"not-run"}}}})", codeOf(error), make_error_code(error).message()));
-    response.fields.add("X-Hickory-Verdict", "not-run");
-    return response;
-}
-
 RouterError readErrorOf(const boost::system::error_code& ec)
 {
     if (ec == http::error::header_limit)
@@ -260,7 +252,9 @@
         if (ec && !isWorthAnswering(ec))
             break;
         if (ec || overload) {
-            co_await writer.send(errorResponse(ec ? readErrorOf(ec) : RouterError::Overloaded));
+            Refusal refusal;
+            refusal.error = ec ? readErrorOf(ec) : RouterError::Overloaded;
+            co_await writer.send(toResponse(refusal));
             break;
         }
         const CountGuard requestGuard(shared->requests);
--- a/src/entry/Refusal.cpp
+++ b/src/http/Refusal.cpp
@@ -1,4 +1,4 @@
-#include "entry/Refusal.h"
+#include "http/Refusal.h"
 
 #include <boost/json.hpp>
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -226,10 +226,10 @@
     }
     const auto rank = [](const auto& head) { return std::make_tuple(head.first->tier, head.first->isRepeat, head.first->id); };
     std::sort(heads.begin(), heads.end(), [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
-    return std::any_of(heads.begin(), heads.end(), [&](const auto& head) { return startFrom(head.second, m_pools[head.second], now, decisions); });
+    return std::any_of(heads.begin(), heads.end(), [&](const auto& head) { return startFrom(m_pools[head.second], now, decisions); });
 }
 
-bool Scheduler::startFrom(const PoolId&, Pool& pool, TimePoint now, Decisions& decisions)
+bool Scheduler::startFrom(Pool& pool, TimePoint now, Decisions& decisions)
 {
     if (payFloor(pool, now, decisions))
         return true;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -111,7 +111,7 @@
     bool cannotFinish(const Job&, TimePoint now) const;
     void dispatch(const std::vector<PoolId>&, TimePoint now, Decisions&);
     bool startOne(const std::vector<PoolId>&, TimePoint now, Decisions&);
-    bool startFrom(const PoolId&, Pool&, TimePoint now, Decisions&);
+    bool startFrom(Pool&, TimePoint now, Decisions&);
     bool payFloor(Pool&, TimePoint now, Decisions&);
     bool tryStart(const Job&, bool ignoreReserve, TimePoint now, Decisions&);
     void start(const Job&, const BackendId&, TimePoint now, Decisions&);
