--- a/test/error/journal_faults.cpp
+++ b/test/error/journal_faults.cpp
@@ -62,6 +62,17 @@
     return contentsOf(recovered);
 }
 
+std::string logOfThreeBatches()
+{
+    FakeFileSystem files;
+    Journal journal(files);
+    Journal::Recovered none;
+    REQUIRE_FALSE(journal.open(none));
+    for (int i = 0; i < 3; ++i)
+        REQUIRE_FALSE(journal.append(fmt::format("b{:03}", i)));
+    return files.bytesOf("log-0");
+}
+
 bool startsWith(const std::vector<std::string>& whole, const std::vector<std::string>& start)
 {
     return whole.size() >= start.size() && std::equal(start.begin(), start.end(), whole.begin());
@@ -121,13 +132,7 @@
 
 TEST_CASE("a log cut at any byte yields the whole batches before the cut", "[storage]")
 {
-    FakeFileSystem files;
-    Journal journal(files);
-    Journal::Recovered none;
-    REQUIRE_FALSE(journal.open(none));
-    for (int i = 0; i < 3; ++i)
-        REQUIRE_FALSE(journal.append(fmt::format("b{:03}", i)));
-    const auto whole = files.bytesOf("log-0");
+    const auto whole = logOfThreeBatches();
     for (std::size_t length = 0; length <= whole.size(); ++length) {
         CAPTURE(length);
         FakeFileSystem cut;
@@ -138,13 +143,7 @@
 
 TEST_CASE("a changed byte before sound records is damage, at every byte", "[storage]")
 {
-    FakeFileSystem files;
-    Journal journal(files);
-    Journal::Recovered none;
-    REQUIRE_FALSE(journal.open(none));
-    for (int i = 0; i < 3; ++i)
-        REQUIRE_FALSE(journal.append(fmt::format("b{:03}", i)));
-    const auto whole = files.bytesOf("log-0");
+    const auto whole = logOfThreeBatches();
     const auto lastFrame = whole.size() / 3 * 2;
     for (std::size_t at = 0; at < whole.size(); ++at) {
         CAPTURE(at);
