Run tests that listen on fixed ports one at a time

Cause: ctest runs each case as a process of its own, and several listeners may share a port here, so two cases on one port could answer each other's connections.

--- a/test/correctness/drain_under_load.cpp
+++ b/test/correctness/drain_under_load.cpp
@@ -67,7 +67,7 @@
 
 } // namespace
 
-TEST_CASE("a drain under load cuts no request in progress", "[daemon]")
+TEST_CASE("a drain under load cuts no request in progress", "[daemon][loopback]")
 {
     const auto folder = std::filesystem::temp_directory_path() / ("hickory-drain-" + std::to_string(::getpid()));
     Daemon daemon(settingsIn(folder));
--- a/test/error/http_limits.cpp
+++ b/test/error/http_limits.cpp
@@ -84,7 +84,7 @@
 
 } // namespace
 
-TEST_CASE("over-limit and malformed requests get a clear error as not run, then the connection closes", "[http]")
+TEST_CASE("over-limit and malformed requests get a clear error as not run, then the connection closes", "[http][loopback]")
 {
     const RunningServer server;
     const auto [bytes, status, code] = GENERATE(table<std::string, std::string, std::string>({
@@ -102,7 +102,7 @@
     CHECK(answer.find("X-Hickory-Verdict: not-run") != std::string::npos);
 }
 
-TEST_CASE("requests on one connection are answered in their order", "[http]")
+TEST_CASE("requests on one connection are answered in their order", "[http][loopback]")
 {
     const RunningServer server;
     RawClient client;
@@ -115,7 +115,7 @@
     CHECK(first < second);
 }
 
-TEST_CASE("connections over the limit are refused, not held", "[http]")
+TEST_CASE("connections over the limit are refused, not held", "[http][loopback]")
 {
     const RunningServer server;
     RawClient first;
@@ -129,7 +129,7 @@
     CHECK(third.readAll().starts_with("HTTP/1.1 503"));
 }
 
-TEST_CASE("a client that asks before it sends a body is told to go on", "[http]")
+TEST_CASE("a client that asks before it sends a body is told to go on", "[http][loopback]")
 {
     const RunningServer server;
     RawClient client;
