--- /dev/null
+++ b/src/agreement/ReplicaElection.cpp
@@ -0,0 +1,96 @@
+#include "agreement/Replica.h"
+
+#include "base/RandomSource.h"
+
+namespace HickoryHollow {
+
+void Replica::resetElection(TimePoint now)
+{
+    const auto timeout = m_options.timings.electionTimeout;
+    m_electionAt = now + timeout + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(timeout.count()))));
+}
+
+bool Replica::isLogAsNew(LogIndex lastIndex, Term lastTerm) const
+{
+    return lastTerm > m_log.lastTerm() || (lastTerm == m_log.lastTerm() && lastIndex >= m_log.last());
+}
+
+void Replica::startElection(bool isPreVote, TimePoint now, ReplicaOutput& out)
+{
+    m_role = Role::Candidate;
+    m_isPreVote = isPreVote;
+    m_leader.reset();
+    m_votes = { m_options.self.replica };
+    resetElection(now);
+    auto term = Term(m_vote.term.value() + 1);
+    if (!isPreVote) {
+        m_vote = { .term = term, .votedFor = m_options.self.replica };
+        out.records.emplace_back(m_vote);
+    }
+    for (const auto& it : m_log.members()) {
+        if (it != m_options.self)
+            send(it, VoteRequest { .isPreVote = isPreVote, .term = term, .lastIndex = m_log.last(), .lastTerm = m_log.lastTerm() }, out);
+    }
+    if (!isQuorum(m_votes.size()))
+        return;
+    if (isPreVote)
+        startElection(false, now, out);
+    else
+        becomeLeader(now, out);
+}
+
+void Replica::becomeLeader(TimePoint now, ReplicaOutput& out)
+{
+    m_role = Role::Leader;
+    m_leader = m_options.self;
+    m_leaderSince = now;
+    m_peers.clear();
+    m_roundStarts.clear();
+    syncPeers(now);
+    appendOwn({ .term = m_vote.term, .kind = LogEntry::Kind::Noop, .command = {}, .members = {} }, out);
+    m_firstOfTerm = m_log.last();
+    startRound(now, out);
+}
+
+void Replica::answerVoteRequest(const AgreementMessage& message, const VoteRequest& request, TimePoint now, ReplicaOutput& out)
+{
+    const auto refuse = [&] { send(message.from, VoteReply { .isPreVote = request.isPreVote, .term = m_vote.term, .isGranted = false }, out); };
+    // The leader holds a lease on this silence.
+    if (now - m_leaderHeardAt < m_options.timings.electionTimeout || (m_role == Role::Leader && mayServeReads(now)))
+        return refuse();
+    if (request.term < m_vote.term || !isLogAsNew(request.lastIndex, request.lastTerm))
+        return refuse();
+    if (request.isPreVote) {
+        send(message.from, VoteReply { .isPreVote = true, .term = request.term, .isGranted = request.term > m_vote.term }, out);
+        return;
+    }
+    if (request.term > m_vote.term)
+        becomeFollower(request.term, now, out);
+    if (m_vote.votedFor && *m_vote.votedFor != message.from.replica)
+        return refuse();
+    m_vote.votedFor = message.from.replica;
+    out.records.emplace_back(m_vote);
+    resetElection(now);
+    send(message.from, VoteReply { .isPreVote = false, .term = m_vote.term, .isGranted = true }, out);
+}
+
+void Replica::takeVote(const AgreementMessage& message, const VoteReply& reply, TimePoint now, ReplicaOutput& out)
+{
+    if (!reply.isGranted) {
+        if (reply.term > m_vote.term)
+            becomeFollower(reply.term, now, out);
+        return;
+    }
+    const auto expected = m_isPreVote ? Term(m_vote.term.value() + 1) : m_vote.term;
+    if (m_role != Role::Candidate || reply.isPreVote != m_isPreVote || reply.term != expected || !isMember(message.from))
+        return;
+    m_votes.insert(message.from.replica);
+    if (!isQuorum(m_votes.size()))
+        return;
+    if (m_isPreVote)
+        startElection(false, now, out);
+    else
+        becomeLeader(now, out);
+}
+
+} // namespace HickoryHollow
