Let a peer read the answer to its over-limit request before the connection is reset

Reading the server for another cause showed a real one: a connection closed with unread bytes is reset, and the peer can lose the answer that it was just sent.

Change: after an error the server ends its side, reads and drops at most 16 MB for at most 1 s, and then closes.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include "net/Listener.h"
 #include "net/Timer.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -34,6 +35,9 @@
 using Stream = beast::basic_stream<asio::ip::tcp, Executor>;
 using Parser = http::request_parser<http::string_body>;
 
+constexpr std::chrono::milliseconds discardTime { 1000 };
+constexpr std::size_t discardChunk = 4096;
+constexpr std::size_t maxDiscardedBytes = 16UL << 20U;
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 }; // Out of file descriptors: wait for connections to end.
 
 /** The socket of one caller and what both the connection loop and a handler's writer need to know of it. */
@@ -234,6 +238,20 @@
     co_return ec;
 }
 
+// Closing a socket with unread bytes resets the connection, and the peer may lose the answer that it was just sent.
+Task<void> discardRest(ConnectionState& state)
+{
+    boost::system::error_code ec;
+    state.stream.socket().shutdown(asio::socket_base::shutdown_send, ec);
+    state.stream.expires_after(discardTime);
+    std::array<char, discardChunk> buf {};
+    for (std::size_t discarded = 0; !ec && discarded < maxDiscardedBytes;) {
+        const auto [readEc, n] = co_await state.stream.async_read_some(asio::buffer(buf), asTuple);
+        ec = readEc;
+        discarded += n;
+    }
+}
+
 template <typename SharedState>
 Task<void> serveConnection(std::shared_ptr<SharedState> shared, std::shared_ptr<ConnectionState> state)
 {
@@ -255,6 +273,7 @@
             Refusal refusal;
             refusal.error = ec ? readErrorOf(ec) : RouterError::Overloaded;
             co_await writer.send(toResponse(refusal));
+            co_await discardRest(*state);
             break;
         }
         const CountGuard requestGuard(shared->requests);
--- a/test/error/http_limits.cpp
+++ b/test/error/http_limits.cpp
@@ -102,6 +102,16 @@
     CHECK(answer.find("X-Hickory-Verdict: not-run") != std::string::npos);
 }
 
+TEST_CASE("a peer that still sends its over-limit body is not reset before it has read the answer", "[http][loopback]")
+{
+    const RunningServer server;
+    RawClient client;
+    client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n");
+    CHECK(client.readAll().starts_with("HTTP/1.1 413"));
+    for (int i = 0; i < 3; ++i)
+        CHECK_NOTHROW(client.send(std::string(10000, 'x')));
+}
+
 TEST_CASE("requests on one connection are answered in their order", "[http][loopback]")
 {
     const RunningServer server;
