--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -323,11 +323,6 @@
     m_shared->isDraining = true;
 }
 
-std::size_t HttpServer::connections() const
-{
-    return m_shared->connections;
-}
-
 std::size_t HttpServer::requestsInProgress() const
 {
     return m_shared->requests;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -34,7 +34,6 @@
 
     /** From now on each response closes its connection, and idle connections are closed. */
     void startDrain();
-    std::size_t connections() const;
     /** Requests that were read and not yet answered whole. */
     std::size_t requestsInProgress() const;
 
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 #include <cstdint>
-#include <fmt/format.h>
+#include <string>
 
 namespace HickoryHollow {
 
@@ -24,10 +24,4 @@
     return boost::asio::ip::tcp::endpoint(address, port);
 }
 
-std::string toString(const boost::asio::ip::tcp::endpoint& endpoint)
-{
-    const auto host = endpoint.address().to_string();
-    return endpoint.address().is_v6() ? fmt::format("[{}]:{}", host, endpoint.port()) : fmt::format("{}:{}", host, endpoint.port());
-}
-
 } // namespace HickoryHollow
--- a/src/net/Endpoint.h
+++ b/src/net/Endpoint.h
@@ -1,17 +1,15 @@
 /** \file
- * Text `ip:port` to a TCP endpoint and back.
+ * Text `ip:port` to a TCP endpoint.
  */
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace HickoryHollow {
 
 /** Nothing when the text is not a numeric IP address with a port. */
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view);
-std::string toString(const boost::asio::ip::tcp::endpoint&);
 
 } // namespace HickoryHollow
--- a/src/storage/Journal.h
+++ b/src/storage/Journal.h
@@ -44,7 +44,6 @@
     /** Starts a new generation with this snapshot and an empty log. */
     std::error_code compact(std::string_view snapshot);
 
-    bool hasFailed() const { return m_hasFailed; }
     std::uint64_t bytesSinceSnapshot() const { return m_logBytes; }
 
 private:
