--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -77,6 +77,8 @@
     void synced(TimePoint now, ReplicaOutput&);
     /** Makes these the first voters. Only on a replica whose log is empty; returns false on another. */
     bool form(const Members&, ReplicaOutput&);
+    /** The other instances that keep state, as far as they are known now. */
+    void setPeers(std::set<InstanceId> peers) { m_options.peers = std::move(peers); }
     /** Takes a saved state to send to replicas that lag, and forgets the entries up to `forgetTo`, at most its index. */
     void compacted(StateSnapshot, LogIndex forgetTo);
 
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -31,6 +31,10 @@
 using ChangeId = StrongId<struct ChangeTag>;
 /** Version of the replicated settings. It only grows. */
 using SettingsVersion = StrongId<struct SettingsVersionTag, std::uint64_t>;
+/** Name of a route of the routing configuration. */
+using RouteId = StrongId<struct RouteTag>;
+/** Version of the routing configuration, chosen by its author. The highest is in force. */
+using RoutingVersion = StrongId<struct RoutingVersionTag, std::uint64_t>;
 /** Start number of a process or backend server; a larger one is a later start. */
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 /** Priority of a class: 1 is served first. */
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -75,10 +75,8 @@
 {
     return {
         .address = address,
-        .maxHeaderBytes = settings.maxHeaderBytes,
-        .maxBodyBytes = bodyBytes,
+        .limits = [limits = HttpLimits { .headerBytes = settings.maxHeaderBytes, .bodyBytes = bodyBytes, .headerTime = settings.idleTimeout, .idleTime = settings.idleTimeout }] { return limits; },
         .maxConnections = settings.maxConnections,
-        .idleTimeout = settings.idleTimeout,
         .writeTimeout = settings.slowReaderTimeout,
     };
 }
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -3,8 +3,9 @@
 #include "base/Digest.h"
 #include "base/LogEvent.h"
 #include "entry/Dispatcher.h"
-#include "entry/EventStreamScanner.h"
 #include "entry/OnceLedger.h"
+#include "http/DeadlineWatch.h"
+#include "http/EventStreamScanner.h"
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
@@ -59,49 +60,6 @@
     return passed;
 }
 
-/** Ends a call when the caller's deadline passes: what comes later is worthless. */
-class DeadlineWatch {
-public:
-    /** Watches nothing without a deadline. */
-    DeadlineWatch(const Executor& executor, std::optional<TimePoint> deadline, UpstreamCall& call)
-        : m_state(std::make_shared<State>(executor))
-    {
-        if (!deadline)
-            return;
-        m_state->timer.expires_at(*deadline);
-        m_state->timer.async_wait([state = m_state, &call](const boost::system::error_code& ec) {
-            if (ec || state->isOver)
-                return;
-            state->hasPassed = true;
-            call.cancel();
-        });
-    }
-    ~DeadlineWatch()
-    {
-        m_state->isOver = true;
-        m_state->timer.cancel();
-    }
-    DeadlineWatch(const DeadlineWatch&) = delete;
-    DeadlineWatch& operator=(const DeadlineWatch&) = delete;
-
-    bool hasPassed() const { return m_state->hasPassed; }
-
-private:
-    /** Outlives the watch until the timer's handler has run. */
-    struct State {
-        explicit State(const Executor& executor)
-            : timer(executor)
-        {
-        }
-
-        Timer timer;
-        bool isOver = false;
-        bool hasPassed = false;
-    };
-
-    std::shared_ptr<State> m_state;
-};
-
 } // namespace
 
 RequestRunner::RequestRunner(RunnerContext context, const CallerRequest& request, const HttpRequest& http, ResponseWriter& writer)
--- /dev/null
+++ b/src/forwarding/ForwardingContext.h
@@ -0,0 +1,36 @@
+/** \file
+ * What every exchange of an entry instance works with. One event loop uses it.
+ */
+#pragma once
+
+#include "base/Time.h"
+#include "metrics/Metrics.h"
+#include "net/Task.h"
+#include "placement/RetryWindow.h"
+
+#include <cstdint>
+#include <map>
+
+namespace HickoryHollow {
+
+class BackendBoard;
+class RandomSource;
+class RequestCodec;
+class RoutingInForce;
+class UpstreamClient;
+
+struct ForwardingContext {
+    asio::io_context& loop;
+    const RequestCodec& codec;
+    const RoutingInForce& routing;
+    BackendBoard& board;
+    UpstreamClient& upstream;
+    RandomSource& random;
+    Metrics& metrics;
+    RetryWindow::Options retries;
+    std::map<ServiceId, RetryWindow> retryWindows = {}; ///< One a service.
+    std::uint32_t entryInstances = 1; ///< As the state instances counted them last; they share the budget of repeats.
+    Duration longestRetryAfter = std::chrono::seconds(8);
+};
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/forwarding/RoutedExchange.cpp
@@ -0,0 +1,368 @@
+#include "forwarding/RoutedExchange.h"
+
+#include "base/LogEvent.h"
+#include "base/RandomSource.h"
+#include "base/RouterError.h"
+#include "http/DeadlineWatch.h"
+#include "http/ResponseWriter.h"
+#include "routing/RoutingInForce.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <numeric>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr unsigned ok = 200;
+constexpr unsigned notFound = 404;
+constexpr unsigned unauthorized = 401;
+constexpr unsigned badGateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gatewayTimeout = 504;
+constexpr unsigned firstServerError = 500;
+constexpr std::size_t maxWholeAnswer = 16U << 20U;
+constexpr std::uint32_t rejectionsTolerated = 2; // Servers that refuse before the request is refused.
+constexpr Duration minTimeToSend = std::chrono::milliseconds(20); // With less left, no server can answer in time.
+constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
+constexpr int silenceFactor = 3; // Of a target, before a repeatable request is tried elsewhere.
+constexpr Duration freshConnection = std::chrono::milliseconds(1500); // Idle for less: surely still open.
+
+} // namespace
+
+RoutedExchange::RoutedExchange(ForwardingContext& context, const HttpRequest& http, ResponseWriter& writer)
+    : m_context(context)
+    , m_http(http)
+    , m_writer(writer)
+    , m_arrival(monotonicNow())
+    , m_deadline(m_arrival)
+    , m_table(context.routing.table())
+    , m_call(context.codec.describe(http))
+{
+}
+
+bool RoutedExchange::hasLease() const
+{
+    return m_context.routing.mayServeKeys(monotonicNow());
+}
+
+std::optional<HttpResponse> RoutedExchange::admit()
+{
+    const auto refusal = [this](unsigned status, std::string_view code, Duration retryAfter) {
+        logEnd(status, code);
+        return m_context.codec.refuse(status, code, m_route ? m_route->id.value() : m_http.target, retryAfter);
+    };
+    if (!m_table)
+        return refusal(unavailable, "no-configuration", shortRetryAfter);
+    // Without a lease this instance cannot know whether the route or the key was taken away or added.
+    m_route = m_table->find(m_http.fields.find("Host"), m_http.path());
+    const auto isOpen = m_route && !m_route->needsKey;
+    if (!isOpen && !hasLease())
+        return refusal(unavailable, "configuration-unconfirmed", shortRetryAfter);
+    if (!m_route)
+        return refusal(notFound, "no-route", {});
+    if (m_route->needsKey && m_table->needsKeys()) {
+        m_workspace = m_table->workspaceOf(m_call.key);
+        if (!m_workspace)
+            return refusal(unauthorized, "unknown-key", {});
+    }
+    m_deadline = m_arrival + std::min(m_route->timeout, m_call.patience.value_or(m_route->timeout));
+    return std::nullopt;
+}
+
+Task<void> RoutedExchange::run()
+{
+    if (auto refused = admit()) {
+        co_await m_writer.send(std::move(*refused));
+        co_return;
+    }
+    co_await runAttempts();
+}
+
+const ServiceId& RoutedExchange::pickService() const
+{
+    const auto& services = m_route->services;
+    const auto total = std::accumulate(services.begin(), services.end(), std::uint64_t {}, [](auto sum, const auto& it) { return sum + it.weight; });
+    auto at = m_context.random.below(total);
+    for (const auto& it : services) {
+        if (at < it.weight)
+            return it.service;
+        at -= it.weight;
+    }
+    return services.front().service;
+}
+
+Task<void> RoutedExchange::runAttempts()
+{
+    const auto service = pickService();
+    auto& window = m_context.retryWindows.try_emplace(service, m_context.retries).first->second;
+    window.noteFirst(m_arrival);
+    for (;;) {
+        const auto now = monotonicNow();
+        const auto priority = m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
+        const auto placement = m_context.board.choose({ .service = service, .prompt = m_call.prompt, .priority = priority, .excluded = m_tried }, now);
+        if (!placement) {
+            m_lastCause = m_tried.empty() ? "no-server" : "no-other-server";
+            co_await refuse(m_runs == 0 ? unavailable : badGateway, m_lastCause, shortRetryAfter);
+            co_return;
+        }
+        if (m_deadline - now < minTimeToSend) {
+            co_await refuse(m_runs == 0 ? unavailable : gatewayTimeout, "out-of-time", shortRetryAfter);
+            co_return;
+        }
+        if (m_sends > 0 && !window.tryRepeat(m_context.entryInstances, now)) {
+            co_await refuse(m_runs == 0 ? unavailable : badGateway, "retry-budget-spent", shortRetryAfter);
+            co_return;
+        }
+        ++m_choices;
+        m_lastBackend = placement->backend.value();
+        auto result = co_await attempt(*placement);
+        m_lastCause = result.cause;
+        m_tried.insert(placement->backend);
+        m_sends += result.wasSent ? 1 : 0;
+        m_runs += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
+        if (!mayTryAgain(result)) {
+            co_await finish(result);
+            co_return;
+        }
+        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_call.id, m_route->id.value(), m_lastBackend, result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
+    }
+}
+
+bool RoutedExchange::mayTryAgain(const Attempt& result)
+{
+    if (m_writer.callerGone())
+        return false;
+    switch (result.end) {
+    case AttemptEnd::Delivered:
+    case AttemptEnd::CallerGone:
+    case AttemptEnd::OutOfTime:
+        return false;
+    case AttemptEnd::NotRun:
+        return m_choices <= rejectionsTolerated + m_route->maxAttempts;
+    case AttemptEnd::ServerError:
+        return m_route->kind == RequestKind::Idempotent && m_runs < m_route->maxAttempts;
+    case AttemptEnd::Failed:
+        return m_route->mayRunAgain() && m_runs < m_route->maxAttempts;
+    }
+    return false;
+}
+
+Task<void> RoutedExchange::finish(const Attempt& result)
+{
+    switch (result.end) {
+    case AttemptEnd::Delivered:
+        logEnd(ok, "delivered");
+        co_return;
+    case AttemptEnd::CallerGone:
+        logEnd(0, "caller-gone");
+        m_writer.abandon();
+        co_return;
+    case AttemptEnd::ServerError:
+        logEnd(result.answer.status, "server-error");
+        co_await m_writer.send(result.answer);
+        co_return;
+    case AttemptEnd::NotRun:
+        co_await refuse(m_runs == 0 ? unavailable : badGateway, result.cause, shortRetryAfter);
+        co_return;
+    case AttemptEnd::OutOfTime:
+        co_await refuse(m_runs == 0 ? unavailable : gatewayTimeout, result.cause, shortRetryAfter);
+        co_return;
+    case AttemptEnd::Failed:
+        co_await refuse(badGateway, result.cause, {});
+        co_return;
+    }
+}
+
+Task<void> RoutedExchange::refuse(unsigned status, std::string_view code, Duration retryAfter)
+{
+    logEnd(status, code);
+    if (m_streamStarted) {
+        // The caller sees that the stream is not whole, because its connection ends without the end of the body.
+        m_writer.abandon();
+        co_return;
+    }
+    co_await m_writer.send(m_context.codec.refuse(status, code, m_route->id.value(), retryAfter));
+}
+
+HttpRequest RoutedExchange::upstreamRequest(const Placement& placement) const
+{
+    constexpr std::uint32_t lastPriority = 9; // Engines know ten.
+    const auto priority = m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
+    const ForwardedCall call {
+        .serverName = placement.serverName,
+        .workspace = m_workspace ? m_workspace->id : WorkspaceId(),
+        .timeLeft = m_deadline - monotonicNow(),
+        .priority = std::min(priority, lastPriority),
+        .lastEventId = m_events.lastId() ? m_events.lastId() : m_call.lastEventId,
+    };
+    return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.forward(m_http.fields, call), .body = m_http.body };
+}
+
+// A request that may run again is not left to a silent server until the caller's time is over.
+Duration RoutedExchange::attemptTime(TimePoint now) const
+{
+    const auto left = m_deadline - now;
+    if (!m_route->mayRunAgain() || m_runs + 1 >= m_route->maxAttempts)
+        return left;
+    return std::min<Duration>(left, std::max<Duration>(minSilence, m_route->firstPieceTarget * silenceFactor));
+}
+
+Task<RoutedExchange::Attempt> RoutedExchange::attempt(const Placement& placement)
+{
+    const auto now = monotonicNow();
+    const auto left = m_deadline - now;
+    const auto pieceTime = m_route->mayRunAgain() && m_route->isStream() ? std::max<Duration>(minSilence, m_route->betweenPiecesTarget * silenceFactor) : left;
+    const UpstreamTimeouts timeouts { .head = attemptTime(now), .piece = pieceTime, .idleAtMost = m_route->mayRunAgain() ? Duration(std::chrono::hours(1)) : freshConnection };
+    const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
+    const auto callId = m_context.board.begin(placement, m_call.prompt, now);
+    m_writer.onCallerGone([&call = *call] { call.cancel(); });
+    Attempt result;
+    {
+        const DeadlineWatch watch(m_context.loop.get_executor(), m_deadline, *call);
+        result = co_await send(*call, placement, callId);
+        if (result.end != AttemptEnd::Delivered && result.end != AttemptEnd::ServerError && watch.hasPassed()) {
+            result.end = AttemptEnd::OutOfTime;
+            result.cause = "deadline-passed";
+        }
+    }
+    m_writer.onCallerGone({});
+    if (result.end != AttemptEnd::Delivered && m_writer.callerGone()) {
+        result.end = AttemptEnd::CallerGone;
+        // The server was not at fault.
+        result.outcome = CallOutcome::Rejected;
+    }
+    m_context.board.end(callId, result.outcome, monotonicNow());
+    co_return result;
+}
+
+Task<RoutedExchange::Attempt> RoutedExchange::send(UpstreamCall& call, const Placement& placement, CallId callId)
+{
+    Attempt result;
+    // A process that stood still since the admission must not run the request with a key that was revoked meanwhile.
+    if (m_workspace && !hasLease()) {
+        result.end = AttemptEnd::NotRun;
+        result.outcome = CallOutcome::Rejected;
+        result.cause = "configuration-unconfirmed";
+        co_return result;
+    }
+    call.skipForeign([this](unsigned status, const HttpFields& fields) { return m_context.codec.judge(status, fields, m_call.id) == AnswerKind::OtherRequest; });
+    const auto head = co_await call.begin(upstreamRequest(placement));
+    result.wasSent = head.verdict != Verdict::NotRun;
+    if (head.ec) {
+        result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
+        result.outcome = result.wasSent ? CallOutcome::Broken : CallOutcome::Unreachable;
+        result.cause = result.wasSent ? (head.ec == RouterError::UpstreamTimeout ? "server-silent" : "answer-broken") : "unreachable";
+        co_return result;
+    }
+    const auto kind = m_context.codec.judge(head.status, head.fields, m_call.id);
+    if (kind == AnswerKind::NotRun || kind == AnswerKind::OtherServer) {
+        result.end = AttemptEnd::NotRun;
+        result.outcome = kind == AnswerKind::NotRun ? CallOutcome::Rejected : CallOutcome::Unreachable;
+        result.cause = kind == AnswerKind::NotRun ? "server-rejected" : "address-reused";
+        co_return result;
+    }
+    if (kind != AnswerKind::Server) {
+        result.cause = "answer-not-signed";
+        co_return result;
+    }
+    const auto isStream = m_route->isStream() && head.status < 300;
+    if (isStream)
+        result = co_await relayStream(call, head, callId);
+    else
+        result = co_await readWhole(call, head, kind);
+    result.wasSent = true;
+    co_return result;
+}
+
+Task<RoutedExchange::Attempt> RoutedExchange::readWhole(UpstreamCall& call, const UpstreamHead& head, AnswerKind)
+{
+    Attempt result;
+    result.answer = { .status = head.status, .fields = m_context.codec.giveBack(head.fields), .body = {} };
+    for (auto isLast = false; !isLast;) {
+        const auto piece = co_await call.readPiece();
+        if (piece.ec || result.answer.body.size() + piece.bytes.size() > maxWholeAnswer) {
+            result.cause = "answer-broken";
+            co_return result;
+        }
+        result.answer.body.append(piece.bytes);
+        isLast = piece.isLast;
+    }
+    if (head.status >= firstServerError) {
+        result.end = AttemptEnd::ServerError;
+        result.outcome = CallOutcome::ServerError;
+        result.cause = "server-error";
+        co_return result;
+    }
+    result.outcome = CallOutcome::Answered;
+    if (m_streamStarted) {
+        // A resumed stream was answered by something else; it cannot be joined to what the caller has.
+        result.cause = "no-stream";
+        co_return result;
+    }
+    const auto ec = co_await m_writer.send(std::move(result.answer));
+    result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
+    co_return result;
+}
+
+Task<std::error_code> RoutedExchange::startStream(const UpstreamHead& head)
+{
+    if (m_streamStarted)
+        co_return std::error_code();
+    m_streamStarted = true;
+    co_return co_await m_writer.startStream(head.status, m_context.codec.giveBack(head.fields));
+}
+
+Task<RoutedExchange::Attempt> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, CallId callId)
+{
+    Attempt result;
+    const auto last = m_events.lastId();
+    m_events = EventStreamScanner(EventStreamScanner::EndMarker::None);
+    if (last)
+        m_events.skipTo(*last);
+    for (;;) {
+        const auto piece = co_await call.readPiece();
+        if (piece.ec) {
+            result.cause = piece.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
+            co_return result;
+        }
+        auto bytes = m_events.feed(piece.bytes);
+        std::string whole;
+        if (piece.isLast && !m_events.rest().empty()) {
+            whole = std::string(bytes) + std::string(m_events.rest());
+            bytes = whole;
+        }
+        if (!bytes.empty() || piece.isLast) {
+            m_context.board.firstPiece(callId, monotonicNow());
+            auto ec = co_await startStream(head);
+            if (!ec && !bytes.empty())
+                ec = co_await m_writer.write(bytes);
+            if (!ec && piece.isLast)
+                ec = co_await m_writer.finishStream();
+            if (ec) {
+                result.end = AttemptEnd::CallerGone;
+                result.outcome = CallOutcome::Rejected;
+                result.cause = "caller-gone";
+                co_return result;
+            }
+        }
+        if (piece.isLast)
+            break;
+    }
+    result.end = AttemptEnd::Delivered;
+    result.outcome = CallOutcome::Answered;
+    result.cause = "none";
+    co_return result;
+}
+
+void RoutedExchange::logEnd(unsigned status, std::string_view outcome)
+{
+    const auto now = monotonicNow();
+    const auto leaseMs = (m_context.routing.leaseEnd() - now) / std::chrono::milliseconds(1);
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} choices={} sends={} last_cause={} took_ms={}", m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "",
+        m_table ? m_table->version().value() : 0, leaseMs, outcome, status, m_lastBackend, m_choices, m_sends, m_lastCause, (now - m_arrival) / std::chrono::milliseconds(1));
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/forwarding/RoutedExchange.h
@@ -0,0 +1,86 @@
+/** \file
+ * One caller's request on a configured route: from its admission over the attempts at backend servers to one answer.
+ */
+#pragma once
+
+#include "base/Verdict.h"
+#include "forwarding/ForwardingContext.h"
+#include "forwarding/RequestCodec.h"
+#include "http/EventStreamScanner.h"
+#include "net/Task.h"
+#include "placement/BackendBoard.h"
+#include "routing/RouteTable.h"
+
+#include <memory>
+#include <optional>
+
+namespace HickoryHollow {
+
+class DeadlineWatch;
+class ResponseWriter;
+class UpstreamCall;
+struct UpstreamHead;
+
+class RoutedExchange {
+public:
+    /** All outlive the exchange. */
+    RoutedExchange(ForwardingContext&, const HttpRequest&, ResponseWriter&);
+
+    Task<void> run();
+
+private:
+    /** How one attempt ended. */
+    enum class AttemptEnd {
+        Delivered, ///< The caller has the whole answer.
+        CallerGone,
+        NotRun, ///< The server did not begin.
+        Failed, ///< It may have run, and no whole answer came.
+        ServerError, ///< The server answered with a failure that may be passed on.
+        OutOfTime,
+    };
+
+    struct Attempt {
+        AttemptEnd end = AttemptEnd::Failed;
+        bool wasSent = false; ///< A byte of it may have reached the server.
+        CallOutcome outcome = CallOutcome::Broken;
+        std::string_view cause;
+        HttpResponse answer; ///< Of a ServerError.
+    };
+
+    /** Nothing when the request may go on. */
+    std::optional<HttpResponse> admit();
+    bool hasLease() const;
+    const ServiceId& pickService() const;
+    Task<void> runAttempts();
+    Task<Attempt> attempt(const Placement&);
+    Task<Attempt> send(UpstreamCall&, const Placement&, CallId);
+    Task<Attempt> readWhole(UpstreamCall&, const UpstreamHead&, AnswerKind);
+    Task<Attempt> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
+    Task<std::error_code> startStream(const UpstreamHead&);
+    bool mayTryAgain(const Attempt&);
+    Duration attemptTime(TimePoint now) const;
+    Task<void> finish(const Attempt&);
+    Task<void> refuse(unsigned status, std::string_view code, Duration retryAfter);
+    HttpRequest upstreamRequest(const Placement&) const;
+    void logEnd(unsigned status, std::string_view outcome);
+
+    ForwardingContext& m_context;
+    const HttpRequest& m_http;
+    ResponseWriter& m_writer;
+    TimePoint m_arrival;
+    TimePoint m_deadline; ///< The earlier of the route's timeout and the caller's patience.
+    std::shared_ptr<const RouteTable> m_table; // The configuration that was in force on arrival.
+    CallerCall m_call;
+    const RouteRule* m_route = nullptr;
+    const KeyedWorkspace* m_workspace = nullptr; // Null where the route needs no key.
+    std::set<BackendId> m_tried;
+    std::uint32_t m_sends = 0; // Attempts of which a byte may have reached a server.
+    std::uint32_t m_runs = 0; // Attempts that may have run.
+    std::uint32_t m_choices = 0;
+    std::string m_lastBackend;
+    std::string_view m_lastCause = "none";
+    bool m_streamStarted = false; // The caller has the header of a stream.
+    EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
+};
+
+} // namespace HickoryHollow
--- a/src/entry/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,11 +14,27 @@
 
 class EventStreamScanner {
 public:
+    enum class EndMarker {
+        Done, ///< `data: [DONE]` ends the stream.
+        None, ///< The stream ends with its body.
+    };
+
+    explicit EventStreamScanner(EndMarker marker = EndMarker::Done)
+        : m_marker(marker)
+    {
+    }
+
     /** Takes bytes as they come; returns the whole events among them and what was held back before. */
     std::string_view feed(std::string_view bytes);
 
     /** `data: [DONE]` came. Nothing after it is passed on. */
     bool isComplete() const { return m_isComplete; }
+    /** Events with an `id` up to this one are left out of what feed() returns, for a stream that goes on elsewhere. */
+    void skipTo(std::uint64_t id) { m_lastId = id; }
+    /** Id of the last event that feed() returned; nothing before one with a number. */
+    std::optional<std::uint64_t> lastId() const { return m_lastId; }
+    /** Start of an event whose end has not come. */
+    std::string_view rest() const { return m_pending; }
     /** Data events without the end marker. */
     std::uint32_t events() const { return m_events; }
     /** An event grew past the limit, so that the stream cannot be followed. */
@@ -26,8 +43,11 @@
 private:
     static constexpr std::size_t maxEventBytes = 1 << 20;
 
-    void countEvent(std::string_view event);
+    bool takeEvent(std::string_view event);
+    bool isNew(std::string_view event);
 
+    EndMarker m_marker;
+    std::optional<std::uint64_t> m_lastId; // Only grows.
     std::string m_whole; // What the last feed returned.
     std::string m_pending; // Start of an event whose end has not come.
     std::uint32_t m_events = 0;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -22,20 +22,34 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+using Stream = beast::basic_stream<asio::ip::tcp, Executor>;
+
 struct HttpServer::Shared {
     HttpHandler& handler;
     HttpServerOptions options;
     std::atomic<bool> isDraining = false;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> requests = 0;
+    std::atomic<std::uint64_t> requestsRead = 0;
+    std::mutex mutex;
+    std::set<Stream::socket_type*> idle; // Of connections without a request; guarded by mutex.
+
+    void noteIdle(Stream::socket_type& socket, bool isIdle)
+    {
+        const std::lock_guard lock(mutex);
+        if (isIdle)
+            idle.insert(&socket);
+        else
+            idle.erase(&socket);
+    }
 };
 
 namespace {
 
-using Stream = beast::basic_stream<asio::ip::tcp, Executor>;
 using Parser = http::request_parser<http::string_body>;
 
 constexpr std::chrono::milliseconds discardTime { 1000 };
+constexpr std::size_t firstRead = 4096; // Holds the header of most requests.
 constexpr std::size_t discardChunk = 4096;
 constexpr std::size_t maxDiscardedBytes = 16UL << 20U;
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 }; // Out of file descriptors: wait for connections to end.
@@ -86,9 +100,10 @@
 
 class ConnectionWriter final : public ResponseWriter {
 public:
-    ConnectionWriter(std::shared_ptr<ConnectionState> state, const HttpServerOptions& options, unsigned version, bool keepAlive)
+    ConnectionWriter(std::shared_ptr<ConnectionState> state, const HttpServerOptions& options, const std::atomic<bool>& isDraining, unsigned version, bool keepAlive)
         : m_state(std::move(state))
         , m_options(options)
+        , m_isDraining(isDraining)
         , m_version(version)
         , m_keepAlive(keepAlive)
     {
@@ -164,6 +179,9 @@
         message.result(status);
         for (const auto& it : fields.all())
             message.set(it.name, it.value);
+        // The last moment at which the peer can still be told not to send another request here.
+        if (m_isDraining)
+            m_keepAlive = false;
         message.keep_alive(m_keepAlive);
     }
 
@@ -176,6 +194,7 @@
 
     std::shared_ptr<ConnectionState> m_state;
     const HttpServerOptions& m_options;
+    const std::atomic<bool>& m_isDraining;
     unsigned m_version;
     bool m_keepAlive;
     bool m_isChunked = false;
@@ -223,17 +242,50 @@
         && ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-Task<boost::system::error_code> readRequest(ConnectionState& state, beast::flat_buffer& buf, Parser& parser, Duration timeout)
+/** Names what makes the message's end ambiguous between two readers; empty for a sound message. */
+std::string_view findFramingFault(const Parser::value_type& message)
+{
+    const auto encodings = message.count(http::field::transfer_encoding);
+    const auto lengths = message.count(http::field::content_length);
+    if (encodings > 0 && lengths > 0)
+        return "Content-Length beside Transfer-Encoding";
+    if (encodings > 1 || lengths > 1)
+        return "a framing field appears twice";
+    if (encodings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))
+        return "Transfer-Encoding other than `chunked`";
+    if (encodings == 1 && message.version() < 11)
+        return "Transfer-Encoding in HTTP/1.0";
+    if (message.version() >= 11 && message.count(http::field::host) != 1)
+        return "not exactly one Host";
+    return {};
+}
+
+// Waits for the first byte of the next request. False when the connection ends or stays idle for too long.
+Task<bool> awaitRequest(ConnectionState& state, beast::flat_buffer& buf, Duration idleTime)
 {
-    state.stream.expires_after(timeout);
+    if (buf.size() > 0)
+        co_return true;
+    state.stream.expires_after(idleTime);
+    const auto [ec, n] = co_await state.stream.async_read_some(buf.prepare(firstRead), asTuple);
+    buf.commit(n);
+    co_return !ec;
+}
+
+Task<boost::system::error_code> readRequest(ConnectionState& state, beast::flat_buffer& buf, Parser& parser, const HttpLimits& limits)
+{
+    state.stream.expires_after(limits.headerTime);
     const auto [headEc, headBytes] = co_await http::async_read_header(state.stream, buf, parser, asTuple);
     if (headEc)
         co_return headEc;
+    if (!findFramingFault(parser.get()).empty())
+        co_return make_error_code(http::error::bad_transfer_encoding);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> message { http::status::continue_, parser.get().version() };
         co_await http::async_write(state.stream, message, asTuple);
     }
-    state.stream.expires_after(timeout);
+    if (parser.is_done())
+        co_return headEc;
+    state.stream.expires_after(limits.idleTime);
     const auto [ec, n] = co_await http::async_read(state.stream, buf, parser, asTuple);
     co_return ec;
 }
@@ -262,11 +314,17 @@
     auto isOpen = true;
     while (isOpen) {
         Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(shared->options.maxHeaderBytes));
-        parser.body_limit(shared->options.maxBodyBytes);
-        const auto ec = co_await readRequest(*state, buf, parser, shared->options.idleTimeout);
+        const auto limits = shared->options.limits();
+        parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        parser.body_limit(limits.bodyBytes);
+        shared->noteIdle(state->stream.socket(), true);
+        const auto hasRequest = co_await awaitRequest(*state, buf, limits.idleTime);
+        shared->noteIdle(state->stream.socket(), false);
+        if (!hasRequest)
+            break;
+        const auto ec = co_await readRequest(*state, buf, parser, limits);
         const auto overload = shared->connections > shared->options.maxConnections;
-        ConnectionWriter writer(state, shared->options, parser.get().version(), !ec && !overload && parser.keep_alive());
+        ConnectionWriter writer(state, shared->options, shared->isDraining, parser.get().version(), !ec && !overload && parser.keep_alive());
         if (ec && !isWorthAnswering(ec))
             break;
         if (ec || overload) {
@@ -277,12 +335,11 @@
             break;
         }
         const CountGuard requestGuard(shared->requests);
-        if (shared->isDraining)
-            writer.abandon();
+        ++shared->requestsRead;
         const auto request = toRequest(parser.release());
         co_await shared->handler.handle(request, writer);
         stopWatching(*state);
-        isOpen = writer.keepAlive() && !state->isGone && !shared->isDraining;
+        isOpen = writer.keepAlive() && !state->isGone;
     }
     stopWatching(*state);
     state->stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
@@ -323,6 +380,19 @@
     m_shared->isDraining = true;
 }
 
+void HttpServer::closeIdle()
+{
+    const std::lock_guard lock(m_shared->mutex);
+    boost::system::error_code ignored;
+    for (auto* it : m_shared->idle)
+        it->cancel(ignored);
+}
+
+std::uint64_t HttpServer::requestsRead() const
+{
+    return m_shared->requestsRead;
+}
+
 std::size_t HttpServer::requestsInProgress() const
 {
     return m_shared->requests;
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -10,6 +10,7 @@
 #include "net/Task.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -21,10 +22,13 @@
 struct UpstreamTimeouts {
     Duration head = std::chrono::seconds(120); ///< From the sent request to the answer's header.
     Duration piece = std::chrono::seconds(30); ///< Between two pieces of the body.
+    Duration idleAtMost = std::chrono::hours(1); ///< A kept connection that was idle for longer is not used.
 };
 
 struct UpstreamOptions {
     Duration connectTimeout = std::chrono::seconds(1);
+    Duration silenceLimit = std::chrono::seconds(10); ///< Sent bytes that stay unacknowledged for longer end the connection.
+    bool acceptsUnframed = false; ///< A body without a length is whole when its connection ends without a reset.
     std::size_t maxIdlePerServer = 256;
     Duration idleLimit = std::chrono::seconds(20); ///< A connection idle for longer is not used again.
 };
@@ -44,6 +48,9 @@
     bool isLast = false; ///< The body is complete by its own framing.
 };
 
+/** True for the header of an answer to another request, which a server sent late on a kept connection. */
+using IsForeignAnswer = std::function<bool(unsigned status, const HttpFields&)>;
+
 /** One request to one backend server. Destroying it drops a connection whose answer was not read whole. */
 class UpstreamCall {
 public:
@@ -51,6 +58,10 @@
 
     virtual Task<UpstreamHead> begin(const HttpRequest&) = 0;
     virtual Task<UpstreamPiece> readPiece() = 0;
+    /** Answers for which `test` holds are read to their end and left out, a few at most. Call before begin. */
+    virtual void skipForeign(IsForeignAnswer) { }
+    /** The request went out on a connection that had served another one. Valid after begin. */
+    virtual bool usedKeptConnection() const { return false; }
     /** Ends a pending begin or readPiece with an error; callable from the same event loop only. */
     virtual void cancel() = 0;
 };
--- a/src/ledger/Commands.h
+++ b/src/ledger/Commands.h
@@ -75,7 +75,15 @@
 struct AdvanceTime {
 };
 
-using CommandBody = std::variant<SubmitSettings, ClaimWork, CompleteWork, AbandonOwner, AdvanceTime>;
+/** A whole routing configuration, as its author wrote it. Replaces one with a lower version; else it changes nothing. */
+struct RoutingDocument {
+    RoutingVersion version;
+    std::string text;
+
+    bool operator==(const RoutingDocument&) const = default;
+};
+
+using CommandBody = std::variant<SubmitSettings, ClaimWork, CompleteWork, AbandonOwner, AdvanceTime, RoutingDocument>;
 
 struct LedgerCommand {
     LedgerTime time;
@@ -106,11 +114,17 @@
     bool operator==(const ClaimOutcome&) const = default;
 };
 
+struct RoutingOutcome {
+    RoutingVersion version; ///< In force after the command.
+
+    bool operator==(const RoutingOutcome&) const = default;
+};
+
 /** Outcome of a command that only changes the state. */
 struct NoOutcome {
     bool operator==(const NoOutcome&) const = default;
 };
 
-using CommandOutcome = std::variant<NoOutcome, SubmitOutcome, ClaimOutcome>;
+using CommandOutcome = std::variant<NoOutcome, SubmitOutcome, ClaimOutcome, RoutingOutcome>;
 
 } // namespace HickoryHollow
--- a/src/ledger/SharedState.cpp
+++ b/src/ledger/SharedState.cpp
@@ -35,6 +35,8 @@
                 return complete(body);
             else if constexpr (std::is_same_v<Body, AbandonOwner>)
                 return abandon(body);
+            else if constexpr (std::is_same_v<Body, RoutingDocument>)
+                return replaceRouting(body);
             else
                 return NoOutcome {};
         },
@@ -57,6 +59,13 @@
     return won;
 }
 
+CommandOutcome SharedState::replaceRouting(const RoutingDocument& document)
+{
+    if (document.version > m_routing.version)
+        m_routing = document;
+    return RoutingOutcome { .version = m_routing.version };
+}
+
 void SharedState::remember(const ChangeId& change, const SubmitOutcome& outcome)
 {
     m_outcomes[change] = outcome;
@@ -163,8 +172,9 @@
         erase(m_claims.find(m_closedBySince.begin()->second));
 }
 
-void SharedState::restore(Settings settings, std::map<WorkId, Claim> claims, std::deque<RememberedChange> changes, LedgerTime time)
+void SharedState::restore(Settings settings, std::map<WorkId, Claim> claims, std::deque<RememberedChange> changes, LedgerTime time, RoutingDocument routing)
 {
+    m_routing = std::move(routing);
     m_settings = std::move(settings);
     m_claims = std::move(claims);
     m_changes = std::move(changes);
--- a/src/ledger/SharedState.h
+++ b/src/ledger/SharedState.h
@@ -64,19 +64,21 @@
     CommandOutcome apply(const LedgerCommand&);
 
     const Settings& settings() const { return m_settings; }
+    const RoutingDocument& routing() const { return m_routing; }
     const std::map<WorkId, Claim>& claims() const { return m_claims; }
     const std::deque<RememberedChange>& changes() const { return m_changes; }
     LedgerTime time() const { return m_time; }
     std::size_t claimBytes() const { return m_claimBytes; }
 
     /** Replaces the whole state, from a snapshot. */
-    void restore(Settings, std::map<WorkId, Claim>, std::deque<RememberedChange>, LedgerTime);
+    void restore(Settings, std::map<WorkId, Claim>, std::deque<RememberedChange>, LedgerTime, RoutingDocument);
 
 private:
     CommandOutcome submit(const SubmitSettings&);
     CommandOutcome claim(const ClaimWork&);
     CommandOutcome complete(const CompleteWork&);
     CommandOutcome abandon(const AbandonOwner&);
+    CommandOutcome replaceRouting(const RoutingDocument&);
     void setState(const WorkId&, Claim&, Claim::State);
     void expire();
     void remember(const ChangeId&, const SubmitOutcome&);
@@ -85,6 +87,7 @@
     LedgerLimits m_limits;
     LedgerTime m_time;
     Settings m_settings;
+    RoutingDocument m_routing; // Its version only grows.
     std::map<ChangeId, SubmitOutcome> m_outcomes; // One for each of m_changes.
     std::deque<RememberedChange> m_changes; // Oldest first.
     std::map<WorkId, Claim> m_claims;
--- /dev/null
+++ b/src/links/Link.cpp
@@ -0,0 +1,135 @@
+#include "links/Link.h"
+
+#include "net/Endpoint.h"
+#include "wire/ThriftCodec.h"
+#include "wire/gen/hickoryhollow_types.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+namespace HickoryHollow {
+
+Link::Link(PeerSocket&& socket, const LinkOptions& options)
+    : m_socket(std::move(socket))
+    , m_options(options)
+    , m_wake(m_socket.get_executor())
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // A write into a partition must fail soon, also where nothing is read.
+    const int unacknowledgedMilliseconds = static_cast<int>(options.silenceLimit / std::chrono::milliseconds(1));
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof(unacknowledgedMilliseconds));
+}
+
+void Link::start(OnMessage message, OnClosed closed)
+{
+    m_onMessage = std::move(message);
+    m_onClosed = std::move(closed);
+    m_heardAt = monotonicNow();
+    asio::co_spawn(m_socket.get_executor(), readLoop(), asio::detached);
+    asio::co_spawn(m_socket.get_executor(), writeLoop(), asio::detached);
+}
+
+void Link::send(const Wire::LinkMessage& message)
+{
+    sendFrame(framed(encodeThrift(message)));
+}
+
+void Link::sendFrame(const std::string& frame)
+{
+    if (!m_isOpen)
+        return;
+    m_queued += frame;
+    if (m_queued.size() > m_options.maxQueuedBytes)
+        close();
+    else if (!m_isWriting)
+        m_wake.cancel();
+}
+
+void Link::close()
+{
+    m_isOpen = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_wake.cancel();
+}
+
+void Link::finish()
+{
+    close();
+    if (const auto closed = std::exchange(m_onClosed, {}))
+        closed();
+    m_onMessage = {};
+}
+
+Task<void> Link::readLoop()
+{
+    const auto self = shared_from_this();
+    std::string payload;
+    while (m_isOpen) {
+        const auto ec = co_await readFrameFrom(m_socket, payload);
+        if (ec)
+            break;
+        m_heardAt = monotonicNow();
+        if (payload.empty())
+            continue;
+        const auto message = decodeThrift<Wire::LinkMessage>(payload);
+        if (!message || !m_isOpen)
+            break;
+        m_onMessage(*message);
+    }
+    finish();
+}
+
+Task<void> Link::writeLoop()
+{
+    const auto self = shared_from_this();
+    const auto empty = framed({});
+    std::string buf;
+    while (m_isOpen) {
+        if (m_queued.empty()) {
+            m_wake.expires_after(m_options.keepAlive);
+            const auto [ec] = co_await m_wake.async_wait(asTuple);
+            if (!ec && monotonicNow() - m_heardAt > m_options.silenceLimit)
+                break;
+        }
+        if (!m_isOpen)
+            break;
+        buf.swap(m_queued);
+        m_queued.clear();
+        if (buf.empty())
+            buf = empty;
+        m_isWriting = true;
+        const auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(buf), asTuple);
+        m_isWriting = false;
+        m_bytesSent += n;
+        buf.clear();
+        if (ec || monotonicNow() - m_heardAt > m_options.silenceLimit)
+            break;
+    }
+    close();
+}
+
+Task<std::error_code> dialLink(asio::io_context& loop, const std::string& address, Duration timeout, const LinkOptions& options, std::shared_ptr<Link>& link)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        co_return std::make_error_code(std::errc::invalid_argument);
+    const auto socket = std::make_shared<PeerSocket>(loop.get_executor());
+    Timer timer(loop.get_executor(), timeout);
+    timer.async_wait([socket](const boost::system::error_code& ec) {
+        boost::system::error_code ignored;
+        if (!ec)
+            socket->close(ignored);
+    });
+    const auto [ec] = co_await socket->async_connect(*endpoint, asTuple);
+    const auto isInTime = timer.cancel() > 0;
+    if (ec || !isInTime)
+        co_return ec ? std::error_code(ec) : std::make_error_code(std::errc::timed_out);
+    link = std::make_shared<Link>(std::move(*socket), options);
+    co_return std::error_code();
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/links/StateMesh.cpp
@@ -0,0 +1,292 @@
+#include "links/StateMesh.h"
+
+#include "base/LogEvent.h"
+#include "net/Listener.h"
+#include "wire/Signed.h"
+#include "wire/ThriftCodec.h"
+#include "wire/gen/hickoryhollow_types.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr Duration dialTimeout = std::chrono::milliseconds(700);
+constexpr Duration redialDelay = std::chrono::milliseconds(250);
+constexpr Duration maxRedialDelay = std::chrono::seconds(2); // An address that does not answer for long.
+constexpr Duration toldWithin = std::chrono::seconds(30); // Only addresses with a sign of life are told on.
+
+} // namespace
+
+std::vector<StateAddress> fromWire(const std::vector<Wire::StateAddress>& wire)
+{
+    std::vector<StateAddress> addresses;
+    for (const auto& it : wire)
+        addresses.push_back({ .listen = InstanceId(it.listen), .failureDomain = FailureDomainId(it.failureDomain) });
+    return addresses;
+}
+
+struct StateMesh::State : std::enable_shared_from_this<StateMesh::State> {
+    State(asio::io_context& ioLoop, Options meshOptions, Events meshEvents)
+        : loop(ioLoop)
+        , options(std::move(meshOptions))
+        , events(std::move(meshEvents))
+        , self(options.listen)
+        , addresses({ .self = self })
+    {
+    }
+
+    Wire::LinkMessage hello() const;
+    std::vector<Wire::StateAddress> tellable() const;
+    Task<void> acceptLoop(Acceptor);
+    void accept(PeerSocket&&);
+    void takeHello(std::uint64_t number, const Wire::LinkHello&);
+    void takeFromAccepted(std::uint64_t number, const Wire::LinkMessage&);
+    void acceptedClosed(std::uint64_t number);
+    Task<void> dialLoop(InstanceId to);
+    void learn(const std::vector<Wire::StateAddress>&);
+
+    /** A link that another instance dialled. */
+    struct Accepted {
+        std::shared_ptr<Link> link;
+        bool hasGreeted = false;
+        InstanceId state; ///< Empty for an entry instance.
+    };
+
+    asio::io_context& loop;
+    Options options;
+    Events events;
+    InstanceId self;
+    StateAddresses addresses;
+    std::map<InstanceId, std::shared_ptr<Link>> outgoing; // Open links only.
+    std::set<InstanceId> dialled; // Addresses with a running dial loop.
+    std::map<std::uint64_t, Accepted> accepted;
+    std::uint64_t lastNumber = 0;
+    bool isStopped = false;
+};
+
+std::vector<Wire::StateAddress> StateMesh::State::tellable() const
+{
+    std::vector<Wire::StateAddress> list;
+    const auto add = [&list](const StateAddress& address) {
+        auto& made = list.emplace_back();
+        made.listen = address.listen.value();
+        made.failureDomain = address.failureDomain.value();
+    };
+    add({ .listen = InstanceId(options.listen), .failureDomain = options.failureDomain });
+    for (const auto& it : addresses.seenWithin(toldWithin, monotonicNow()))
+        add(it);
+    return list;
+}
+
+Wire::LinkMessage StateMesh::State::hello() const
+{
+    Wire::LinkHello hello;
+    hello.instance = options.instance;
+    hello.listen = options.listen;
+    hello.failureDomain = options.failureDomain.value();
+    hello.incarnation = toSigned(options.incarnation.value());
+    hello.states = tellable();
+    Wire::LinkMessage message;
+    message.__set_hello(hello);
+    return message;
+}
+
+void StateMesh::State::learn(const std::vector<Wire::StateAddress>& list)
+{
+    for (const auto& it : fromWire(list))
+        addresses.learn(it, monotonicNow());
+}
+
+Task<void> StateMesh::State::acceptLoop(Acceptor acceptor)
+{
+    const auto keepAlive = shared_from_this();
+    while (!isStopped) {
+        auto [ec, socket] = co_await acceptor.async_accept(asTuple);
+        if (!ec)
+            accept(std::move(socket));
+        else if (ec == asio::error::operation_aborted)
+            co_return;
+    }
+}
+
+void StateMesh::State::accept(PeerSocket&& socket)
+{
+    const auto number = ++lastNumber;
+    const auto link = std::make_shared<Link>(std::move(socket), options.link);
+    accepted[number].link = link;
+    link->start([state = shared_from_this(), number](const auto& message) { state->takeFromAccepted(number, message); }, [state = shared_from_this(), number] { state->acceptedClosed(number); });
+    link->send(hello());
+}
+
+void StateMesh::State::takeFromAccepted(std::uint64_t number, const Wire::LinkMessage& message)
+{
+    const auto it = accepted.find(number);
+    if (it == accepted.end())
+        return;
+    auto& peer = it->second;
+    if (message.__isset.hello) {
+        takeHello(number, message.hello);
+    } else if (!peer.hasGreeted) {
+        logEvent(LogEvent::PeerRejected, "link={} cause=no-hello", number);
+        peer.link->close();
+    } else if (peer.state.value().empty()) {
+        events.entryMessage(EntryLinkId(number), message);
+    } else {
+        addresses.seen(peer.state, monotonicNow());
+        events.stateMessage(peer.state, message);
+    }
+}
+
+void StateMesh::State::takeHello(std::uint64_t number, const Wire::LinkHello& hello)
+{
+    auto& peer = accepted[number];
+    peer.hasGreeted = true;
+    peer.state = InstanceId(hello.listen);
+    if (hello.listen.empty()) {
+        events.entryJoined(EntryLinkId(number));
+        return;
+    }
+    addresses.learn({ .listen = peer.state, .failureDomain = FailureDomainId(hello.failureDomain) }, monotonicNow());
+    learn(hello.states);
+}
+
+void StateMesh::State::acceptedClosed(std::uint64_t number)
+{
+    const auto peer = accepted.extract(number);
+    if (!peer.empty() && !isStopped && peer.mapped().hasGreeted && peer.mapped().state.value().empty())
+        events.entryLeft(EntryLinkId(number));
+}
+
+Task<void> StateMesh::State::dialLoop(InstanceId to)
+{
+    const auto keepAlive = shared_from_this();
+    Timer pause(loop.get_executor());
+    auto delay = redialDelay;
+    while (!isStopped && addresses.contains(to)) {
+        std::shared_ptr<Link> link;
+        const auto ec = co_await dialLink(loop, to.value(), dialTimeout, options.link, link);
+        if (!ec) {
+            delay = redialDelay;
+            outgoing[to] = link;
+            const auto done = std::make_shared<Timer>(loop.get_executor(), Timer::time_point::max());
+            link->start(
+                [state = keepAlive, to](const auto& message) {
+                    state->addresses.seen(to, monotonicNow());
+                    if (message.__isset.hello) {
+                        state->addresses.learn({ .listen = to, .failureDomain = FailureDomainId(message.hello.failureDomain) }, monotonicNow());
+                        state->learn(message.hello.states);
+                    }
+                },
+                [done] { done->cancel(); });
+            link->send(hello());
+            logEvent(LogEvent::PeerConnected, "instance={}", to.value());
+            events.stateJoined(to);
+            if (link->isOpen())
+                co_await done->async_wait(asTuple);
+            outgoing.erase(to);
+            logEvent(LogEvent::PeerLost, "instance={}", to.value());
+            if (!isStopped)
+                events.stateLeft(to);
+        }
+        pause.expires_after(delay);
+        delay = std::min(delay * 2, maxRedialDelay);
+        co_await pause.async_wait(asTuple);
+    }
+    dialled.erase(to);
+}
+
+StateMesh::StateMesh(asio::io_context& loop, Options options, Events events)
+    : m_state(std::make_shared<State>(loop, std::move(options), std::move(events)))
+{
+    asio::co_spawn(loop, m_state->acceptLoop(openListener(loop, m_state->options.listen)), asio::detached);
+}
+
+StateMesh::~StateMesh()
+{
+    m_state->isStopped = true;
+}
+
+void StateMesh::setSeeds(const std::vector<InstanceId>& seeds)
+{
+    m_state->addresses.setSeeds(seeds, monotonicNow());
+    tick();
+}
+
+void StateMesh::tick()
+{
+    const auto now = monotonicNow();
+    for (const auto& [id, link] : m_state->outgoing)
+        m_state->addresses.seen(id, now);
+    m_state->addresses.tick(now);
+    for (const auto& it : m_state->addresses.all()) {
+        if (m_state->dialled.insert(it.listen).second)
+            asio::co_spawn(m_state->loop, m_state->dialLoop(it.listen), asio::detached);
+    }
+}
+
+void StateMesh::sendToState(const InstanceId& to, const Wire::LinkMessage& message)
+{
+    const auto it = m_state->outgoing.find(to);
+    if (it != m_state->outgoing.end())
+        it->second->send(message);
+}
+
+void StateMesh::sendToStates(const Wire::LinkMessage& message)
+{
+    const auto frame = framed(encodeThrift(message));
+    for (const auto& [id, link] : m_state->outgoing)
+        link->sendFrame(frame);
+}
+
+void StateMesh::sendToEntry(EntryLinkId to, const Wire::LinkMessage& message)
+{
+    const auto it = m_state->accepted.find(to.value());
+    if (it != m_state->accepted.end())
+        it->second.link->send(message);
+}
+
+void StateMesh::sendToEntries(const Wire::LinkMessage& message)
+{
+    const auto frame = framed(encodeThrift(message));
+    for (const auto& [number, peer] : m_state->accepted) {
+        if (peer.hasGreeted && peer.state.value().empty())
+            peer.link->sendFrame(frame);
+    }
+}
+
+const InstanceId& StateMesh::self() const
+{
+    return m_state->self;
+}
+
+std::set<InstanceId> StateMesh::reachable() const
+{
+    std::set<InstanceId> ids;
+    for (const auto& [id, link] : m_state->outgoing)
+        ids.insert(id);
+    return ids;
+}
+
+std::set<InstanceId> StateMesh::known() const
+{
+    std::set<InstanceId> ids;
+    for (const auto& it : m_state->addresses.all())
+        ids.insert(it.listen);
+    return ids;
+}
+
+std::size_t StateMesh::entryLinks() const
+{
+    return static_cast<std::size_t>(std::count_if(m_state->accepted.begin(), m_state->accepted.end(), [](const auto& it) { return it.second.hasGreeted && it.second.state.value().empty(); }));
+}
+
+std::vector<Wire::StateAddress> StateMesh::addresses() const
+{
+    return m_state->tellable();
+}
+
+} // namespace HickoryHollow
--- a/src/membership/BackendDirectory.cpp
+++ b/src/membership/BackendDirectory.cpp
@@ -10,7 +10,7 @@
 
 bool sameOffer(const BackendRecord& a, const BackendRecord& b)
 {
-    return a.incarnation == b.incarnation && a.state == b.state && a.service == b.service && a.models == b.models
+    return a.incarnation == b.incarnation && a.state == b.state && a.service == b.service && a.serverName == b.serverName && a.models == b.models
         && a.failureDomain == b.failureDomain && a.slots == b.slots && a.capabilities == b.capabilities;
 }
 
@@ -45,8 +45,15 @@
 {
     const auto it = m_entries.find(record.id);
     const auto isSameOffer = it != m_entries.end() && sameOffer(it->second.record, record);
-    m_servingChanged = m_servingChanged || !isSameOffer;
     m_entries[record.id] = { .record = record, .heardAt = now };
+    if (!isSameOffer)
+        noteChange(record.id);
+}
+
+void BackendDirectory::noteChange(const BackendId& id)
+{
+    m_servingChanged = true;
+    m_changes.insert(id);
 }
 
 BackendDirectory::Outcome BackendDirectory::announce(const BackendRecord& record, TimePoint now)
@@ -78,7 +85,7 @@
     it->second.heardAt = now;
     if (!wasLapsed)
         return;
-    m_servingChanged = true;
+    noteChange(renewal.id);
     spread(renewal.id);
 }
 
@@ -126,11 +133,12 @@
         const auto isServing = entry.record.state == BackendState::Serving;
         if (isServing && silence > m_options.lease && homeOf(id) == m_options.self) {
             entry.record.state = BackendState::Lapsed;
-            m_servingChanged = true;
+            noteChange(id);
             spread(id);
         }
         if (!isServing && silence > m_options.forgetAfter) {
             m_transitions.erase(id);
+            m_changes.erase(id);
             it = m_entries.erase(it);
             continue;
         }
@@ -165,6 +173,24 @@
     return records;
 }
 
+std::vector<BackendRecord> BackendDirectory::takeChanges()
+{
+    std::vector<BackendRecord> records;
+    for (const auto& id : std::exchange(m_changes, {}))
+        records.push_back(m_entries.at(id).record);
+    return records;
+}
+
+std::optional<BackendRecord> BackendDirectory::findByName(const std::string& serverName) const
+{
+    std::optional<BackendRecord> found;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.serverName == serverName && (!found || entry.record.incarnation > found->incarnation))
+            found = entry.record;
+    }
+    return found;
+}
+
 std::vector<Renewal> BackendDirectory::takeRenewals()
 {
     std::vector<Renewal> renewals;
--- a/src/membership/BackendDirectory.h
+++ b/src/membership/BackendDirectory.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -57,6 +58,10 @@
     std::vector<BackendRecord> takeTransitions();
     /** Renewals to pass to the homes, since the last call. */
     std::vector<Renewal> takeRenewals();
+    /** Records whose content or state changed by any way since the last call, renewed ones left out. */
+    std::vector<BackendRecord> takeChanges();
+    /** The record of the backend server that calls itself so; the newest incarnation where there are several. */
+    std::optional<BackendRecord> findByName(const std::string& serverName) const;
     /** True once after each change of the set or content of serving(). */
     bool takeServingChanged();
 
@@ -68,12 +73,14 @@
 
     void adopt(const BackendRecord&, TimePoint now);
     void spread(const BackendId& id) { m_transitions.insert(id); }
+    void noteChange(const BackendId&);
 
     Options m_options;
     std::set<InstanceId> m_peers;
     std::map<BackendId, Entry> m_entries;
     std::set<BackendId> m_transitions; // Entries to spread; each is in m_entries.
     std::map<BackendId, Renewal> m_renewals; // Heard here for backend servers with another home.
+    std::set<BackendId> m_changes; // Entries that differ from what takeChanges() told; each is in m_entries.
     bool m_servingChanged = false;
 };
 
--- a/src/membership/BackendRecord.h
+++ b/src/membership/BackendRecord.h
@@ -6,6 +6,7 @@
 #include "base/Ids.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <tuple>
 #include <vector>
@@ -47,6 +48,7 @@
     std::uint64_t sequence = 0; ///< Number of the announcement that this record follows; grows within an incarnation.
     BackendState state = BackendState::Serving;
     ServiceId service;
+    std::string serverName; ///< How the backend server calls itself; empty where it has no name beside its address.
     std::vector<ModelId> models;
     FailureDomainId failureDomain;
     std::uint32_t slots = 1;
--- /dev/null
+++ b/src/node/NodeSettings.cpp
@@ -0,0 +1,118 @@
+#include "node/NodeSettings.h"
+
+#include "settings/IniDocument.h"
+#include "settings/SectionReader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr NumberRange timeRange { .least = 1, .most = 3'600'000 };
+
+double readRatio(SectionReader& reader, std::string_view key, double fallback)
+{
+    const auto text = reader.optional(key);
+    if (text.empty())
+        return fallback;
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() || value < 0)
+        reader.complain(key, fmt::format("`{}` is not a number of 0 or more", text));
+    return value;
+}
+
+Duration readSeconds(SectionReader& reader, std::string_view key, Duration fallback)
+{
+    const auto seconds = readRatio(reader, key, std::chrono::duration<double>(fallback).count());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void readInstance(SectionReader reader, NodeSettings& settings)
+{
+    settings.instance = InstanceId(reader.required("name"));
+    settings.failureDomain = FailureDomainId(reader.required("failure-domain"));
+    settings.dataFolder = reader.optional("data-folder");
+    reader.rejectUnknownKeys();
+}
+
+void readListen(SectionReader reader, NodeSettings& settings)
+{
+    settings.callerListen = reader.address("callers");
+    settings.readyListen = reader.address("ready");
+    settings.controlListen = reader.address("control");
+    settings.metricsListen = reader.address("metrics");
+    reader.required("links");
+    settings.linkListen = reader.address("links");
+    reader.rejectUnknownKeys();
+}
+
+void readMembership(SectionReader reader, NodeSettings& settings)
+{
+    const auto port = reader.number("seed-port", 0, { .least = 1, .most = 65535 });
+    for (const auto& it : reader.list("seeds")) {
+        const auto colon = it.rfind(':');
+        if (!isAddress(it) || port == 0)
+            reader.complain("seeds", fmt::format("`{}` is not `ip:port` with a numeric IP address", it));
+        else
+            settings.seeds.emplace_back(fmt::format("{}:{}", it.substr(0, colon), port));
+    }
+    settings.isFirstStart = reader.boolean("first-start", false);
+    settings.bearableLosses = static_cast<std::uint32_t>(reader.number("bearable-losses", settings.bearableLosses, { .least = 0, .most = 100 }));
+    reader.rejectUnknownKeys();
+}
+
+void readBounds(SectionReader reader, NodeBounds& bounds)
+{
+    bounds.drainTime = readSeconds(reader, "drain-s", bounds.drainTime);
+    bounds.keyLease = reader.milliseconds("key-lease-ms", bounds.keyLease, timeRange);
+    bounds.announceInterval = reader.milliseconds("announce-ms", bounds.announceInterval, timeRange);
+    bounds.retryRatio = readRatio(reader, "retry-ratio", bounds.retryRatio);
+    bounds.retrySlack = static_cast<std::uint64_t>(readRatio(reader, "retry-slack", static_cast<double>(bounds.retrySlack)));
+    bounds.retryWindow = readSeconds(reader, "retry-window-s", bounds.retryWindow);
+    bounds.retryAfter = readSeconds(reader, "retry-after-s", bounds.retryAfter);
+    reader.rejectUnknownKeys();
+}
+
+} // namespace
+
+std::optional<NodeSettings> parseNodeSettings(const std::string& file, std::string_view text, Complaints& complaints)
+{
+    const auto before = complaints.size();
+    const auto document = parseIni(file, text, complaints);
+    NodeSettings settings;
+    for (const auto& section : document.sections) {
+        const SectionReader reader(document, section, complaints);
+        if (section.name == "instance")
+            readInstance(reader, settings);
+        else if (section.name == "listen")
+            readListen(reader, settings);
+        else if (section.name == "membership")
+            readMembership(reader, settings);
+        else if (section.name == "bounds")
+            readBounds(reader, settings.bounds);
+        else
+            complaints.push_back({ .file = file, .line = section.line, .section = section.name, .key = {}, .message = "the section is unknown; permitted: instance, listen, membership, bounds" });
+    }
+    const auto complain = [&](std::string section, std::string key, std::string message) {
+        complaints.push_back({ .file = file, .line = 0, .section = std::move(section), .key = std::move(key), .message = std::move(message) });
+    };
+    if (settings.instance.value().empty())
+        complain("instance", "name", "the key is missing");
+    if (settings.isEntry() == settings.keepsState())
+        complain("listen", "callers", "an instance either listens for callers or has a `data-folder` under [instance]");
+    if (settings.isEntry() && settings.readyListen.empty())
+        complain("listen", "ready", "an entry instance needs an address for the balancer's health checks");
+    if (settings.keepsState() && settings.controlListen.empty())
+        complain("listen", "control", "a state instance needs an address for operators and backend servers");
+    if (settings.seeds.empty())
+        complain("membership", "seeds", "at least one seed is needed");
+    if (complaints.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/node/StateInstance.cpp
@@ -0,0 +1,508 @@
+#include "node/StateInstance.h"
+
+#include "base/LogEvent.h"
+#include "net/Timer.h"
+#include "node/UseCodec.h"
+#include "routing/RoutingDecoder.h"
+#include "wire/AgreementCodec.h"
+#include "wire/FleetCodec.h"
+#include "wire/LedgerCodec.h"
+#include "wire/Signed.h"
+#include "wire/ThriftCodec.h"
+#include "wire/gen/hickoryhollow_types.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+constexpr Duration nodeTickInterval = std::chrono::milliseconds(50);
+constexpr Duration heartbeat = std::chrono::milliseconds(200); // Of the leader; a beat wakes five processes.
+constexpr Duration electionTimeout = std::chrono::milliseconds(1000); // Five beats: a paused process is not deposed at once.
+constexpr Duration roundTimeout = std::chrono::milliseconds(400);
+constexpr Duration operatorPatience = std::chrono::milliseconds(900); // An operator asks another instance after a second.
+constexpr Duration retryPause = std::chrono::milliseconds(50);
+constexpr Duration useLifetime = std::chrono::milliseconds(1500); // Three times the interval of the slowest report.
+constexpr int ticksPerUseReport = 3;
+constexpr int missedAnnouncements = 5; // A backend server that was silent for so many intervals has lapsed.
+constexpr std::uint64_t journalBytesBeforeCompaction = 16ULL << 20U; // Of a disk of 128 MB that holds two generations.
+
+const std::string entrySource = "entry-";
+const std::string stateSource = "state-";
+
+std::string sourceOf(EntryLinkId id)
+{
+    return entrySource + std::to_string(id.value());
+}
+
+/** A callback with one value that a coroutine waits for, at most for some time. */
+template <typename T>
+class Awaited {
+public:
+    explicit Awaited(asio::io_context& loop)
+        : m_state(std::make_shared<State>(loop))
+    {
+    }
+
+    /** Callable more than once; the first value counts. */
+    std::function<void(T)> setter() const
+    {
+        return [state = m_state](T value) {
+            if (!state->value)
+                state->value = std::move(value);
+            state->timer.cancel();
+        };
+    }
+
+    Task<std::optional<T>> wait(Duration limit)
+    {
+        const auto state = m_state;
+        if (!state->value && limit > Duration::zero()) {
+            state->timer.expires_after(limit);
+            co_await state->timer.async_wait(asTuple);
+        }
+        co_return state->value;
+    }
+
+private:
+    struct State {
+        explicit State(asio::io_context& loop)
+            : timer(loop.get_executor())
+        {
+        }
+
+        Timer timer;
+        std::optional<T> value;
+    };
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace
+
+StateInstance::StateInstance(asio::io_context& loop, const NodeSettings& settings, const RoutingDecoder& decoder)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_decoder(decoder)
+    , m_isAlive(std::make_shared<bool>(true))
+    , m_mesh(loop, { .listen = settings.linkListen, .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .incarnation = Incarnation(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count())) },
+          {
+              .stateMessage = [this](const auto& from, const auto& message) { takeFromState(from, message); },
+              .entryMessage = [this](auto from, const auto& message) { takeFromEntry(from, message); },
+              .entryJoined = [this](auto id) { greetEntry(id); },
+              .entryLeft = [this](auto id) { m_uses.remove(sourceOf(id)); },
+              .stateJoined = [this](const auto& id) { greetState(id); },
+              .stateLeft = [this](const auto& id) { m_uses.remove(stateSource + id.value()); },
+          })
+    , m_directory({ .self = m_mesh.self(), .lease = settings.bounds.announceInterval * missedAnnouncements })
+    , m_routing(std::make_shared<const RoutingDocument>())
+    , m_node(std::make_unique<StateNode>(nodeOptions(), [this, alive = m_isAlive](const AgreementMessage& message) {
+        Wire::LinkMessage wire;
+        wire.__set_agreement(toWire(message));
+        asio::post(m_loop, [this, alive, to = message.to, wire = std::move(wire)] {
+            if (*alive)
+                m_mesh.sendToState(to, wire);
+        });
+    }))
+{
+}
+
+StateInstance::~StateInstance()
+{
+    *m_isAlive = false;
+}
+
+StateNode::Options StateInstance::nodeOptions()
+{
+    StateNode::Options options;
+    options.core.self = m_mesh.self();
+    options.core.timings.heartbeat = heartbeat;
+    options.core.timings.electionTimeout = electionTimeout;
+    options.core.compactAfterBytes = journalBytesBeforeCompaction;
+    options.core.keptEntries = 50;
+    options.dataFolder = m_settings.dataFolder;
+    options.tickInterval = nodeTickInterval;
+    // Runs on the node's thread, so `told` is the thread's own.
+    options.onFlushed = [this, alive = m_isAlive, told = RoutingVersion(0)](const StateCore& core) mutable {
+        const auto& routing = core.state().routing();
+        if (routing.version <= told)
+            return;
+        told = routing.version;
+        asio::post(m_loop, [this, alive, routing] {
+            if (*alive)
+                takeRouting(routing);
+        });
+    };
+    return options;
+}
+
+void StateInstance::start()
+{
+    m_mesh.setSeeds(m_settings.seeds);
+    asio::co_spawn(m_loop, tickLoop(), asio::detached);
+}
+
+void StateInstance::setSeeds(const std::vector<InstanceId>& seeds)
+{
+    m_settings.seeds = seeds;
+    m_mesh.setSeeds(seeds);
+}
+
+Task<void> StateInstance::tickLoop()
+{
+    Timer timer(m_loop.get_executor());
+    for (int turn = 0;; ++turn) {
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(asTuple);
+        const auto now = monotonicNow();
+        m_mesh.tick();
+        if (auto peers = m_mesh.known(); peers != m_peersOfNode) {
+            m_peersOfNode = peers;
+            m_node->change([peers](StateCore& core, TimePoint) { core.setPeers(peers); });
+        }
+        if (auto peers = m_mesh.reachable(); peers != m_peersOfDirectory) {
+            m_peersOfDirectory = peers;
+            m_directory.setPeers(peers, now);
+        }
+        formIfFirst();
+        m_directory.tick(now);
+        tellNews();
+        m_uses.expire(useLifetime, now);
+        if (turn % ticksPerUseReport == 0)
+            tellUses();
+    }
+}
+
+// Only one instance of the deployment forms the state: the one with the least address among the seeds of the first
+// start, which are the same everywhere. It waits for as many disks as the bearable losses need.
+void StateInstance::formIfFirst()
+{
+    if (m_hasFormed || !m_settings.isFirstStart)
+        return;
+    const auto first = std::min_element(m_settings.seeds.begin(), m_settings.seeds.end());
+    if (*first != m_mesh.self() || m_mesh.reachable().size() < std::size_t { 2 } * m_settings.bearableLosses)
+        return;
+    m_node->change([this, alive = m_isAlive](StateCore& core, TimePoint now) {
+        const auto* replica = core.replica();
+        const auto isDone = replica && replica->isFormed();
+        if (!isDone && !core.form(now).empty())
+            return;
+        asio::post(m_loop, [this, alive] {
+            if (*alive)
+                m_hasFormed = true;
+        });
+    });
+}
+
+void StateInstance::takeRouting(RoutingDocument document)
+{
+    if (document.version <= m_routing->version)
+        return;
+    m_routing = std::make_shared<const RoutingDocument>(std::move(document));
+    logEvent(LogEvent::RoutingCommitted, "version={} bytes={}", m_routing->version.value(), m_routing->text.size());
+    m_mesh.sendToEntries(routingMessage());
+}
+
+Wire::LinkMessage StateInstance::routingMessage() const
+{
+    Wire::LinkMessage message;
+    message.__set_routing(toWire(*m_routing));
+    return message;
+}
+
+void StateInstance::greetEntry(EntryLinkId id)
+{
+    if (m_routing->version.value() > 0)
+        m_mesh.sendToEntry(id, routingMessage());
+    const FleetNews news { .records = m_directory.all(), .renewals = {}, .loads = {} };
+    Wire::LinkMessage message;
+    message.__set_fleetNews(toWire(news));
+    m_mesh.sendToEntry(id, message);
+}
+
+void StateInstance::greetState(const InstanceId& id)
+{
+    const FleetNews news { .records = m_directory.all(), .renewals = {}, .loads = {} };
+    Wire::LinkMessage message;
+    message.__set_fleetNews(toWire(news));
+    m_mesh.sendToState(id, message);
+}
+
+void StateInstance::tellNews()
+{
+    const FleetNews news { .records = m_directory.takeTransitions(), .renewals = m_directory.takeRenewals(), .loads = {} };
+    if (!news.isEmpty()) {
+        Wire::LinkMessage message;
+        message.__set_fleetNews(toWire(news));
+        m_mesh.sendToStates(message);
+    }
+    const FleetNews changes { .records = m_directory.takeChanges(), .renewals = {}, .loads = {} };
+    if (changes.isEmpty())
+        return;
+    for (const auto& it : changes.records)
+        logEvent(LogEvent::BackendChanged, "backend={} server={} service={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), toString(it.state), it.incarnation.value(), it.sequence);
+    Wire::LinkMessage message;
+    message.__set_fleetNews(toWire(changes));
+    m_mesh.sendToEntries(message);
+}
+
+void StateInstance::tellUses()
+{
+    Wire::LinkMessage own;
+    own.__set_uses(toWire(m_uses.sum(entrySource)));
+    m_mesh.sendToStates(own);
+    if (m_mesh.entryLinks() == 0)
+        return;
+    Wire::LinkMessage total;
+    total.__set_uses(toWire(m_uses.sum({})));
+    m_mesh.sendToEntries(total);
+}
+
+bool StateInstance::announce(const BackendRecord& record)
+{
+    const auto outcome = m_directory.announce(record, monotonicNow());
+    if (record.state != BackendState::Serving)
+        tellNews();
+    return outcome == BackendDirectory::Outcome::Accepted;
+}
+
+bool StateInstance::retire(const std::string& serverName, std::optional<Incarnation> incarnation)
+{
+    auto record = m_directory.findByName(serverName);
+    if (!record || (incarnation && *incarnation < record->incarnation))
+        return false;
+    record->incarnation = incarnation.value_or(record->incarnation);
+    record->state = BackendState::Leaving;
+    ++record->sequence;
+    announce(*record);
+    return true;
+}
+
+void StateInstance::takeFromState(const InstanceId& from, const Wire::LinkMessage& message)
+{
+    const auto& isset = message.__isset;
+    if (isset.agreement) {
+        if (auto agreement = HickoryHollow::fromWire(message.agreement))
+            m_node->deliver(std::move(*agreement));
+    } else if (isset.fleetNews) {
+        const auto news = HickoryHollow::fromWire(message.fleetNews);
+        for (const auto& it : news.records)
+            m_directory.merge(it, from, monotonicNow());
+        for (const auto& it : news.renewals)
+            m_directory.renew(it, monotonicNow());
+        tellNews();
+    } else if (isset.uses) {
+        m_uses.set(stateSource + from.value(), HickoryHollow::fromWire(message.uses), monotonicNow());
+    } else if (isset.freshnessPoll) {
+        answerPoll(from, toUnsigned(message.freshnessPoll.id), RoutingVersion(toUnsigned(message.freshnessPoll.held)));
+    } else if (isset.freshnessReply) {
+        const auto& reply = message.freshnessReply;
+        Confirmation confirmation { .version = RoutingVersion(toUnsigned(reply.version)), .newer = std::nullopt };
+        if (reply.__isset.document)
+            confirmation.newer = HickoryHollow::fromWire(reply.document);
+        endRound(toUnsigned(reply.id), reply.confirmed ? std::optional(confirmation) : std::nullopt);
+    } else if (isset.routingSubmit) {
+        const auto id = message.routingSubmit.id;
+        proposeHere(HickoryHollow::fromWire(message.routingSubmit.document), [this, from, id](auto kind, const auto&) {
+            Wire::RoutingSubmitReply reply;
+            reply.id = id;
+            reply.result = static_cast<std::int32_t>(kind);
+            Wire::LinkMessage answer;
+            answer.__set_routingSubmitReply(reply);
+            m_mesh.sendToState(from, answer);
+        });
+    } else if (isset.routingSubmitReply) {
+        const auto submit = m_submits.extract(toUnsigned(message.routingSubmitReply.id));
+        if (!submit.empty())
+            submit.mapped()(static_cast<ProposalResult::Kind>(message.routingSubmitReply.result), std::nullopt);
+    }
+}
+
+void StateInstance::takeFromEntry(EntryLinkId from, const Wire::LinkMessage& message)
+{
+    if (message.__isset.uses) {
+        m_uses.set(sourceOf(from), HickoryHollow::fromWire(message.uses), monotonicNow());
+        return;
+    }
+    if (!message.__isset.freshnessPoll)
+        return;
+    const auto poll = message.freshnessPoll;
+    confirmNewest([this, from, poll](const std::optional<Confirmation>& confirmation) {
+        Wire::FreshnessReply reply;
+        reply.id = poll.id;
+        reply.confirmed = confirmation.has_value();
+        reply.version = toSigned((confirmation ? confirmation->version : m_routing->version).value());
+        reply.entryInstances = static_cast<std::int32_t>(m_uses.sum({}).entryInstances);
+        reply.states = m_mesh.addresses();
+        if (m_routing->version.value() > toUnsigned(poll.held))
+            reply.__set_document(toWire(*m_routing));
+        Wire::LinkMessage answer;
+        answer.__set_freshnessReply(reply);
+        m_mesh.sendToEntry(from, answer);
+    });
+}
+
+void StateInstance::confirmNewest(ConfirmationCallback callback)
+{
+    m_asked.push_back(std::move(callback));
+    if (!m_isRoundOpen)
+        startRound();
+}
+
+// One question to the leader serves everybody who asked before it was sent.
+void StateInstance::startRound()
+{
+    m_isRoundOpen = true;
+    m_inRound = std::exchange(m_asked, {});
+    const auto id = ++m_round;
+    const auto timer = std::make_shared<Timer>(m_loop.get_executor(), roundTimeout);
+    timer->async_wait([this, alive = m_isAlive, timer, id](const auto& ec) {
+        if (!ec && *alive)
+            endRound(id, std::nullopt);
+    });
+    m_node->inspect([this, alive = m_isAlive, id, held = m_routing->version](const StateCore& core, TimePoint now) {
+        const auto* routing = core.currentRouting(now);
+        std::optional<Confirmation> confirmation;
+        if (routing)
+            confirmation = Confirmation { .version = routing->version, .newer = routing->version > held ? std::optional(*routing) : std::nullopt };
+        asio::post(m_loop, [this, alive, id, confirmation, leader = core.leader(), held] {
+            if (!*alive)
+                return;
+            if (confirmation)
+                return endRound(id, confirmation);
+            if (!leader || *leader == m_mesh.self())
+                return endRound(id, std::nullopt);
+            Wire::FreshnessPoll poll;
+            poll.id = toSigned(id);
+            poll.held = toSigned(held.value());
+            Wire::LinkMessage message;
+            message.__set_freshnessPoll(poll);
+            m_mesh.sendToState(*leader, message);
+        });
+    });
+}
+
+void StateInstance::endRound(std::uint64_t id, const std::optional<Confirmation>& confirmation)
+{
+    if (!m_isRoundOpen || id != m_round)
+        return;
+    if (confirmation && confirmation->newer)
+        takeRouting(*confirmation->newer);
+    const auto callbacks = std::exchange(m_inRound, {});
+    m_isRoundOpen = false;
+    for (const auto& it : callbacks)
+        it(confirmation);
+    if (!m_asked.empty() && !m_isRoundOpen)
+        startRound();
+}
+
+void StateInstance::answerPoll(const InstanceId& from, std::uint64_t id, RoutingVersion held)
+{
+    m_node->inspect([this, alive = m_isAlive, from, id, held](const StateCore& core, TimePoint now) {
+        Wire::FreshnessReply reply;
+        reply.id = toSigned(id);
+        const auto* routing = core.currentRouting(now);
+        reply.confirmed = routing != nullptr;
+        if (routing)
+            reply.version = toSigned(routing->version.value());
+        if (routing && routing->version > held)
+            reply.__set_document(toWire(*routing));
+        Wire::LinkMessage answer;
+        answer.__set_freshnessReply(reply);
+        asio::post(m_loop, [this, alive, from, answer = std::move(answer)] {
+            if (*alive)
+                m_mesh.sendToState(from, answer);
+        });
+    });
+}
+
+void StateInstance::proposeHere(const RoutingDocument& document, CommitCallback callback)
+{
+    m_node->propose(document, [this, alive = m_isAlive, callback = std::move(callback)](const ProposalResult& result) {
+        asio::post(m_loop, [alive, callback, kind = result.kind, leader = result.leader] {
+            if (*alive)
+                callback(kind, leader);
+        });
+    });
+}
+
+Task<bool> StateInstance::commit(const RoutingDocument& document)
+{
+    const auto end = monotonicNow() + operatorPatience;
+    std::optional<InstanceId> leader;
+    Timer pause(m_loop.get_executor());
+    while (monotonicNow() < end) {
+        // What is applied here is on a quorum of disks, and a lower version changes nothing.
+        if (document.version <= m_routing->version)
+            co_return true;
+        using Result = std::pair<ProposalResult::Kind, std::optional<InstanceId>>;
+        Awaited<Result> result(m_loop);
+        const auto set = result.setter();
+        const auto id = ++m_lastSubmit;
+        if (leader && *leader != m_mesh.self()) {
+            m_submits.emplace(id, [set](auto kind, const auto& hint) { set({ kind, hint }); });
+            Wire::RoutingSubmit submit;
+            submit.id = toSigned(id);
+            submit.document = toWire(document);
+            Wire::LinkMessage message;
+            message.__set_routingSubmit(submit);
+            m_mesh.sendToState(*leader, message);
+        } else {
+            proposeHere(document, [set](auto kind, const auto& hint) { set({ kind, hint }); });
+        }
+        const auto answer = co_await result.wait(end - monotonicNow());
+        m_submits.erase(id);
+        if (answer && answer->first == ProposalResult::Kind::Committed)
+            co_return true;
+        leader = answer ? answer->second : std::nullopt;
+        if (!leader) {
+            pause.expires_after(retryPause);
+            co_await pause.async_wait(asTuple);
+        }
+    }
+    co_return document.version <= m_routing->version;
+}
+
+Task<RoutingSubmission> StateInstance::submitRouting(std::string text)
+{
+    RoutingSubmission submission;
+    const auto decoded = m_decoder.decode(text);
+    if (!decoded.isSound()) {
+        logEvent(LogEvent::RoutingRejected, "version={} held={} cause=\"{}\"", decoded.configuration.version.value(), m_routing->version.value(), decoded.complaint);
+        submission.outcome = RoutingSubmission::Outcome::Invalid;
+        submission.complaint = decoded.complaint;
+        co_return submission;
+    }
+    const auto version = decoded.configuration.version;
+    const auto startedAt = monotonicNow();
+    // Named, because g++ 12 destroys an aggregate made inside a co_await expression twice.
+    const RoutingDocument document { .version = version, .text = std::move(text) };
+    const auto isCommitted = co_await commit(document);
+    logEvent(isCommitted ? LogEvent::RoutingAcknowledged : LogEvent::RoutingUnconfirmed, "version={} held={} took_ms={}", version.value(), m_routing->version.value(), (monotonicNow() - startedAt) / std::chrono::milliseconds(1));
+    submission.outcome = isCommitted ? RoutingSubmission::Outcome::Accepted : RoutingSubmission::Outcome::Unavailable;
+    co_return submission;
+}
+
+Task<std::optional<RoutingDocument>> StateInstance::newestRouting()
+{
+    const auto end = monotonicNow() + operatorPatience;
+    Timer pause(m_loop.get_executor());
+    while (monotonicNow() < end) {
+        Awaited<std::optional<RoutingVersion>> newest(m_loop);
+        const auto set = newest.setter();
+        confirmNewest([set](const auto& confirmation) { set(confirmation ? std::optional(confirmation->version) : std::nullopt); });
+        const auto version = co_await newest.wait(end - monotonicNow());
+        if (version && *version && **version == m_routing->version && m_routing->version.value() > 0)
+            co_return *m_routing;
+        pause.expires_after(retryPause);
+        co_await pause.async_wait(asTuple);
+    }
+    co_return std::nullopt;
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/node/UseCodec.cpp
@@ -0,0 +1,29 @@
+#include "node/UseCodec.h"
+
+#include "wire/gen/hickoryhollow_types.h"
+
+namespace HickoryHollow {
+
+Wire::UseReport toWire(const UseReport& report)
+{
+    Wire::UseReport wire;
+    wire.entryInstances = static_cast<std::int32_t>(report.entryInstances);
+    for (const auto& it : report.uses) {
+        auto& made = wire.uses.emplace_back();
+        made.backend = static_cast<std::int32_t>(it.backend);
+        made.requests = static_cast<std::int32_t>(it.requests);
+        made.promptTokens = static_cast<std::int32_t>(it.promptTokens);
+    }
+    return wire;
+}
+
+UseReport fromWire(const Wire::UseReport& wire)
+{
+    UseReport report;
+    report.entryInstances = static_cast<std::uint32_t>(wire.entryInstances);
+    for (const auto& it : wire.uses)
+        report.uses.push_back({ .backend = static_cast<std::uint32_t>(it.backend), .requests = static_cast<std::uint32_t>(it.requests), .promptTokens = static_cast<std::uint32_t>(it.promptTokens) });
+    return report;
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/placement/BackendBoard.h
@@ -0,0 +1,116 @@
+/** \file
+ * The backend servers as one entry instance sees them, and the choice among them for each request. Pure: time, events
+ * and a source of randomness in, choices out.
+ *
+ * The choice is by expected time to the first piece: the prompt tokens that wait there for their reading, those of the
+ * request that the engine does not keep yet, and the work that runs there. Shared parts of prompts have a home that
+ * every instance finds by rendezvous hashing, so that they are read once and not on all engines.
+ */
+#pragma once
+
+#include "base/Ids.h"
+#include "membership/BackendRecord.h"
+#include "placement/BackendHealth.h"
+#include "placement/Prompt.h"
+#include "placement/PromptCache.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace HickoryHollow {
+
+class RandomSource;
+
+/** Names one call within the board. */
+using CallId = StrongId<struct CallTag, std::uint64_t>;
+
+/** What a choice has to know of a request. */
+struct PlacementRequest {
+    ServiceId service;
+    Prompt prompt;
+    std::uint32_t priority = 0;
+    std::set<BackendId> excluded; ///< Tried before.
+};
+
+struct Placement {
+    BackendId backend;
+    std::string serverName;
+    Duration expected {}; ///< Until the first piece, as far as this instance can tell.
+    std::uint32_t unreadTokens = 0; ///< Of the prompt; thought not to be kept there.
+    bool isAside = false; ///< No server was left that is not set aside.
+};
+
+/** Work of other instances at one backend server. */
+struct OtherUse {
+    std::uint32_t requests = 0;
+    std::uint32_t promptTokens = 0;
+};
+
+class BackendBoard {
+public:
+    struct Options {
+        FailureDomainId ownDomain;
+    };
+
+    /** `random` outlives the board. */
+    BackendBoard(Options, RandomSource& random);
+
+    /** Takes news of a backend server; false for old news. */
+    bool merge(const BackendRecord&, TimePoint now);
+    /** Engines of the service keep so many tokens each. */
+    void setEngine(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
+    void setOtherUse(const BackendId&, OtherUse);
+    void clearOtherUse();
+
+    std::optional<Placement> choose(const PlacementRequest&, TimePoint now);
+    CallId begin(const Placement&, const Prompt&, TimePoint now);
+    void firstPiece(CallId, TimePoint now);
+    void end(CallId, CallOutcome, TimePoint now);
+
+    /** Own work at each backend server that has any. */
+    std::map<BackendId, OtherUse> ownUse() const;
+    std::size_t servingOf(const ServiceId&) const;
+    std::vector<BackendRecord> all() const;
+
+private:
+    struct Server {
+        BackendRecord record;
+        BackendHealth health;
+        PromptCache cache { 0 };
+        OtherUse others;
+        std::uint32_t calls = 0; ///< Own calls that have not ended.
+        std::uint32_t waitingTokens = 0; ///< Unread prompt tokens of own calls without a first piece.
+        double slowness = 1; ///< Moving average of measured against expected time to the first piece.
+    };
+
+    struct Call {
+        BackendId backend;
+        Incarnation incarnation;
+        std::uint32_t unreadTokens = 0;
+        bool hasFirstPiece = false;
+        bool hasPrompt = false;
+        Duration expected {};
+        TimePoint begunAt {};
+    };
+
+    struct Engine {
+        std::uint32_t slots = 1;
+        std::uint64_t tokenCapacity = 0;
+    };
+
+    bool isCandidate(const Server&, const PlacementRequest&) const;
+    double costOf(const Server&, const PlacementRequest&, const BackendId& home, std::uint32_t& unread) const;
+    BackendId homeOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
+
+    Options m_options;
+    RandomSource& m_random;
+    std::map<BackendId, Server> m_servers;
+    std::map<ServiceId, Engine> m_engines;
+    std::map<CallId, Call> m_calls;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/routing/RouteTable.h
@@ -0,0 +1,38 @@
+/** \file
+ * A routing configuration prepared for look-ups on a request's path. Immutable.
+ */
+#pragma once
+
+#include "routing/RoutingConfiguration.h"
+
+#include <map>
+#include <string_view>
+#include <unordered_map>
+
+namespace HickoryHollow {
+
+class RouteTable {
+public:
+    explicit RouteTable(RoutingConfiguration);
+
+    RoutingVersion version() const { return m_configuration.version; }
+    const CallerLimits& limits() const { return m_configuration.limits; }
+    /** The route of that host with the longest prefix that begins the path; null where there is none. */
+    const RouteRule* find(std::string_view host, std::string_view path) const;
+    /** Null for an unknown key. */
+    const KeyedWorkspace* workspaceOf(std::string_view key) const;
+    /** Null for an unknown service. */
+    const RoutedService* service(const ServiceId&) const;
+    bool needsKeys() const { return !m_configuration.workspaces.empty(); }
+
+private:
+    RoutingConfiguration m_configuration;
+    std::unordered_map<std::string, std::vector<const RouteRule*>> m_byHost; // Longest prefix first.
+    std::unordered_map<std::string, const KeyedWorkspace*> m_byKey;
+    std::map<ServiceId, const RoutedService*> m_services;
+};
+
+/** Host without its port, in lower case. */
+std::string normalisedHost(std::string_view);
+
+} // namespace HickoryHollow
--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration seenFor = std::chrono::seconds(3);
+constexpr Duration reopenDelay = std::chrono::milliseconds(500); // A full disk may have room again.
 
 } // namespace
 
@@ -120,6 +121,20 @@
 {
     if (m_replica)
         m_replica->tick(now, m_pendingOutput);
+    else if (now >= m_reopenAt)
+        reopen(now);
+}
+
+// Damage needs an operator; a disk that refused a write may take the next one. The folder is read anew, because a
+// failed write leaves an unknown part behind.
+void StateCore::reopen(TimePoint now)
+{
+    if (m_failure == JournalError::Damaged)
+        return;
+    m_reopenAt = now + reopenDelay;
+    m_pendingOutput = {};
+    if (!open(now))
+        logEvent(LogEvent::StorageRegained, "replica={:x} applied={}", m_identity.self.replica.value(), m_applied.value());
 }
 
 void StateCore::receive(const AgreementMessage& message, TimePoint now)
@@ -162,6 +177,13 @@
     return {};
 }
 
+void StateCore::setPeers(std::set<InstanceId> peers)
+{
+    if (m_replica)
+        m_replica->setPeers(peers);
+    m_options.peers = std::move(peers);
+}
+
 std::optional<InstanceId> StateCore::leader() const
 {
     if (!m_replica || !m_replica->leader())
@@ -199,11 +221,11 @@
     if (output.isDiskStale) {
         answerLost(effects);
         if (const auto ec = setFolderAside(now))
-            fail(ec, effects);
+            fail(ec, now, effects);
         return effects;
     }
     if (const auto ec = persist(output)) {
-        fail(ec, effects);
+        fail(ec, now, effects);
         return effects;
     }
     if (output.restored) {
@@ -220,7 +242,7 @@
         answerLost(effects);
     effects.leadershipChanged = std::exchange(m_ledBefore, leads()) != leads();
     if (const auto ec = compactIfLarge())
-        fail(ec, effects);
+        fail(ec, now, effects);
     return effects;
 }
 
@@ -270,9 +292,15 @@
     return m_replica && m_replica->mayServeReads(now) ? &m_state.settings() : nullptr;
 }
 
-void StateCore::fail(std::error_code ec, StateEffects& effects)
+const RoutingDocument* StateCore::currentRouting(TimePoint now) const
+{
+    return m_replica && m_replica->mayServeReads(now) ? &m_state.routing() : nullptr;
+}
+
+void StateCore::fail(std::error_code ec, TimePoint now, StateEffects& effects)
 {
     m_failure = ec;
+    m_reopenAt = now + reopenDelay;
     effects.messages.clear();
     answerLost(effects);
     m_replica.reset();
--- a/src/state/StateCore.h
+++ b/src/state/StateCore.h
@@ -68,11 +68,15 @@
     void propose(ProposalId, const CommandBody&, LedgerTime wallClock, TimePoint now);
     /** Forms the state for the first time with all state instances; returns what stands against it, or nothing. */
     std::string form(TimePoint now);
+    /** The other state instances, as far as they are known now. */
+    void setPeers(std::set<InstanceId>);
     /** Syncs, sends and answers what came in since the last flush. */
     StateEffects flush(TimePoint now);
 
     /** Settings as of now, or nothing where this instance cannot vouch for them. Call right after flush. */
     const SharedState::Settings* currentSettings(TimePoint now) const;
+    /** Routing configuration as of now, or nothing where this instance cannot vouch for it. Call right after flush. */
+    const RoutingDocument* currentRouting(TimePoint now) const;
     std::optional<InstanceId> leader() const;
     bool leads() const { return m_replica && m_replica->role() == Replica::Role::Leader; }
     /** Empty while the data folder works. */
@@ -104,7 +108,8 @@
     void answerLost(StateEffects&);
     std::error_code compactIfLarge();
     DurableState durableState(StateSnapshot) const;
-    void fail(std::error_code, StateEffects&);
+    void reopen(TimePoint now);
+    void fail(std::error_code, TimePoint now, StateEffects&);
 
     Options m_options;
     FileSystem& m_files;
@@ -119,6 +124,7 @@
     std::vector<ProposalResult> m_earlyResults;
     std::map<InstanceId, SeenReplica> m_seenEmpty; // Replicas that asked to be taken in.
     std::error_code m_failure;
+    TimePoint m_reopenAt {}; // After a failure: when the folder is tried again.
     bool m_ledBefore = false;
     std::size_t m_cutBytes = 0;
     std::uint64_t m_staleDisks = 0;
--- a/src/state/StateNode.cpp
+++ b/src/state/StateNode.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tickInterval { 20 };
-
 // Replica ids must differ between folders, so the seed comes from the system.
 std::uint64_t systemSeed()
 {
@@ -41,7 +39,8 @@
 {
     if (const auto ec = m_core.open(monotonicNow())) {
         logEvent(ec == JournalError::Damaged ? LogEvent::StorageDamaged : LogEvent::StorageFailed, "folder={} cause={}", m_options.dataFolder, ec.message());
-        throw UserError(fmt::format("data folder {}: {}; move it away to be taken in anew, see docs/operators/state.md", m_options.dataFolder, ec.message()));
+        if (ec == JournalError::Damaged)
+            throw UserError(fmt::format("data folder {}: {}; move it away to be taken in anew, see docs/operators/state.md", m_options.dataFolder, ec.message()));
     }
     if (m_core.cutBytes() > 0)
         logEvent(LogEvent::StorageTailCut, "folder={} bytes={}", m_options.dataFolder, m_core.cutBytes());
@@ -96,6 +95,18 @@
     });
 }
 
+void StateNode::change(std::function<void(StateCore&, TimePoint)> work)
+{
+    post([this, work = std::move(work)](TimePoint now) { work(m_core, now); });
+}
+
+void StateNode::inspect(std::function<void(const StateCore&, TimePoint)> work)
+{
+    post([this, work = std::move(work)](TimePoint) {
+        m_afterFlush.emplace_back([this, work](TimePoint now) { work(m_core, now); });
+    });
+}
+
 std::string StateNode::form()
 {
     std::promise<std::string> promise;
@@ -140,7 +151,7 @@
         std::vector<Input> batch;
         {
             std::unique_lock lock(m_mutex);
-            m_wake.wait_for(lock, tickInterval, [this] { return m_isStopping || !m_inbox.empty(); });
+            m_wake.wait_for(lock, m_options.tickInterval, [this] { return m_isStopping || !m_inbox.empty(); });
             if (m_isStopping)
                 return;
             const auto n = std::min(m_inbox.size(), m_options.maxBatch);
@@ -166,6 +177,8 @@
         if (!callback.empty())
             callback.mapped()(it);
     }
+    if (m_options.onFlushed)
+        m_options.onFlushed(m_core);
     const auto reads = std::exchange(m_afterFlush, {});
     for (const auto& it : reads)
         it(monotonicNow());
--- a/src/state/StateNode.h
+++ b/src/state/StateNode.h
@@ -23,6 +23,9 @@
         StateCore::Options core;
         std::string dataFolder;
         std::size_t maxBatch = 4096; ///< Inputs that one sync may cover.
+        Duration tickInterval = std::chrono::milliseconds(20);
+        /** Called on the node's thread after each flush; may be empty. */
+        std::function<void(const StateCore&)> onFlushed = {};
     };
 
     using SendMessage = std::function<void(const AgreementMessage&)>;
@@ -40,6 +43,10 @@
     void propose(CommandBody, ProposalCallback);
     /** `known` is the version that the asker holds: its contents are not copied. */
     void poll(SettingsVersion known, PollCallback);
+    /** Runs on the node's thread before the next flush. */
+    void change(std::function<void(StateCore&, TimePoint)>);
+    /** Runs on the node's thread after a flush that began after the call; the time is that of the flush's end. */
+    void inspect(std::function<void(const StateCore&, TimePoint)>);
     /** Blocks for the answer; see StateCore::form. */
     std::string form();
     /** Blocks for the answer. */
--- a/src/wire/FleetCodec.cpp
+++ b/src/wire/FleetCodec.cpp
@@ -31,6 +31,8 @@
     wire.capabilities.resume = record.capabilities.resume;
     wire.capabilities.cancel = record.capabilities.cancel;
     wire.capabilities.checksFencing = record.capabilities.checksFencing;
+    if (!record.serverName.empty())
+        wire.__set_serverName(record.serverName);
     return wire;
 }
 
@@ -42,6 +44,7 @@
     record.sequence = toUnsigned(wire.sequence);
     record.state = static_cast<BackendState>(wire.state);
     record.service = ServiceId(wire.serviceName);
+    record.serverName = wire.serverName;
     for (const auto& it : wire.models)
         record.models.emplace_back(it);
     record.failureDomain = FailureDomainId(wire.failureDomain);
--- a/src/wire/LedgerCodec.cpp
+++ b/src/wire/LedgerCodec.cpp
@@ -107,6 +107,7 @@
         wire.__set_abandonOwner(made);
     }
 
+    void operator()(const RoutingDocument& it) const { wire.__set_submitRouting(toWire(it)); }
     void operator()(const AdvanceTime&) const { wire.__set_advanceTime({}); }
 };
 
@@ -159,6 +160,8 @@
     }
     if (isset.abandonOwner)
         return AbandonOwner { .instance = InstanceId(wire.abandonOwner.instance), .before = Incarnation(toUnsigned(wire.abandonOwner.before)) };
+    if (isset.submitRouting)
+        return fromWire(wire.submitRouting);
     if (isset.advanceTime)
         return AdvanceTime {};
     return std::nullopt;
@@ -174,6 +177,10 @@
         made.kind = static_cast<std::int32_t>(claim->kind);
         made.answer = answerToWire(claim->answer);
         wire.__set_claim(made);
+    } else if (const auto* routing = std::get_if<RoutingOutcome>(&outcome)) {
+        Wire::RoutingOutcome made;
+        made.version = toSigned(routing->version.value());
+        wire.__set_routing(made);
     }
     return wire;
 }
@@ -184,9 +191,24 @@
         return submitFromWire(wire.submit);
     if (wire.__isset.claim)
         return ClaimOutcome { .kind = static_cast<ClaimOutcome::Kind>(wire.claim.kind), .answer = answerFromWire(wire.claim.answer) };
+    if (wire.__isset.routing)
+        return RoutingOutcome { .version = RoutingVersion(toUnsigned(wire.routing.version)) };
     return NoOutcome {};
 }
 
+Wire::RoutingDocument toWire(const RoutingDocument& document)
+{
+    Wire::RoutingDocument wire;
+    wire.version = toSigned(document.version.value());
+    wire.text = document.text;
+    return wire;
+}
+
+RoutingDocument fromWire(const Wire::RoutingDocument& wire)
+{
+    return { .version = RoutingVersion(toUnsigned(wire.version)), .text = wire.text };
+}
+
 Wire::Settings toWire(const SharedState::Settings& settings)
 {
     Wire::Settings wire;
@@ -233,6 +255,7 @@
         made.change = it.change.value();
         made.outcome = submitToWire(it.outcome);
     }
+    wire.__set_routing(toWire(state.routing()));
     return encodeThrift(wire);
 }
 
@@ -247,7 +270,7 @@
     std::deque<SharedState::RememberedChange> changes;
     for (const auto& it : wire->changes)
         changes.push_back({ .change = ChangeId(it.change), .outcome = submitFromWire(it.outcome) });
-    state.restore(fromWire(wire->settings), std::move(claims), std::move(changes), LedgerTime(toUnsigned(wire->time)));
+    state.restore(fromWire(wire->settings), std::move(claims), std::move(changes), LedgerTime(toUnsigned(wire->time)), fromWire(wire->routing));
     return true;
 }
 
--- a/src/wire/LedgerCodec.h
+++ b/src/wire/LedgerCodec.h
@@ -12,6 +12,7 @@
 namespace HickoryHollow::Wire {
 class CommandBody;
 class CommandOutcome;
+class RoutingDocument;
 class Settings;
 }
 
@@ -24,6 +25,9 @@
 Wire::Settings toWire(const SharedState::Settings&);
 SharedState::Settings fromWire(const Wire::Settings&);
 
+Wire::RoutingDocument toWire(const RoutingDocument&);
+RoutingDocument fromWire(const Wire::RoutingDocument&);
+
 std::string encodeCommand(const LedgerCommand&);
 std::optional<LedgerCommand> decodeCommand(std::string_view);
 std::string encodeState(const SharedState&);
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -3642,6 +3642,118 @@
 }
 
 
+RoutingDocument::~RoutingDocument() noexcept {
+}
+
+
+void RoutingDocument::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RoutingDocument::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingDocument& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoutingDocument::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RoutingDocument::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoutingDocument");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoutingDocument &a, RoutingDocument &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingDocument::RoutingDocument(const RoutingDocument& other88) {
+  version = other88.version;
+  text = other88.text;
+  __isset = other88.__isset;
+}
+RoutingDocument& RoutingDocument::operator=(const RoutingDocument& other89) {
+  version = other89.version;
+  text = other89.text;
+  __isset = other89.__isset;
+  return *this;
+}
+void RoutingDocument::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoutingDocument(";
+  out << "version=" << to_string(version);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
 CommandBody::~CommandBody() noexcept {
 }
 
@@ -3670,6 +3782,11 @@
   this->advanceTime = val;
 __isset.advanceTime = true;
 }
+
+void CommandBody::__set_submitRouting(const RoutingDocument& val) {
+  this->submitRouting = val;
+__isset.submitRouting = true;
+}
 std::ostream& operator<<(std::ostream& out, const CommandBody& obj)
 {
   obj.printTo(out);
@@ -3738,6 +3855,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->submitRouting.read(iprot);
+          this->__isset.submitRouting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3780,6 +3905,11 @@
     xfer += this->advanceTime.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.submitRouting) {
+    xfer += oprot->writeFieldBegin("submitRouting", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->submitRouting.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3792,24 +3922,27 @@
   swap(a.completeWork, b.completeWork);
   swap(a.abandonOwner, b.abandonOwner);
   swap(a.advanceTime, b.advanceTime);
+  swap(a.submitRouting, b.submitRouting);
   swap(a.__isset, b.__isset);
 }
 
-CommandBody::CommandBody(const CommandBody& other88) {
-  submitSettings = other88.submitSettings;
-  claimWork = other88.claimWork;
-  completeWork = other88.completeWork;
-  abandonOwner = other88.abandonOwner;
-  advanceTime = other88.advanceTime;
-  __isset = other88.__isset;
+CommandBody::CommandBody(const CommandBody& other90) {
+  submitSettings = other90.submitSettings;
+  claimWork = other90.claimWork;
+  completeWork = other90.completeWork;
+  abandonOwner = other90.abandonOwner;
+  advanceTime = other90.advanceTime;
+  submitRouting = other90.submitRouting;
+  __isset = other90.__isset;
 }
-CommandBody& CommandBody::operator=(const CommandBody& other89) {
-  submitSettings = other89.submitSettings;
-  claimWork = other89.claimWork;
-  completeWork = other89.completeWork;
-  abandonOwner = other89.abandonOwner;
-  advanceTime = other89.advanceTime;
-  __isset = other89.__isset;
+CommandBody& CommandBody::operator=(const CommandBody& other91) {
+  submitSettings = other91.submitSettings;
+  claimWork = other91.claimWork;
+  completeWork = other91.completeWork;
+  abandonOwner = other91.abandonOwner;
+  advanceTime = other91.advanceTime;
+  submitRouting = other91.submitRouting;
+  __isset = other91.__isset;
   return *this;
 }
 void CommandBody::printTo(std::ostream& out) const {
@@ -3820,6 +3953,7 @@
   out << ", " << "completeWork="; (__isset.completeWork ? (out << to_string(completeWork)) : (out << "<null>"));
   out << ", " << "abandonOwner="; (__isset.abandonOwner ? (out << to_string(abandonOwner)) : (out << "<null>"));
   out << ", " << "advanceTime="; (__isset.advanceTime ? (out << to_string(advanceTime)) : (out << "<null>"));
+  out << ", " << "submitRouting="; (__isset.submitRouting ? (out << to_string(submitRouting)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3916,15 +4050,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other90) {
-  time = other90.time;
-  body = other90.body;
-  __isset = other90.__isset;
+Command::Command(const Command& other92) {
+  time = other92.time;
+  body = other92.body;
+  __isset = other92.__isset;
 }
-Command& Command::operator=(const Command& other91) {
-  time = other91.time;
-  body = other91.body;
-  __isset = other91.__isset;
+Command& Command::operator=(const Command& other93) {
+  time = other93.time;
+  body = other93.body;
+  __isset = other93.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -4045,17 +4179,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitOutcome::SubmitOutcome(const SubmitOutcome& other92) {
-  isAccepted = other92.isAccepted;
-  version = other92.version;
-  author = other92.author;
-  __isset = other92.__isset;
+SubmitOutcome::SubmitOutcome(const SubmitOutcome& other94) {
+  isAccepted = other94.isAccepted;
+  version = other94.version;
+  author = other94.author;
+  __isset = other94.__isset;
 }
-SubmitOutcome& SubmitOutcome::operator=(const SubmitOutcome& other93) {
-  isAccepted = other93.isAccepted;
-  version = other93.version;
-  author = other93.author;
-  __isset = other93.__isset;
+SubmitOutcome& SubmitOutcome::operator=(const SubmitOutcome& other95) {
+  isAccepted = other95.isAccepted;
+  version = other95.version;
+  author = other95.author;
+  __isset = other95.__isset;
   return *this;
 }
 void SubmitOutcome::printTo(std::ostream& out) const {
@@ -4160,15 +4294,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other94) {
-  kind = other94.kind;
-  answer = other94.answer;
-  __isset = other94.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other96) {
+  kind = other96.kind;
+  answer = other96.answer;
+  __isset = other96.__isset;
 }
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other95) {
-  kind = other95.kind;
-  answer = other95.answer;
-  __isset = other95.__isset;
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other97) {
+  kind = other97.kind;
+  answer = other97.answer;
+  __isset = other97.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -4180,6 +4314,98 @@
 }
 
 
+RoutingOutcome::~RoutingOutcome() noexcept {
+}
+
+
+void RoutingOutcome::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingOutcome& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoutingOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RoutingOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoutingOutcome");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoutingOutcome &a, RoutingOutcome &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingOutcome::RoutingOutcome(const RoutingOutcome& other98) noexcept {
+  version = other98.version;
+  __isset = other98.__isset;
+}
+RoutingOutcome& RoutingOutcome::operator=(const RoutingOutcome& other99) noexcept {
+  version = other99.version;
+  __isset = other99.__isset;
+  return *this;
+}
+void RoutingOutcome::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoutingOutcome(";
+  out << "version=" << to_string(version);
+  out << ")";
+}
+
+
 CommandOutcome::~CommandOutcome() noexcept {
 }
 
@@ -4193,6 +4419,11 @@
   this->claim = val;
 __isset.claim = true;
 }
+
+void CommandOutcome::__set_routing(const RoutingOutcome& val) {
+  this->routing = val;
+__isset.routing = true;
+}
 std::ostream& operator<<(std::ostream& out, const CommandOutcome& obj)
 {
   obj.printTo(out);
@@ -4237,6 +4468,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routing.read(iprot);
+          this->__isset.routing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4264,6 +4503,11 @@
     xfer += this->claim.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.routing) {
+    xfer += oprot->writeFieldBegin("routing", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->routing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4273,18 +4517,21 @@
   using ::std::swap;
   swap(a.submit, b.submit);
   swap(a.claim, b.claim);
+  swap(a.routing, b.routing);
   swap(a.__isset, b.__isset);
 }
 
-CommandOutcome::CommandOutcome(const CommandOutcome& other96) {
-  submit = other96.submit;
-  claim = other96.claim;
-  __isset = other96.__isset;
+CommandOutcome::CommandOutcome(const CommandOutcome& other100) {
+  submit = other100.submit;
+  claim = other100.claim;
+  routing = other100.routing;
+  __isset = other100.__isset;
 }
-CommandOutcome& CommandOutcome::operator=(const CommandOutcome& other97) {
-  submit = other97.submit;
-  claim = other97.claim;
-  __isset = other97.__isset;
+CommandOutcome& CommandOutcome::operator=(const CommandOutcome& other101) {
+  submit = other101.submit;
+  claim = other101.claim;
+  routing = other101.routing;
+  __isset = other101.__isset;
   return *this;
 }
 void CommandOutcome::printTo(std::ostream& out) const {
@@ -4292,6 +4539,7 @@
   out << "CommandOutcome(";
   out << "submit="; (__isset.submit ? (out << to_string(submit)) : (out << "<null>"));
   out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4422,19 +4670,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Settings::Settings(const Settings& other98) {
-  version = other98.version;
-  author = other98.author;
-  inventory = other98.inventory;
-  rules = other98.rules;
-  __isset = other98.__isset;
+Settings::Settings(const Settings& other102) {
+  version = other102.version;
+  author = other102.author;
+  inventory = other102.inventory;
+  rules = other102.rules;
+  __isset = other102.__isset;
 }
-Settings& Settings::operator=(const Settings& other99) {
-  version = other99.version;
-  author = other99.author;
-  inventory = other99.inventory;
-  rules = other99.rules;
-  __isset = other99.__isset;
+Settings& Settings::operator=(const Settings& other103) {
+  version = other103.version;
+  author = other103.author;
+  inventory = other103.inventory;
+  rules = other103.rules;
+  __isset = other103.__isset;
   return *this;
 }
 void Settings::printTo(std::ostream& out) const {
@@ -4608,23 +4856,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other100) {
-  work = other100.work;
-  requestDigest = other100.requestDigest;
-  claimant = other100.claimant;
-  state = other100.state;
-  answer = other100.answer;
-  since = other100.since;
-  __isset = other100.__isset;
-}
-Claim& Claim::operator=(const Claim& other101) {
-  work = other101.work;
-  requestDigest = other101.requestDigest;
-  claimant = other101.claimant;
-  state = other101.state;
-  answer = other101.answer;
-  since = other101.since;
-  __isset = other101.__isset;
+Claim::Claim(const Claim& other104) {
+  work = other104.work;
+  requestDigest = other104.requestDigest;
+  claimant = other104.claimant;
+  state = other104.state;
+  answer = other104.answer;
+  since = other104.since;
+  __isset = other104.__isset;
+}
+Claim& Claim::operator=(const Claim& other105) {
+  work = other105.work;
+  requestDigest = other105.requestDigest;
+  claimant = other105.claimant;
+  state = other105.state;
+  answer = other105.answer;
+  since = other105.since;
+  __isset = other105.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -4732,15 +4980,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedChange::RememberedChange(const RememberedChange& other102) {
-  change = other102.change;
-  outcome = other102.outcome;
-  __isset = other102.__isset;
+RememberedChange::RememberedChange(const RememberedChange& other106) {
+  change = other106.change;
+  outcome = other106.outcome;
+  __isset = other106.__isset;
 }
-RememberedChange& RememberedChange::operator=(const RememberedChange& other103) {
-  change = other103.change;
-  outcome = other103.outcome;
-  __isset = other103.__isset;
+RememberedChange& RememberedChange::operator=(const RememberedChange& other107) {
+  change = other107.change;
+  outcome = other107.outcome;
+  __isset = other107.__isset;
   return *this;
 }
 void RememberedChange::printTo(std::ostream& out) const {
@@ -4771,6 +5019,11 @@
 void SharedState::__set_time(const int64_t val) {
   this->time = val;
 }
+
+void SharedState::__set_routing(const RoutingDocument& val) {
+  this->routing = val;
+__isset.routing = true;
+}
 std::ostream& operator<<(std::ostream& out, const SharedState& obj)
 {
   obj.printTo(out);
@@ -4811,14 +5064,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->claims.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->claims.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->claims[_i108].read(iprot);
+              xfer += this->claims[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4831,14 +5084,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->changes.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->changes.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->changes[_i113].read(iprot);
+              xfer += this->changes[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4855,6 +5108,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routing.read(iprot);
+          this->__isset.routing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4879,10 +5140,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter114;
-    for (_iter114 = this->claims.begin(); _iter114 != this->claims.end(); ++_iter114)
+    std::vector<Claim> ::const_iterator _iter118;
+    for (_iter118 = this->claims.begin(); _iter118 != this->claims.end(); ++_iter118)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4891,10 +5152,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<RememberedChange> ::const_iterator _iter115;
-    for (_iter115 = this->changes.begin(); _iter115 != this->changes.end(); ++_iter115)
+    std::vector<RememberedChange> ::const_iterator _iter119;
+    for (_iter119 = this->changes.begin(); _iter119 != this->changes.end(); ++_iter119)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4904,6 +5165,11 @@
   xfer += oprot->writeI64(this->time);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.routing) {
+    xfer += oprot->writeFieldBegin("routing", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->routing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4915,22 +5181,25 @@
   swap(a.claims, b.claims);
   swap(a.changes, b.changes);
   swap(a.time, b.time);
+  swap(a.routing, b.routing);
   swap(a.__isset, b.__isset);
 }
 
-SharedState::SharedState(const SharedState& other116) {
-  settings = other116.settings;
-  claims = other116.claims;
-  changes = other116.changes;
-  time = other116.time;
-  __isset = other116.__isset;
+SharedState::SharedState(const SharedState& other120) {
+  settings = other120.settings;
+  claims = other120.claims;
+  changes = other120.changes;
+  time = other120.time;
+  routing = other120.routing;
+  __isset = other120.__isset;
 }
-SharedState& SharedState::operator=(const SharedState& other117) {
-  settings = other117.settings;
-  claims = other117.claims;
-  changes = other117.changes;
-  time = other117.time;
-  __isset = other117.__isset;
+SharedState& SharedState::operator=(const SharedState& other121) {
+  settings = other121.settings;
+  claims = other121.claims;
+  changes = other121.changes;
+  time = other121.time;
+  routing = other121.routing;
+  __isset = other121.__isset;
   return *this;
 }
 void SharedState::printTo(std::ostream& out) const {
@@ -4940,6 +5209,7 @@
   out << ", " << "claims=" << to_string(claims);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "time=" << to_string(time);
+  out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5019,13 +5289,13 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsPoll::SettingsPoll(const SettingsPoll& other118) noexcept {
-  known = other118.known;
-  __isset = other118.__isset;
+SettingsPoll::SettingsPoll(const SettingsPoll& other122) noexcept {
+  known = other122.known;
+  __isset = other122.__isset;
 }
-SettingsPoll& SettingsPoll::operator=(const SettingsPoll& other119) noexcept {
-  known = other119.known;
-  __isset = other119.__isset;
+SettingsPoll& SettingsPoll::operator=(const SettingsPoll& other123) noexcept {
+  known = other123.known;
+  __isset = other123.__isset;
   return *this;
 }
 void SettingsPoll::printTo(std::ostream& out) const {
@@ -5130,15 +5400,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsPollReply::SettingsPollReply(const SettingsPollReply& other120) {
-  version = other120.version;
-  settings = other120.settings;
-  __isset = other120.__isset;
+SettingsPollReply::SettingsPollReply(const SettingsPollReply& other124) {
+  version = other124.version;
+  settings = other124.settings;
+  __isset = other124.__isset;
 }
-SettingsPollReply& SettingsPollReply::operator=(const SettingsPollReply& other121) {
-  version = other121.version;
-  settings = other121.settings;
-  __isset = other121.__isset;
+SettingsPollReply& SettingsPollReply::operator=(const SettingsPollReply& other125) {
+  version = other125.version;
+  settings = other125.settings;
+  __isset = other125.__isset;
   return *this;
 }
 void SettingsPollReply::printTo(std::ostream& out) const {
@@ -5225,13 +5495,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other122) {
-  body = other122.body;
-  __isset = other122.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other126) {
+  body = other126.body;
+  __isset = other126.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other123) {
-  body = other123.body;
-  __isset = other123.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other127) {
+  body = other127.body;
+  __isset = other127.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -5319,13 +5589,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other124) {
-  outcome = other124.outcome;
-  __isset = other124.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other128) {
+  outcome = other128.outcome;
+  __isset = other128.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other125) {
-  outcome = other125.outcome;
-  __isset = other125.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other129) {
+  outcome = other129.outcome;
+  __isset = other129.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -5413,13 +5683,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other126) {
-  leader = other126.leader;
-  __isset = other126.__isset;
+NotLeader::NotLeader(const NotLeader& other130) {
+  leader = other130.leader;
+  __isset = other130.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other127) {
-  leader = other127.leader;
-  __isset = other127.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other131) {
+  leader = other131.leader;
+  __isset = other131.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -5543,17 +5813,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other128) {
-  id = other128.id;
-  poll = other128.poll;
-  propose = other128.propose;
-  __isset = other128.__isset;
+Request::Request(const Request& other132) {
+  id = other132.id;
+  poll = other132.poll;
+  propose = other132.propose;
+  __isset = other132.__isset;
 }
-Request& Request::operator=(const Request& other129) {
-  id = other129.id;
-  poll = other129.poll;
-  propose = other129.propose;
-  __isset = other129.__isset;
+Request& Request::operator=(const Request& other133) {
+  id = other133.id;
+  poll = other133.poll;
+  propose = other133.propose;
+  __isset = other133.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -5698,19 +5968,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other130) {
-  id = other130.id;
-  poll = other130.poll;
-  propose = other130.propose;
-  notLeader = other130.notLeader;
-  __isset = other130.__isset;
+Reply::Reply(const Reply& other134) {
+  id = other134.id;
+  poll = other134.poll;
+  propose = other134.propose;
+  notLeader = other134.notLeader;
+  __isset = other134.__isset;
 }
-Reply& Reply::operator=(const Reply& other131) {
-  id = other131.id;
-  poll = other131.poll;
-  propose = other131.propose;
-  notLeader = other131.notLeader;
-  __isset = other131.__isset;
+Reply& Reply::operator=(const Reply& other135) {
+  id = other135.id;
+  poll = other135.poll;
+  propose = other135.propose;
+  notLeader = other135.notLeader;
+  __isset = other135.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
@@ -5850,19 +6120,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Capabilities::Capabilities(const Capabilities& other132) noexcept {
-  priorities = other132.priorities;
-  resume = other132.resume;
-  cancel = other132.cancel;
-  checksFencing = other132.checksFencing;
-  __isset = other132.__isset;
+Capabilities::Capabilities(const Capabilities& other136) noexcept {
+  priorities = other136.priorities;
+  resume = other136.resume;
+  cancel = other136.cancel;
+  checksFencing = other136.checksFencing;
+  __isset = other136.__isset;
 }
-Capabilities& Capabilities::operator=(const Capabilities& other133) noexcept {
-  priorities = other133.priorities;
-  resume = other133.resume;
-  cancel = other133.cancel;
-  checksFencing = other133.checksFencing;
-  __isset = other133.__isset;
+Capabilities& Capabilities::operator=(const Capabilities& other137) noexcept {
+  priorities = other137.priorities;
+  resume = other137.resume;
+  cancel = other137.cancel;
+  checksFencing = other137.checksFencing;
+  __isset = other137.__isset;
   return *this;
 }
 void Capabilities::printTo(std::ostream& out) const {
@@ -5915,6 +6185,11 @@
 void BackendRecord::__set_capabilities(const Capabilities& val) {
   this->capabilities = val;
 }
+
+void BackendRecord::__set_serverName(const std::string& val) {
+  this->serverName = val;
+__isset.serverName = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendRecord& obj)
 {
   obj.printTo(out);
@@ -5987,14 +6262,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->models.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->models.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += iprot->readString(this->models[_i138]);
+              xfer += iprot->readString(this->models[_i142]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6027,6 +6302,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serverName);
+          this->__isset.serverName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6067,10 +6350,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter139;
-    for (_iter139 = this->models.begin(); _iter139 != this->models.end(); ++_iter139)
+    std::vector<std::string> ::const_iterator _iter143;
+    for (_iter143 = this->models.begin(); _iter143 != this->models.end(); ++_iter143)
     {
-      xfer += oprot->writeString((*_iter139));
+      xfer += oprot->writeString((*_iter143));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6088,6 +6371,11 @@
   xfer += this->capabilities.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.serverName) {
+    xfer += oprot->writeFieldBegin("serverName", ::apache::thrift::protocol::T_STRING, 10);
+    xfer += oprot->writeString(this->serverName);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6104,32 +6392,35 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.slots, b.slots);
   swap(a.capabilities, b.capabilities);
+  swap(a.serverName, b.serverName);
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other140) {
-  id = other140.id;
-  incarnation = other140.incarnation;
-  sequence = other140.sequence;
-  state = other140.state;
-  serviceName = other140.serviceName;
-  models = other140.models;
-  failureDomain = other140.failureDomain;
-  slots = other140.slots;
-  capabilities = other140.capabilities;
-  __isset = other140.__isset;
-}
-BackendRecord& BackendRecord::operator=(const BackendRecord& other141) {
-  id = other141.id;
-  incarnation = other141.incarnation;
-  sequence = other141.sequence;
-  state = other141.state;
-  serviceName = other141.serviceName;
-  models = other141.models;
-  failureDomain = other141.failureDomain;
-  slots = other141.slots;
-  capabilities = other141.capabilities;
-  __isset = other141.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other144) {
+  id = other144.id;
+  incarnation = other144.incarnation;
+  sequence = other144.sequence;
+  state = other144.state;
+  serviceName = other144.serviceName;
+  models = other144.models;
+  failureDomain = other144.failureDomain;
+  slots = other144.slots;
+  capabilities = other144.capabilities;
+  serverName = other144.serverName;
+  __isset = other144.__isset;
+}
+BackendRecord& BackendRecord::operator=(const BackendRecord& other145) {
+  id = other145.id;
+  incarnation = other145.incarnation;
+  sequence = other145.sequence;
+  state = other145.state;
+  serviceName = other145.serviceName;
+  models = other145.models;
+  failureDomain = other145.failureDomain;
+  slots = other145.slots;
+  capabilities = other145.capabilities;
+  serverName = other145.serverName;
+  __isset = other145.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -6144,6 +6435,7 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "capabilities=" << to_string(capabilities);
+  out << ", " << "serverName="; (__isset.serverName ? (out << to_string(serverName)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6257,17 +6549,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Renewal::Renewal(const Renewal& other142) {
-  id = other142.id;
-  incarnation = other142.incarnation;
-  sequence = other142.sequence;
-  __isset = other142.__isset;
+Renewal::Renewal(const Renewal& other146) {
+  id = other146.id;
+  incarnation = other146.incarnation;
+  sequence = other146.sequence;
+  __isset = other146.__isset;
 }
-Renewal& Renewal::operator=(const Renewal& other143) {
-  id = other143.id;
-  incarnation = other143.incarnation;
-  sequence = other143.sequence;
-  __isset = other143.__isset;
+Renewal& Renewal::operator=(const Renewal& other147) {
+  id = other147.id;
+  incarnation = other147.incarnation;
+  sequence = other147.sequence;
+  __isset = other147.__isset;
   return *this;
 }
 void Renewal::printTo(std::ostream& out) const {
@@ -6406,19 +6698,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other144) {
-  id = other144.id;
-  incarnation = other144.incarnation;
-  running = other144.running;
-  ageMicroseconds = other144.ageMicroseconds;
-  __isset = other144.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other148) {
+  id = other148.id;
+  incarnation = other148.incarnation;
+  running = other148.running;
+  ageMicroseconds = other148.ageMicroseconds;
+  __isset = other148.__isset;
 }
-LoadNotice& LoadNotice::operator=(const LoadNotice& other145) {
-  id = other145.id;
-  incarnation = other145.incarnation;
-  running = other145.running;
-  ageMicroseconds = other145.ageMicroseconds;
-  __isset = other145.__isset;
+LoadNotice& LoadNotice::operator=(const LoadNotice& other149) {
+  id = other149.id;
+  incarnation = other149.incarnation;
+  running = other149.running;
+  ageMicroseconds = other149.ageMicroseconds;
+  __isset = other149.__isset;
   return *this;
 }
 void LoadNotice::printTo(std::ostream& out) const {
@@ -6479,14 +6771,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->records.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->records.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->records[_i150].read(iprot);
+              xfer += this->records[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6499,14 +6791,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->renewals.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->renewals.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->renewals.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->renewals[_i155].read(iprot);
+              xfer += this->renewals[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6519,14 +6811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->loads.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->loads.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->loads[_i160].read(iprot);
+              xfer += this->loads[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6555,10 +6847,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter161;
-    for (_iter161 = this->records.begin(); _iter161 != this->records.end(); ++_iter161)
+    std::vector<BackendRecord> ::const_iterator _iter165;
+    for (_iter165 = this->records.begin(); _iter165 != this->records.end(); ++_iter165)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6567,10 +6859,10 @@
   xfer += oprot->writeFieldBegin("renewals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->renewals.size()));
-    std::vector<Renewal> ::const_iterator _iter162;
-    for (_iter162 = this->renewals.begin(); _iter162 != this->renewals.end(); ++_iter162)
+    std::vector<Renewal> ::const_iterator _iter166;
+    for (_iter166 = this->renewals.begin(); _iter166 != this->renewals.end(); ++_iter166)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6579,10 +6871,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter163;
-    for (_iter163 = this->loads.begin(); _iter163 != this->loads.end(); ++_iter163)
+    std::vector<LoadNotice> ::const_iterator _iter167;
+    for (_iter167 = this->loads.begin(); _iter167 != this->loads.end(); ++_iter167)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6601,17 +6893,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other164) {
-  records = other164.records;
-  renewals = other164.renewals;
-  loads = other164.loads;
-  __isset = other164.__isset;
+FleetNews::FleetNews(const FleetNews& other168) {
+  records = other168.records;
+  renewals = other168.renewals;
+  loads = other168.loads;
+  __isset = other168.__isset;
 }
-FleetNews& FleetNews::operator=(const FleetNews& other165) {
-  records = other165.records;
-  renewals = other165.renewals;
-  loads = other165.loads;
-  __isset = other165.__isset;
+FleetNews& FleetNews::operator=(const FleetNews& other169) {
+  records = other169.records;
+  renewals = other169.renewals;
+  loads = other169.loads;
+  __isset = other169.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -6733,17 +7025,17 @@
   swap(a.__isset, b.__isset);
 }
 
-InFlight::InFlight(const InFlight& other166) noexcept {
-  backend = other166.backend;
-  running = other166.running;
-  longRunning = other166.longRunning;
-  __isset = other166.__isset;
+InFlight::InFlight(const InFlight& other170) noexcept {
+  backend = other170.backend;
+  running = other170.running;
+  longRunning = other170.longRunning;
+  __isset = other170.__isset;
 }
-InFlight& InFlight::operator=(const InFlight& other167) noexcept {
-  backend = other167.backend;
-  running = other167.running;
-  longRunning = other167.longRunning;
-  __isset = other167.__isset;
+InFlight& InFlight::operator=(const InFlight& other171) noexcept {
+  backend = other171.backend;
+  running = other171.running;
+  longRunning = other171.longRunning;
+  __isset = other171.__isset;
   return *this;
 }
 void InFlight::printTo(std::ostream& out) const {
@@ -6848,15 +7140,15 @@
   swap(a.__isset, b.__isset);
 }
 
-WaitingTier::WaitingTier(const WaitingTier& other168) {
-  pool = other168.pool;
-  tier = other168.tier;
-  __isset = other168.__isset;
+WaitingTier::WaitingTier(const WaitingTier& other172) {
+  pool = other172.pool;
+  tier = other172.tier;
+  __isset = other172.__isset;
 }
-WaitingTier& WaitingTier::operator=(const WaitingTier& other169) {
-  pool = other169.pool;
-  tier = other169.tier;
-  __isset = other169.__isset;
+WaitingTier& WaitingTier::operator=(const WaitingTier& other173) {
+  pool = other173.pool;
+  tier = other173.tier;
+  __isset = other173.__isset;
   return *this;
 }
 void WaitingTier::printTo(std::ostream& out) const {
@@ -6911,14 +7203,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->inFlight.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->inFlight.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->inFlight.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += this->inFlight[_i174].read(iprot);
+              xfer += this->inFlight[_i178].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6931,14 +7223,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->waiting.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->waiting.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += this->waiting[_i179].read(iprot);
+              xfer += this->waiting[_i183].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6967,10 +7259,10 @@
   xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->inFlight.size()));
-    std::vector<InFlight> ::const_iterator _iter180;
-    for (_iter180 = this->inFlight.begin(); _iter180 != this->inFlight.end(); ++_iter180)
+    std::vector<InFlight> ::const_iterator _iter184;
+    for (_iter184 = this->inFlight.begin(); _iter184 != this->inFlight.end(); ++_iter184)
     {
-      xfer += (*_iter180).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6979,10 +7271,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<WaitingTier> ::const_iterator _iter181;
-    for (_iter181 = this->waiting.begin(); _iter181 != this->waiting.end(); ++_iter181)
+    std::vector<WaitingTier> ::const_iterator _iter185;
+    for (_iter185 = this->waiting.begin(); _iter185 != this->waiting.end(); ++_iter185)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7000,15 +7292,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerLoad::PeerLoad(const PeerLoad& other182) {
-  inFlight = other182.inFlight;
-  waiting = other182.waiting;
-  __isset = other182.__isset;
+PeerLoad::PeerLoad(const PeerLoad& other186) {
+  inFlight = other186.inFlight;
+  waiting = other186.waiting;
+  __isset = other186.__isset;
 }
-PeerLoad& PeerLoad::operator=(const PeerLoad& other183) {
-  inFlight = other183.inFlight;
-  waiting = other183.waiting;
-  __isset = other183.__isset;
+PeerLoad& PeerLoad::operator=(const PeerLoad& other187) {
+  inFlight = other187.inFlight;
+  waiting = other187.waiting;
+  __isset = other187.__isset;
   return *this;
 }
 void PeerLoad::printTo(std::ostream& out) const {
@@ -7112,15 +7404,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Challenge::Challenge(const Challenge& other184) {
-  instance = other184.instance;
-  nonce = other184.nonce;
-  __isset = other184.__isset;
+Challenge::Challenge(const Challenge& other188) {
+  instance = other188.instance;
+  nonce = other188.nonce;
+  __isset = other188.__isset;
 }
-Challenge& Challenge::operator=(const Challenge& other185) {
-  instance = other185.instance;
-  nonce = other185.nonce;
-  __isset = other185.__isset;
+Challenge& Challenge::operator=(const Challenge& other189) {
+  instance = other189.instance;
+  nonce = other189.nonce;
+  __isset = other189.__isset;
   return *this;
 }
 void Challenge::printTo(std::ostream& out) const {
@@ -7241,17 +7533,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other186) {
-  instance = other186.instance;
-  incarnation = other186.incarnation;
-  proof = other186.proof;
-  __isset = other186.__isset;
+Hello::Hello(const Hello& other190) {
+  instance = other190.instance;
+  incarnation = other190.incarnation;
+  proof = other190.proof;
+  __isset = other190.__isset;
 }
-Hello& Hello::operator=(const Hello& other187) {
-  instance = other187.instance;
-  incarnation = other187.incarnation;
-  proof = other187.proof;
-  __isset = other187.__isset;
+Hello& Hello::operator=(const Hello& other191) {
+  instance = other191.instance;
+  incarnation = other191.incarnation;
+  proof = other191.proof;
+  __isset = other191.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -7417,21 +7709,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other188) {
-  agreement = other188.agreement;
-  request = other188.request;
-  reply = other188.reply;
-  fleetNews = other188.fleetNews;
-  peerLoad = other188.peerLoad;
-  __isset = other188.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other189) {
-  agreement = other189.agreement;
-  request = other189.request;
-  reply = other189.reply;
-  fleetNews = other189.fleetNews;
-  peerLoad = other189.peerLoad;
-  __isset = other189.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other192) {
+  agreement = other192.agreement;
+  request = other192.request;
+  reply = other192.reply;
+  fleetNews = other192.fleetNews;
+  peerLoad = other192.peerLoad;
+  __isset = other192.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other193) {
+  agreement = other193.agreement;
+  request = other193.request;
+  reply = other193.reply;
+  fleetNews = other193.fleetNews;
+  peerLoad = other193.peerLoad;
+  __isset = other193.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -7445,4 +7737,1412 @@
   out << ")";
 }
 
+
+StateAddress::~StateAddress() noexcept {
+}
+
+
+void StateAddress::__set_listen(const std::string& val) {
+  this->listen = val;
+}
+
+void StateAddress::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateAddress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->listen);
+          this->__isset.listen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StateAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateAddress");
+
+  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->listen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateAddress &a, StateAddress &b) {
+  using ::std::swap;
+  swap(a.listen, b.listen);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.__isset, b.__isset);
+}
+
+StateAddress::StateAddress(const StateAddress& other194) {
+  listen = other194.listen;
+  failureDomain = other194.failureDomain;
+  __isset = other194.__isset;
+}
+StateAddress& StateAddress::operator=(const StateAddress& other195) {
+  listen = other195.listen;
+  failureDomain = other195.failureDomain;
+  __isset = other195.__isset;
+  return *this;
+}
+void StateAddress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateAddress(";
+  out << "listen=" << to_string(listen);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ")";
+}
+
+
+LinkHello::~LinkHello() noexcept {
+}
+
+
+void LinkHello::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void LinkHello::__set_listen(const std::string& val) {
+  this->listen = val;
+}
+
+void LinkHello::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void LinkHello::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LinkHello::__set_states(const std::vector<StateAddress> & val) {
+  this->states = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkHello::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->listen);
+          this->__isset.listen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->states.clear();
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->states.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
+            {
+              xfer += this->states[_i200].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.states = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkHello");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->listen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
+    std::vector<StateAddress> ::const_iterator _iter201;
+    for (_iter201 = this->states.begin(); _iter201 != this->states.end(); ++_iter201)
+    {
+      xfer += (*_iter201).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkHello &a, LinkHello &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.listen, b.listen);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.incarnation, b.incarnation);
+  swap(a.states, b.states);
+  swap(a.__isset, b.__isset);
+}
+
+LinkHello::LinkHello(const LinkHello& other202) {
+  instance = other202.instance;
+  listen = other202.listen;
+  failureDomain = other202.failureDomain;
+  incarnation = other202.incarnation;
+  states = other202.states;
+  __isset = other202.__isset;
+}
+LinkHello& LinkHello::operator=(const LinkHello& other203) {
+  instance = other203.instance;
+  listen = other203.listen;
+  failureDomain = other203.failureDomain;
+  incarnation = other203.incarnation;
+  states = other203.states;
+  __isset = other203.__isset;
+  return *this;
+}
+void LinkHello::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkHello(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "listen=" << to_string(listen);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "states=" << to_string(states);
+  out << ")";
+}
+
+
+FreshnessPoll::~FreshnessPoll() noexcept {
+}
+
+
+void FreshnessPoll::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void FreshnessPoll::__set_held(const int64_t val) {
+  this->held = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessPoll& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FreshnessPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessPoll");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->held);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessPoll &a, FreshnessPoll &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.held, b.held);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessPoll::FreshnessPoll(const FreshnessPoll& other204) noexcept {
+  id = other204.id;
+  held = other204.held;
+  __isset = other204.__isset;
+}
+FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other205) noexcept {
+  id = other205.id;
+  held = other205.held;
+  __isset = other205.__isset;
+  return *this;
+}
+void FreshnessPoll::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessPoll(";
+  out << "id=" << to_string(id);
+  out << ", " << "held=" << to_string(held);
+  out << ")";
+}
+
+
+FreshnessReply::~FreshnessReply() noexcept {
+}
+
+
+void FreshnessReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void FreshnessReply::__set_confirmed(const bool val) {
+  this->confirmed = val;
+}
+
+void FreshnessReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FreshnessReply::__set_document(const RoutingDocument& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void FreshnessReply::__set_entryInstances(const int32_t val) {
+  this->entryInstances = val;
+}
+
+void FreshnessReply::__set_states(const std::vector<StateAddress> & val) {
+  this->states = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FreshnessReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryInstances);
+          this->__isset.entryInstances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->states.clear();
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->states.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
+            {
+              xfer += this->states[_i210].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.states = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->entryInstances);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
+    std::vector<StateAddress> ::const_iterator _iter211;
+    for (_iter211 = this->states.begin(); _iter211 != this->states.end(); ++_iter211)
+    {
+      xfer += (*_iter211).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessReply &a, FreshnessReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.confirmed, b.confirmed);
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.entryInstances, b.entryInstances);
+  swap(a.states, b.states);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessReply::FreshnessReply(const FreshnessReply& other212) {
+  id = other212.id;
+  confirmed = other212.confirmed;
+  version = other212.version;
+  document = other212.document;
+  entryInstances = other212.entryInstances;
+  states = other212.states;
+  __isset = other212.__isset;
+}
+FreshnessReply& FreshnessReply::operator=(const FreshnessReply& other213) {
+  id = other213.id;
+  confirmed = other213.confirmed;
+  version = other213.version;
+  document = other213.document;
+  entryInstances = other213.entryInstances;
+  states = other213.states;
+  __isset = other213.__isset;
+  return *this;
+}
+void FreshnessReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "confirmed=" << to_string(confirmed);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "entryInstances=" << to_string(entryInstances);
+  out << ", " << "states=" << to_string(states);
+  out << ")";
+}
+
+
+RoutingSubmit::~RoutingSubmit() noexcept {
+}
+
+
+void RoutingSubmit::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void RoutingSubmit::__set_document(const RoutingDocument& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingSubmit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoutingSubmit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RoutingSubmit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoutingSubmit");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->document.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoutingSubmit &a, RoutingSubmit &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingSubmit::RoutingSubmit(const RoutingSubmit& other214) {
+  id = other214.id;
+  document = other214.document;
+  __isset = other214.__isset;
+}
+RoutingSubmit& RoutingSubmit::operator=(const RoutingSubmit& other215) {
+  id = other215.id;
+  document = other215.document;
+  __isset = other215.__isset;
+  return *this;
+}
+void RoutingSubmit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoutingSubmit(";
+  out << "id=" << to_string(id);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
+
+RoutingSubmitReply::~RoutingSubmitReply() noexcept {
+}
+
+
+void RoutingSubmitReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void RoutingSubmitReply::__set_result(const int32_t val) {
+  this->result = val;
+}
+
+void RoutingSubmitReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoutingSubmitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->result);
+          this->__isset.result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RoutingSubmitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoutingSubmitReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->result);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoutingSubmitReply &a, RoutingSubmitReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.result, b.result);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingSubmitReply::RoutingSubmitReply(const RoutingSubmitReply& other216) noexcept {
+  id = other216.id;
+  result = other216.result;
+  version = other216.version;
+  __isset = other216.__isset;
+}
+RoutingSubmitReply& RoutingSubmitReply::operator=(const RoutingSubmitReply& other217) noexcept {
+  id = other217.id;
+  result = other217.result;
+  version = other217.version;
+  __isset = other217.__isset;
+  return *this;
+}
+void RoutingSubmitReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoutingSubmitReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "result=" << to_string(result);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+BackendUse::~BackendUse() noexcept {
+}
+
+
+void BackendUse::__set_backend(const int32_t val) {
+  this->backend = val;
+}
+
+void BackendUse::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void BackendUse::__set_promptTokens(const int32_t val) {
+  this->promptTokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->promptTokens);
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BackendUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendUse");
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendUse &a, BackendUse &b) {
+  using ::std::swap;
+  swap(a.backend, b.backend);
+  swap(a.requests, b.requests);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.__isset, b.__isset);
+}
+
+BackendUse::BackendUse(const BackendUse& other218) noexcept {
+  backend = other218.backend;
+  requests = other218.requests;
+  promptTokens = other218.promptTokens;
+  __isset = other218.__isset;
+}
+BackendUse& BackendUse::operator=(const BackendUse& other219) noexcept {
+  backend = other219.backend;
+  requests = other219.requests;
+  promptTokens = other219.promptTokens;
+  __isset = other219.__isset;
+  return *this;
+}
+void BackendUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendUse(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ")";
+}
+
+
+UseReport::~UseReport() noexcept {
+}
+
+
+void UseReport::__set_uses(const std::vector<BackendUse> & val) {
+  this->uses = val;
+}
+
+void UseReport::__set_entryInstances(const int32_t val) {
+  this->entryInstances = val;
+}
+std::ostream& operator<<(std::ostream& out, const UseReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UseReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->uses.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += this->uses[_i224].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryInstances);
+          this->__isset.entryInstances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UseReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UseReport");
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<BackendUse> ::const_iterator _iter225;
+    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end(); ++_iter225)
+    {
+      xfer += (*_iter225).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->entryInstances);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UseReport &a, UseReport &b) {
+  using ::std::swap;
+  swap(a.uses, b.uses);
+  swap(a.entryInstances, b.entryInstances);
+  swap(a.__isset, b.__isset);
+}
+
+UseReport::UseReport(const UseReport& other226) {
+  uses = other226.uses;
+  entryInstances = other226.entryInstances;
+  __isset = other226.__isset;
+}
+UseReport& UseReport::operator=(const UseReport& other227) {
+  uses = other227.uses;
+  entryInstances = other227.entryInstances;
+  __isset = other227.__isset;
+  return *this;
+}
+void UseReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UseReport(";
+  out << "uses=" << to_string(uses);
+  out << ", " << "entryInstances=" << to_string(entryInstances);
+  out << ")";
+}
+
+
+LinkMessage::~LinkMessage() noexcept {
+}
+
+
+void LinkMessage::__set_hello(const LinkHello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void LinkMessage::__set_agreement(const AgreementMessage& val) {
+  this->agreement = val;
+__isset.agreement = true;
+}
+
+void LinkMessage::__set_fleetNews(const FleetNews& val) {
+  this->fleetNews = val;
+__isset.fleetNews = true;
+}
+
+void LinkMessage::__set_freshnessPoll(const FreshnessPoll& val) {
+  this->freshnessPoll = val;
+__isset.freshnessPoll = true;
+}
+
+void LinkMessage::__set_freshnessReply(const FreshnessReply& val) {
+  this->freshnessReply = val;
+__isset.freshnessReply = true;
+}
+
+void LinkMessage::__set_routingSubmit(const RoutingSubmit& val) {
+  this->routingSubmit = val;
+__isset.routingSubmit = true;
+}
+
+void LinkMessage::__set_routingSubmitReply(const RoutingSubmitReply& val) {
+  this->routingSubmitReply = val;
+__isset.routingSubmitReply = true;
+}
+
+void LinkMessage::__set_routing(const RoutingDocument& val) {
+  this->routing = val;
+__isset.routing = true;
+}
+
+void LinkMessage::__set_uses(const UseReport& val) {
+  this->uses = val;
+__isset.uses = true;
+}
+std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->agreement.read(iprot);
+          this->__isset.agreement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleetNews.read(iprot);
+          this->__isset.fleetNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshnessPoll.read(iprot);
+          this->__isset.freshnessPoll = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshnessReply.read(iprot);
+          this->__isset.freshnessReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routingSubmit.read(iprot);
+          this->__isset.routingSubmit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routingSubmitReply.read(iprot);
+          this->__isset.routingSubmitReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routing.read(iprot);
+          this->__isset.routing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->uses.read(iprot);
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkMessage");
+
+  if (this->__isset.hello) {
+    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->hello.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.agreement) {
+    xfer += oprot->writeFieldBegin("agreement", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->agreement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.fleetNews) {
+    xfer += oprot->writeFieldBegin("fleetNews", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->fleetNews.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.freshnessPoll) {
+    xfer += oprot->writeFieldBegin("freshnessPoll", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->freshnessPoll.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.freshnessReply) {
+    xfer += oprot->writeFieldBegin("freshnessReply", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->freshnessReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.routingSubmit) {
+    xfer += oprot->writeFieldBegin("routingSubmit", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->routingSubmit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.routingSubmitReply) {
+    xfer += oprot->writeFieldBegin("routingSubmitReply", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->routingSubmitReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.routing) {
+    xfer += oprot->writeFieldBegin("routing", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->routing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.uses) {
+    xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->uses.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkMessage &a, LinkMessage &b) {
+  using ::std::swap;
+  swap(a.hello, b.hello);
+  swap(a.agreement, b.agreement);
+  swap(a.fleetNews, b.fleetNews);
+  swap(a.freshnessPoll, b.freshnessPoll);
+  swap(a.freshnessReply, b.freshnessReply);
+  swap(a.routingSubmit, b.routingSubmit);
+  swap(a.routingSubmitReply, b.routingSubmitReply);
+  swap(a.routing, b.routing);
+  swap(a.uses, b.uses);
+  swap(a.__isset, b.__isset);
+}
+
+LinkMessage::LinkMessage(const LinkMessage& other228) {
+  hello = other228.hello;
+  agreement = other228.agreement;
+  fleetNews = other228.fleetNews;
+  freshnessPoll = other228.freshnessPoll;
+  freshnessReply = other228.freshnessReply;
+  routingSubmit = other228.routingSubmit;
+  routingSubmitReply = other228.routingSubmitReply;
+  routing = other228.routing;
+  uses = other228.uses;
+  __isset = other228.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other229) {
+  hello = other229.hello;
+  agreement = other229.agreement;
+  fleetNews = other229.fleetNews;
+  freshnessPoll = other229.freshnessPoll;
+  freshnessReply = other229.freshnessReply;
+  routingSubmit = other229.routingSubmit;
+  routingSubmitReply = other229.routingSubmitReply;
+  routing = other229.routing;
+  uses = other229.uses;
+  __isset = other229.__isset;
+  return *this;
+}
+void LinkMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkMessage(";
+  out << "hello="; (__isset.hello ? (out << to_string(hello)) : (out << "<null>"));
+  out << ", " << "agreement="; (__isset.agreement ? (out << to_string(agreement)) : (out << "<null>"));
+  out << ", " << "fleetNews="; (__isset.fleetNews ? (out << to_string(fleetNews)) : (out << "<null>"));
+  out << ", " << "freshnessPoll="; (__isset.freshnessPoll ? (out << to_string(freshnessPoll)) : (out << "<null>"));
+  out << ", " << "freshnessReply="; (__isset.freshnessReply ? (out << to_string(freshnessReply)) : (out << "<null>"));
+  out << ", " << "routingSubmit="; (__isset.routingSubmit ? (out << to_string(routingSubmit)) : (out << "<null>"));
+  out << ", " << "routingSubmitReply="; (__isset.routingSubmitReply ? (out << to_string(routingSubmitReply)) : (out << "<null>"));
+  out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
+  out << ", " << "uses="; (__isset.uses ? (out << to_string(uses)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
