--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -73,6 +73,8 @@
 
 class AdvanceTime;
 
+class RoutingDocument;
+
 class CommandBody;
 
 class Command;
@@ -81,6 +83,8 @@
 
 class ClaimOutcome;
 
+class RoutingOutcome;
+
 class CommandOutcome;
 
 class Settings;
@@ -127,6 +131,24 @@
 
 class PeerMessage;
 
+class StateAddress;
+
+class LinkHello;
+
+class FreshnessPoll;
+
+class FreshnessReply;
+
+class RoutingSubmit;
+
+class RoutingSubmitReply;
+
+class BackendUse;
+
+class UseReport;
+
+class LinkMessage;
+
 typedef struct _Member__isset {
   _Member__isset() : instance(false), replica(false) {}
   bool instance :1;
@@ -1616,13 +1638,64 @@
 
 std::ostream& operator<<(std::ostream& out, const AdvanceTime& obj);
 
+typedef struct _RoutingDocument__isset {
+  _RoutingDocument__isset() : version(false), text(false) {}
+  bool version :1;
+  bool text :1;
+} _RoutingDocument__isset;
+
+class RoutingDocument : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoutingDocument(const RoutingDocument&);
+  RoutingDocument& operator=(const RoutingDocument&);
+  RoutingDocument() noexcept
+                  : version(0),
+                    text() {
+  }
+
+  virtual ~RoutingDocument() noexcept;
+  int64_t version;
+  std::string text;
+
+  _RoutingDocument__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const RoutingDocument & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const RoutingDocument &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoutingDocument & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoutingDocument &a, RoutingDocument &b);
+
+std::ostream& operator<<(std::ostream& out, const RoutingDocument& obj);
+
 typedef struct _CommandBody__isset {
-  _CommandBody__isset() : submitSettings(false), claimWork(false), completeWork(false), abandonOwner(false), advanceTime(false) {}
+  _CommandBody__isset() : submitSettings(false), claimWork(false), completeWork(false), abandonOwner(false), advanceTime(false), submitRouting(false) {}
   bool submitSettings :1;
   bool claimWork :1;
   bool completeWork :1;
   bool abandonOwner :1;
   bool advanceTime :1;
+  bool submitRouting :1;
 } _CommandBody__isset;
 
 class CommandBody : public virtual ::apache::thrift::TBase {
@@ -1639,6 +1712,7 @@
   CompleteWork completeWork;
   AbandonOwner abandonOwner;
   AdvanceTime advanceTime;
+  RoutingDocument submitRouting;
 
   _CommandBody__isset __isset;
 
@@ -1652,6 +1726,8 @@
 
   void __set_advanceTime(const AdvanceTime& val);
 
+  void __set_submitRouting(const RoutingDocument& val);
+
   bool operator == (const CommandBody & rhs) const
   {
     if (__isset.submitSettings != rhs.__isset.submitSettings)
@@ -1674,6 +1750,10 @@
       return false;
     else if (__isset.advanceTime && !(advanceTime == rhs.advanceTime))
       return false;
+    if (__isset.submitRouting != rhs.__isset.submitRouting)
+      return false;
+    else if (__isset.submitRouting && !(submitRouting == rhs.submitRouting))
+      return false;
     return true;
   }
   bool operator != (const CommandBody &rhs) const {
@@ -1847,10 +1927,54 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimOutcome& obj);
 
+typedef struct _RoutingOutcome__isset {
+  _RoutingOutcome__isset() : version(false) {}
+  bool version :1;
+} _RoutingOutcome__isset;
+
+class RoutingOutcome : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoutingOutcome(const RoutingOutcome&) noexcept;
+  RoutingOutcome& operator=(const RoutingOutcome&) noexcept;
+  RoutingOutcome() noexcept
+                 : version(0) {
+  }
+
+  virtual ~RoutingOutcome() noexcept;
+  int64_t version;
+
+  _RoutingOutcome__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const RoutingOutcome & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const RoutingOutcome &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoutingOutcome & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoutingOutcome &a, RoutingOutcome &b);
+
+std::ostream& operator<<(std::ostream& out, const RoutingOutcome& obj);
+
 typedef struct _CommandOutcome__isset {
-  _CommandOutcome__isset() : submit(false), claim(false) {}
+  _CommandOutcome__isset() : submit(false), claim(false), routing(false) {}
   bool submit :1;
   bool claim :1;
+  bool routing :1;
 } _CommandOutcome__isset;
 
 class CommandOutcome : public virtual ::apache::thrift::TBase {
@@ -1864,6 +1988,7 @@
   virtual ~CommandOutcome() noexcept;
   SubmitOutcome submit;
   ClaimOutcome claim;
+  RoutingOutcome routing;
 
   _CommandOutcome__isset __isset;
 
@@ -1871,6 +1996,8 @@
 
   void __set_claim(const ClaimOutcome& val);
 
+  void __set_routing(const RoutingOutcome& val);
+
   bool operator == (const CommandOutcome & rhs) const
   {
     if (__isset.submit != rhs.__isset.submit)
@@ -1881,6 +2008,10 @@
       return false;
     else if (__isset.claim && !(claim == rhs.claim))
       return false;
+    if (__isset.routing != rhs.__isset.routing)
+      return false;
+    else if (__isset.routing && !(routing == rhs.routing))
+      return false;
     return true;
   }
   bool operator != (const CommandOutcome &rhs) const {
@@ -2088,11 +2219,12 @@
 std::ostream& operator<<(std::ostream& out, const RememberedChange& obj);
 
 typedef struct _SharedState__isset {
-  _SharedState__isset() : settings(false), claims(false), changes(false), time(false) {}
+  _SharedState__isset() : settings(false), claims(false), changes(false), time(false), routing(false) {}
   bool settings :1;
   bool claims :1;
   bool changes :1;
   bool time :1;
+  bool routing :1;
 } _SharedState__isset;
 
 class SharedState : public virtual ::apache::thrift::TBase {
@@ -2109,6 +2241,7 @@
   std::vector<Claim>  claims;
   std::vector<RememberedChange>  changes;
   int64_t time;
+  RoutingDocument routing;
 
   _SharedState__isset __isset;
 
@@ -2120,6 +2253,8 @@
 
   void __set_time(const int64_t val);
 
+  void __set_routing(const RoutingDocument& val);
+
   bool operator == (const SharedState & rhs) const
   {
     if (!(settings == rhs.settings))
@@ -2130,6 +2265,10 @@
       return false;
     if (!(time == rhs.time))
       return false;
+    if (__isset.routing != rhs.__isset.routing)
+      return false;
+    else if (__isset.routing && !(routing == rhs.routing))
+      return false;
     return true;
   }
   bool operator != (const SharedState &rhs) const {
@@ -2564,7 +2703,7 @@
 std::ostream& operator<<(std::ostream& out, const Capabilities& obj);
 
 typedef struct _BackendRecord__isset {
-  _BackendRecord__isset() : id(false), incarnation(false), sequence(false), state(false), serviceName(false), models(false), failureDomain(false), slots(false), capabilities(false) {}
+  _BackendRecord__isset() : id(false), incarnation(false), sequence(false), state(false), serviceName(false), models(false), failureDomain(false), slots(false), capabilities(false), serverName(false) {}
   bool id :1;
   bool incarnation :1;
   bool sequence :1;
@@ -2574,6 +2713,7 @@
   bool failureDomain :1;
   bool slots :1;
   bool capabilities :1;
+  bool serverName :1;
 } _BackendRecord__isset;
 
 class BackendRecord : public virtual ::apache::thrift::TBase {
@@ -2588,7 +2728,8 @@
                   state(0),
                   serviceName(),
                   failureDomain(),
-                  slots(0) {
+                  slots(0),
+                  serverName() {
   }
 
   virtual ~BackendRecord() noexcept;
@@ -2601,6 +2742,7 @@
   std::string failureDomain;
   int32_t slots;
   Capabilities capabilities;
+  std::string serverName;
 
   _BackendRecord__isset __isset;
 
@@ -2622,6 +2764,8 @@
 
   void __set_capabilities(const Capabilities& val);
 
+  void __set_serverName(const std::string& val);
+
   bool operator == (const BackendRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -2642,6 +2786,10 @@
       return false;
     if (!(capabilities == rhs.capabilities))
       return false;
+    if (__isset.serverName != rhs.__isset.serverName)
+      return false;
+    else if (__isset.serverName && !(serverName == rhs.serverName))
+      return false;
     return true;
   }
   bool operator != (const BackendRecord &rhs) const {
@@ -3173,6 +3321,574 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj);
 
+typedef struct _StateAddress__isset {
+  _StateAddress__isset() : listen(false), failureDomain(false) {}
+  bool listen :1;
+  bool failureDomain :1;
+} _StateAddress__isset;
+
+class StateAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateAddress(const StateAddress&);
+  StateAddress& operator=(const StateAddress&);
+  StateAddress() noexcept
+               : listen(),
+                 failureDomain() {
+  }
+
+  virtual ~StateAddress() noexcept;
+  std::string listen;
+  std::string failureDomain;
+
+  _StateAddress__isset __isset;
+
+  void __set_listen(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  bool operator == (const StateAddress & rhs) const
+  {
+    if (!(listen == rhs.listen))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    return true;
+  }
+  bool operator != (const StateAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateAddress &a, StateAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const StateAddress& obj);
+
+typedef struct _LinkHello__isset {
+  _LinkHello__isset() : instance(false), listen(false), failureDomain(false), incarnation(false), states(false) {}
+  bool instance :1;
+  bool listen :1;
+  bool failureDomain :1;
+  bool incarnation :1;
+  bool states :1;
+} _LinkHello__isset;
+
+class LinkHello : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkHello(const LinkHello&);
+  LinkHello& operator=(const LinkHello&);
+  LinkHello() noexcept
+            : instance(),
+              listen(),
+              failureDomain(),
+              incarnation(0) {
+  }
+
+  virtual ~LinkHello() noexcept;
+  std::string instance;
+  std::string listen;
+  std::string failureDomain;
+  int64_t incarnation;
+  std::vector<StateAddress>  states;
+
+  _LinkHello__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_listen(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_states(const std::vector<StateAddress> & val);
+
+  bool operator == (const LinkHello & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(listen == rhs.listen))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(states == rhs.states))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkHello &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkHello & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkHello &a, LinkHello &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
+
+typedef struct _FreshnessPoll__isset {
+  _FreshnessPoll__isset() : id(false), held(false) {}
+  bool id :1;
+  bool held :1;
+} _FreshnessPoll__isset;
+
+class FreshnessPoll : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessPoll(const FreshnessPoll&) noexcept;
+  FreshnessPoll& operator=(const FreshnessPoll&) noexcept;
+  FreshnessPoll() noexcept
+                : id(0),
+                  held(0) {
+  }
+
+  virtual ~FreshnessPoll() noexcept;
+  int64_t id;
+  int64_t held;
+
+  _FreshnessPoll__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_held(const int64_t val);
+
+  bool operator == (const FreshnessPoll & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(held == rhs.held))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessPoll &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessPoll & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessPoll &a, FreshnessPoll &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessPoll& obj);
+
+typedef struct _FreshnessReply__isset {
+  _FreshnessReply__isset() : id(false), confirmed(false), version(false), document(false), entryInstances(false), states(false) {}
+  bool id :1;
+  bool confirmed :1;
+  bool version :1;
+  bool document :1;
+  bool entryInstances :1;
+  bool states :1;
+} _FreshnessReply__isset;
+
+class FreshnessReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessReply(const FreshnessReply&);
+  FreshnessReply& operator=(const FreshnessReply&);
+  FreshnessReply() noexcept
+                 : id(0),
+                   confirmed(0),
+                   version(0),
+                   entryInstances(0) {
+  }
+
+  virtual ~FreshnessReply() noexcept;
+  int64_t id;
+  bool confirmed;
+  int64_t version;
+  RoutingDocument document;
+  int32_t entryInstances;
+  std::vector<StateAddress>  states;
+
+  _FreshnessReply__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_confirmed(const bool val);
+
+  void __set_version(const int64_t val);
+
+  void __set_document(const RoutingDocument& val);
+
+  void __set_entryInstances(const int32_t val);
+
+  void __set_states(const std::vector<StateAddress> & val);
+
+  bool operator == (const FreshnessReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(confirmed == rhs.confirmed))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (!(entryInstances == rhs.entryInstances))
+      return false;
+    if (!(states == rhs.states))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessReply &a, FreshnessReply &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessReply& obj);
+
+typedef struct _RoutingSubmit__isset {
+  _RoutingSubmit__isset() : id(false), document(false) {}
+  bool id :1;
+  bool document :1;
+} _RoutingSubmit__isset;
+
+class RoutingSubmit : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoutingSubmit(const RoutingSubmit&);
+  RoutingSubmit& operator=(const RoutingSubmit&);
+  RoutingSubmit() noexcept
+                : id(0) {
+  }
+
+  virtual ~RoutingSubmit() noexcept;
+  int64_t id;
+  RoutingDocument document;
+
+  _RoutingSubmit__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_document(const RoutingDocument& val);
+
+  bool operator == (const RoutingSubmit & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const RoutingSubmit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoutingSubmit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoutingSubmit &a, RoutingSubmit &b);
+
+std::ostream& operator<<(std::ostream& out, const RoutingSubmit& obj);
+
+typedef struct _RoutingSubmitReply__isset {
+  _RoutingSubmitReply__isset() : id(false), result(false), version(false) {}
+  bool id :1;
+  bool result :1;
+  bool version :1;
+} _RoutingSubmitReply__isset;
+
+class RoutingSubmitReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoutingSubmitReply(const RoutingSubmitReply&) noexcept;
+  RoutingSubmitReply& operator=(const RoutingSubmitReply&) noexcept;
+  RoutingSubmitReply() noexcept
+                     : id(0),
+                       result(0),
+                       version(0) {
+  }
+
+  virtual ~RoutingSubmitReply() noexcept;
+  int64_t id;
+  int32_t result;
+  int64_t version;
+
+  _RoutingSubmitReply__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_result(const int32_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const RoutingSubmitReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(result == rhs.result))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const RoutingSubmitReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoutingSubmitReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoutingSubmitReply &a, RoutingSubmitReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj);
+
+typedef struct _BackendUse__isset {
+  _BackendUse__isset() : backend(false), requests(false), promptTokens(false) {}
+  bool backend :1;
+  bool requests :1;
+  bool promptTokens :1;
+} _BackendUse__isset;
+
+class BackendUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendUse(const BackendUse&) noexcept;
+  BackendUse& operator=(const BackendUse&) noexcept;
+  BackendUse() noexcept
+             : backend(0),
+               requests(0),
+               promptTokens(0) {
+  }
+
+  virtual ~BackendUse() noexcept;
+  int32_t backend;
+  int32_t requests;
+  int32_t promptTokens;
+
+  _BackendUse__isset __isset;
+
+  void __set_backend(const int32_t val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_promptTokens(const int32_t val);
+
+  bool operator == (const BackendUse & rhs) const
+  {
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(promptTokens == rhs.promptTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendUse &a, BackendUse &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendUse& obj);
+
+typedef struct _UseReport__isset {
+  _UseReport__isset() : uses(false), entryInstances(false) {}
+  bool uses :1;
+  bool entryInstances :1;
+} _UseReport__isset;
+
+class UseReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  UseReport(const UseReport&);
+  UseReport& operator=(const UseReport&);
+  UseReport() noexcept
+            : entryInstances(0) {
+  }
+
+  virtual ~UseReport() noexcept;
+  std::vector<BackendUse>  uses;
+  int32_t entryInstances;
+
+  _UseReport__isset __isset;
+
+  void __set_uses(const std::vector<BackendUse> & val);
+
+  void __set_entryInstances(const int32_t val);
+
+  bool operator == (const UseReport & rhs) const
+  {
+    if (!(uses == rhs.uses))
+      return false;
+    if (!(entryInstances == rhs.entryInstances))
+      return false;
+    return true;
+  }
+  bool operator != (const UseReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UseReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UseReport &a, UseReport &b);
+
+std::ostream& operator<<(std::ostream& out, const UseReport& obj);
+
+typedef struct _LinkMessage__isset {
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false) {}
+  bool hello :1;
+  bool agreement :1;
+  bool fleetNews :1;
+  bool freshnessPoll :1;
+  bool freshnessReply :1;
+  bool routingSubmit :1;
+  bool routingSubmitReply :1;
+  bool routing :1;
+  bool uses :1;
+} _LinkMessage__isset;
+
+class LinkMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkMessage(const LinkMessage&);
+  LinkMessage& operator=(const LinkMessage&);
+  LinkMessage() noexcept {
+  }
+
+  virtual ~LinkMessage() noexcept;
+  LinkHello hello;
+  AgreementMessage agreement;
+  FleetNews fleetNews;
+  FreshnessPoll freshnessPoll;
+  FreshnessReply freshnessReply;
+  RoutingSubmit routingSubmit;
+  RoutingSubmitReply routingSubmitReply;
+  RoutingDocument routing;
+  UseReport uses;
+
+  _LinkMessage__isset __isset;
+
+  void __set_hello(const LinkHello& val);
+
+  void __set_agreement(const AgreementMessage& val);
+
+  void __set_fleetNews(const FleetNews& val);
+
+  void __set_freshnessPoll(const FreshnessPoll& val);
+
+  void __set_freshnessReply(const FreshnessReply& val);
+
+  void __set_routingSubmit(const RoutingSubmit& val);
+
+  void __set_routingSubmitReply(const RoutingSubmitReply& val);
+
+  void __set_routing(const RoutingDocument& val);
+
+  void __set_uses(const UseReport& val);
+
+  bool operator == (const LinkMessage & rhs) const
+  {
+    if (__isset.hello != rhs.__isset.hello)
+      return false;
+    else if (__isset.hello && !(hello == rhs.hello))
+      return false;
+    if (__isset.agreement != rhs.__isset.agreement)
+      return false;
+    else if (__isset.agreement && !(agreement == rhs.agreement))
+      return false;
+    if (__isset.fleetNews != rhs.__isset.fleetNews)
+      return false;
+    else if (__isset.fleetNews && !(fleetNews == rhs.fleetNews))
+      return false;
+    if (__isset.freshnessPoll != rhs.__isset.freshnessPoll)
+      return false;
+    else if (__isset.freshnessPoll && !(freshnessPoll == rhs.freshnessPoll))
+      return false;
+    if (__isset.freshnessReply != rhs.__isset.freshnessReply)
+      return false;
+    else if (__isset.freshnessReply && !(freshnessReply == rhs.freshnessReply))
+      return false;
+    if (__isset.routingSubmit != rhs.__isset.routingSubmit)
+      return false;
+    else if (__isset.routingSubmit && !(routingSubmit == rhs.routingSubmit))
+      return false;
+    if (__isset.routingSubmitReply != rhs.__isset.routingSubmitReply)
+      return false;
+    else if (__isset.routingSubmitReply && !(routingSubmitReply == rhs.routingSubmitReply))
+      return false;
+    if (__isset.routing != rhs.__isset.routing)
+      return false;
+    else if (__isset.routing && !(routing == rhs.routing))
+      return false;
+    if (__isset.uses != rhs.__isset.uses)
+      return false;
+    else if (__isset.uses && !(uses == rhs.uses))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkMessage &a, LinkMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkMessage& obj);
+
 }} // namespace
 
 #endif
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -46,6 +46,8 @@
 struct CompleteWork { 1: WorkId work, 2: Claimant claimant, 3: i32 verdict, 4: RecordedAnswer answer }
 struct AbandonOwner { 1: string instance, 2: i64 before }
 struct AdvanceTime { }
+// A whole routing configuration. The highest version is in force.
+struct RoutingDocument { 1: i64 version, 2: binary text }
 
 union CommandBody {
   1: SubmitSettings submitSettings
@@ -53,18 +55,21 @@
   3: CompleteWork completeWork
   4: AbandonOwner abandonOwner
   5: AdvanceTime advanceTime
+  6: RoutingDocument submitRouting
 }
 
 struct Command { 1: i64 time, 2: CommandBody body }
 
 struct SubmitOutcome { 1: bool isAccepted, 2: i64 version, 3: string author }
 struct ClaimOutcome { 1: i32 kind, 2: RecordedAnswer answer }
-struct CommandOutcome { 1: optional SubmitOutcome submit, 2: optional ClaimOutcome claim }
+// `version` is the one in force afterwards.
+struct RoutingOutcome { 1: i64 version }
+struct CommandOutcome { 1: optional SubmitOutcome submit, 2: optional ClaimOutcome claim, 3: optional RoutingOutcome routing }
 
 struct Settings { 1: i64 version, 2: string author, 3: string inventory, 4: string rules }
 struct Claim { 1: WorkId work, 2: string requestDigest, 3: Claimant claimant, 4: i32 state, 5: RecordedAnswer answer, 6: i64 since }
 struct RememberedChange { 1: string change, 2: SubmitOutcome outcome }
-struct SharedState { 1: Settings settings, 2: list<Claim> claims, 3: list<RememberedChange> changes, 4: i64 time }
+struct SharedState { 1: Settings settings, 2: list<Claim> claims, 3: list<RememberedChange> changes, 4: i64 time, 5: optional RoutingDocument routing }
 
 // An entry instance asks a state instance. `known` is the version it has in force.
 struct SettingsPoll { 1: i64 known }
@@ -79,7 +84,7 @@
 struct Reply { 1: i64 id, 2: optional SettingsPollReply poll, 3: optional ProposeReply propose, 4: optional NotLeader notLeader }
 
 struct Capabilities { 1: bool priorities, 2: bool resume, 3: bool cancel, 4: bool checksFencing }
-struct BackendRecord { 1: string id, 2: i64 incarnation, 3: i64 sequence, 4: i32 state, 5: string serviceName, 6: list<string> models, 7: string failureDomain, 8: i32 slots, 9: Capabilities capabilities }
+struct BackendRecord { 1: string id, 2: i64 incarnation, 3: i64 sequence, 4: i32 state, 5: string serviceName, 6: list<string> models, 7: string failureDomain, 8: i32 slots, 9: Capabilities capabilities, 10: optional string serverName }
 struct Renewal { 1: string id, 2: i64 incarnation, 3: i64 sequence }
 struct LoadNotice { 1: string id, 2: i64 incarnation, 3: i32 running, 4: i64 ageMicroseconds }
 struct FleetNews { 1: list<BackendRecord> records, 2: list<Renewal> renewals, 3: list<LoadNotice> loads }
@@ -100,3 +105,33 @@
   4: FleetNews fleetNews
   5: PeerLoad peerLoad
 }
+
+// Links of a deployment whose instances find each other by seeds.
+
+// Where a state instance takes links.
+struct StateAddress { 1: string listen, 2: string failureDomain }
+// First frame of both sides. `listen` is empty where the sender keeps no state.
+struct LinkHello { 1: string instance, 2: string listen, 3: string failureDomain, 4: i64 incarnation, 5: list<StateAddress> states }
+// Asks whether a configuration newer than `held` was accepted before the answer.
+struct FreshnessPoll { 1: i64 id, 2: i64 held }
+// `confirmed`: `version` was the newest accepted one after the poll was received. `document`: newer than the one held.
+struct FreshnessReply { 1: i64 id, 2: bool confirmed, 3: i64 version, 4: optional RoutingDocument document, 5: i32 entryInstances, 6: list<StateAddress> states }
+struct RoutingSubmit { 1: i64 id, 2: RoutingDocument document }
+// `result` is that of a proposal: 0 committed, 1 not the leader, 2 unknown.
+struct RoutingSubmitReply { 1: i64 id, 2: i32 result, 3: i64 version }
+// Work that entry instances have at a backend server: requests, and prompt tokens that no first piece has answered yet.
+struct BackendUse { 1: i32 backend, 2: i32 requests, 3: i32 promptTokens }
+// Sum over the sender's entry instances, or the sender itself.
+struct UseReport { 1: list<BackendUse> uses, 2: i32 entryInstances }
+
+union LinkMessage {
+  1: LinkHello hello
+  2: AgreementMessage agreement
+  3: FleetNews fleetNews
+  4: FreshnessPoll freshnessPoll
+  5: FreshnessReply freshnessReply
+  6: RoutingSubmit routingSubmit
+  7: RoutingSubmitReply routingSubmitReply
+  8: RoutingDocument routing
+  9: UseReport uses
+}
--- a/test/error/http_limits.cpp
+++ b/test/error/http_limits.cpp
@@ -33,7 +33,7 @@
 public:
     RunningServer()
         : m_loops(1)
-        , m_server(m_loops, m_handler, { .address = "127.0.0.1:" + std::to_string(port), .maxHeaderBytes = 1024, .maxBodyBytes = 100, .maxConnections = 2 })
+        , m_server(m_loops, m_handler, { .address = "127.0.0.1:" + std::to_string(port), .limits = [] { return HttpLimits { .headerBytes = 1024, .bodyBytes = 100 }; }, .maxConnections = 2 })
         , m_thread([this] { m_loops.run(); })
     {
     }
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -3,7 +3,7 @@
  */
 #include "base/SeededRandom.h"
 #include "entry/AnnouncementJson.h"
-#include "entry/EventStreamScanner.h"
+#include "http/EventStreamScanner.h"
 #include "settings/DaemonSettings.h"
 #include "settings/RoutingSettings.h"
 #include "storage/Frame.h"
