Set engines apart for interactive streams, keep a shared part of a prompt at its home

Of 16,550 tokens of a lineage draft 10,050 were read, as drafts left a busy home for an engine that had to read the shared part.

Ruled out: the router's own time (0.005 of a core) and its lag (first pieces go out as they come).

Change: streams of the service's shortest target between pieces prefer engines of their own, as many as their running streams need (0.35 of the slots), the same at every instance by rendezvous order; long prompts avoid these. Entry instances tell how many of their requests are interactive. Reading a shared part elsewhere costs 2.5 times its time.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -94,17 +94,21 @@
     return services.front().service;
 }
 
+std::uint32_t RoutedExchange::priority() const
+{
+    return m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
+}
+
 Task<void> RoutedExchange::runAttempts()
 {
-    const auto service = pickService();
-    auto& window = m_context.retryWindows.try_emplace(service, m_context.retries).first->second;
+    m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = priority(), .isInteractive = m_table->isInteractive(*m_route), .excluded = {} };
+    auto& window = m_context.retryWindows.try_emplace(m_wanted.service, m_context.retries).first->second;
     window.noteFirst(m_arrival);
     for (;;) {
         const auto now = monotonicNow();
-        const auto priority = m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
-        const auto placement = m_context.board.choose({ .service = service, .prompt = m_call.prompt, .priority = priority, .excluded = m_tried }, now);
+        const auto placement = m_context.board.choose(m_wanted, now);
         if (!placement) {
-            m_lastCause = m_tried.empty() ? "no-server" : "no-other-server";
+            m_lastCause = m_wanted.excluded.empty() ? "no-server" : "no-other-server";
             co_await refuse(m_runs == 0 ? unavailable : badGateway, m_lastCause, shortRetryAfter);
             co_return;
         }
@@ -117,17 +121,17 @@
             co_return;
         }
         ++m_choices;
-        m_lastBackend = placement->backend.value();
+        m_placement = *placement;
         auto result = co_await attempt(*placement);
         m_lastCause = result.cause;
-        m_tried.insert(placement->backend);
+        m_wanted.excluded.insert(placement->backend);
         m_sends += result.wasSent ? 1 : 0;
         m_runs += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
         if (!mayTryAgain(result)) {
             co_await finish(result);
             co_return;
         }
-        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_call.id, m_route->id.value(), m_lastBackend, result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
+        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_call.id, m_route->id.value(), placement->backend.value(), result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
     }
 }
 
@@ -190,12 +194,11 @@
 HttpRequest RoutedExchange::upstreamRequest(const Placement& placement) const
 {
     constexpr std::uint32_t lastPriority = 9; // Engines know ten.
-    const auto priority = m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
     const ForwardedCall call {
         .serverName = placement.serverName,
         .workspace = m_workspace ? m_workspace->id : WorkspaceId(),
         .timeLeft = m_deadline - monotonicNow(),
-        .priority = std::min(priority, lastPriority),
+        .priority = std::min(m_wanted.priority, lastPriority),
         .lastEventId = m_events.lastId() ? m_events.lastId() : m_call.lastEventId,
     };
     return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.forward(m_http.fields, call), .body = m_http.body };
@@ -217,7 +220,7 @@
     const auto pieceTime = m_route->mayRunAgain() && m_route->isStream() ? std::max<Duration>(minSilence, m_route->betweenPiecesTarget * silenceFactor) : left;
     const UpstreamTimeouts timeouts { .head = attemptTime(now), .piece = pieceTime, .idleAtMost = m_route->mayRunAgain() ? Duration(std::chrono::hours(1)) : freshConnection };
     const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
-    const auto callId = m_context.board.begin(placement, m_call.prompt, now);
+    const auto callId = m_context.board.begin(placement, m_wanted, now);
     m_writer.onCallerGone([&call = *call] { call.cancel(); });
     Attempt result;
     {
@@ -335,7 +338,7 @@
             bytes = whole;
         }
         if (!bytes.empty() || piece.isLast) {
-            m_context.board.firstPiece(callId, monotonicNow());
+            notePiece(callId);
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
                 ec = co_await m_writer.write(bytes);
@@ -357,12 +360,24 @@
     co_return result;
 }
 
+void RoutedExchange::notePiece(CallId callId)
+{
+    const auto now = monotonicNow();
+    m_context.board.firstPiece(callId, now);
+    if (m_lastPieceAt)
+        m_longestPause = std::max(m_longestPause, now - *m_lastPieceAt);
+    else
+        m_firstPiece = now - m_arrival;
+    m_lastPieceAt = now;
+}
+
 void RoutedExchange::logEnd(unsigned status, std::string_view outcome)
 {
     const auto now = monotonicNow();
-    const auto leaseMs = (m_context.routing.leaseEnd() - now) / std::chrono::milliseconds(1);
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} choices={} sends={} last_cause={} took_ms={}", m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "",
-        m_table ? m_table->version().value() : 0, leaseMs, outcome, status, m_lastBackend, m_choices, m_sends, m_lastCause, (now - m_arrival) / std::chrono::milliseconds(1));
+    const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} expected_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+        m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
+        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, milliseconds(m_placement.expected), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
 }
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -51,6 +51,7 @@
     std::optional<HttpResponse> admit();
     bool hasLease() const;
     const ServiceId& pickService() const;
+    std::uint32_t priority() const;
     Task<void> runAttempts();
     Task<Attempt> attempt(const Placement&);
     Task<Attempt> send(UpstreamCall&, const Placement&, CallId);
@@ -62,6 +63,7 @@
     Task<void> finish(const Attempt&);
     Task<void> refuse(unsigned status, std::string_view code, Duration retryAfter);
     HttpRequest upstreamRequest(const Placement&) const;
+    void notePiece(CallId);
     void logEnd(unsigned status, std::string_view outcome);
 
     ForwardingContext& m_context;
@@ -73,11 +75,14 @@
     CallerCall m_call;
     const RouteRule* m_route = nullptr;
     const KeyedWorkspace* m_workspace = nullptr; // Null where the route needs no key.
-    std::set<BackendId> m_tried;
+    PlacementRequest m_wanted; // Servers that were tried are excluded.
     std::uint32_t m_sends = 0; // Attempts of which a byte may have reached a server.
     std::uint32_t m_runs = 0; // Attempts that may have run.
     std::uint32_t m_choices = 0;
-    std::string m_lastBackend;
+    Placement m_placement; // The last one.
+    std::optional<TimePoint> m_lastPieceAt; // Of the stream that the caller has.
+    Duration m_firstPiece {}; // From arrival; zero before it.
+    Duration m_longestPause {}; // Between two pieces of the stream.
     std::string_view m_lastCause = "none";
     bool m_streamStarted = false; // The caller has the header of a stream.
     EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -109,7 +109,7 @@
     report.entryInstances = 1;
     m_told.clear();
     for (const auto& [backend, use] : m_board.ownUse()) {
-        const BackendUse made { .backend = hashOf(backend.value()), .requests = use.requests, .promptTokens = use.promptTokens };
+        const BackendUse made { .backend = hashOf(backend.value()), .requests = use.requests, .promptTokens = use.promptTokens, .interactive = use.interactive };
         report.uses.push_back(made);
         m_told[made.backend] = made;
     }
@@ -130,8 +130,9 @@
         const auto own = m_told.find(it.backend);
         const auto less = [](std::uint32_t total, std::uint32_t mine) { return total - std::min(total, mine); };
         const auto mine = own == m_told.end() ? BackendUse {} : own->second;
-        m_board.setOtherUse(backend->second, { .requests = less(it.requests, mine.requests), .promptTokens = less(it.promptTokens, mine.promptTokens) });
+        m_board.setOtherUse(backend->second, { .requests = less(it.requests, mine.requests), .promptTokens = less(it.promptTokens, mine.promptTokens), .interactive = less(it.interactive, mine.interactive) });
     }
+    m_board.repartition(monotonicNow());
 }
 
 Task<void> EntryInstance::tickLoop()
--- a/src/node/UseCodec.cpp
+++ b/src/node/UseCodec.cpp
@@ -13,6 +13,7 @@
         made.backend = static_cast<std::int32_t>(it.backend);
         made.requests = static_cast<std::int32_t>(it.requests);
         made.promptTokens = static_cast<std::int32_t>(it.promptTokens);
+        made.interactive = static_cast<std::int32_t>(it.interactive);
     }
     return wire;
 }
@@ -22,7 +23,7 @@
     UseReport report;
     report.entryInstances = static_cast<std::uint32_t>(wire.entryInstances);
     for (const auto& it : wire.uses)
-        report.uses.push_back({ .backend = static_cast<std::uint32_t>(it.backend), .requests = static_cast<std::uint32_t>(it.requests), .promptTokens = static_cast<std::uint32_t>(it.promptTokens) });
+        report.uses.push_back({ .backend = static_cast<std::uint32_t>(it.backend), .requests = static_cast<std::uint32_t>(it.requests), .promptTokens = static_cast<std::uint32_t>(it.promptTokens), .interactive = static_cast<std::uint32_t>(it.interactive) });
     return report;
 }
 
--- a/src/node/UseLedger.cpp
+++ b/src/node/UseLedger.cpp
@@ -32,6 +32,7 @@
             use.backend = it.backend;
             use.requests += it.requests;
             use.promptTokens += it.promptTokens;
+            use.interactive += it.interactive;
         }
     }
     for (const auto& [backend, use] : uses)
--- a/src/node/UseLedger.h
+++ b/src/node/UseLedger.h
@@ -17,6 +17,7 @@
     std::uint32_t backend = 0; ///< Hash of its address; see hashOf.
     std::uint32_t requests = 0;
     std::uint32_t promptTokens = 0; ///< Of requests that have no first piece yet.
+    std::uint32_t interactive = 0; ///< Of the requests.
 
     bool operator==(const BackendUse&) const = default;
 };
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -3,6 +3,7 @@
 #include "base/RandomSource.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace HickoryHollow {
@@ -14,6 +15,15 @@
 constexpr double millisecondsPerPlainCall = 30; // A call of a plain service that is ahead in the queue.
 constexpr double otherDomainMilliseconds = 3; // Distance and the price of bytes between failure domains.
 constexpr double keptAtHomeShare = 0.8; // Chance that the home of a shared part has read it for another instance.
+constexpr double rereadWeight = 1.5; // Reading a shared part once more also takes the time of those who come later.
+constexpr double homeRankMilliseconds = 4; // Makes all instances use the same next home.
+constexpr std::size_t maxHomes = 3;
+constexpr double interactiveElsewhereMilliseconds = 100; // A pause that a long prompt cuts into a stream.
+constexpr double promptSetApartMilliseconds = 250; // Pauses for all interactive streams of the engine.
+constexpr double comfortableShare = 0.35; // Of an engine's slots, where steps are still short.
+constexpr double risingWeight = 0.5; // Of the newest count, twice a second.
+constexpr double fallingWeight = 0.05; // Moving an engine costs its cache, so it is given back slowly.
+constexpr std::uint64_t partitionKey = 0x9e3779b97f4a7c15ULL; // Any constant; the same at every instance.
 constexpr double cacheShare = 0.75; // Of an engine's memory; running requests take the rest.
 constexpr double slownessWeight = 0.15; // Of the newest call.
 constexpr double maxSlowness = 8;
@@ -47,6 +57,7 @@
         server.slowness = 1;
         server.others = {};
         server.calls = 0;
+        server.interactiveCalls = 0;
         server.waitingTokens = 0;
     }
     server.record = record;
@@ -77,29 +88,64 @@
         server.others = {};
 }
 
+void BackendBoard::repartition(TimePoint now)
+{
+    for (auto& [service, partition] : m_partitions)
+        repartition(service, partition, now);
+}
+
+void BackendBoard::repartition(const ServiceId& service, Partition& partition, TimePoint now)
+{
+    std::vector<std::pair<std::uint64_t, BackendId>> serving;
+    double active = 0;
+    for (const auto& [id, server] : m_servers) {
+        if (server.record.service != service)
+            continue;
+        active += server.interactiveCalls + server.others.interactive;
+        if (server.record.state == BackendState::Serving && !server.health.isSetAside(now))
+            serving.emplace_back(rendezvousWeight(id, partitionKey), id);
+    }
+    const auto isRising = active > partition.activeAverage;
+    partition.activeAverage += (isRising ? risingWeight : fallingWeight) * (active - partition.activeAverage);
+    const auto engine = m_engines.find(service);
+    const auto slots = engine == m_engines.end() ? 1 : std::max(1U, engine->second.slots);
+    const auto wanted = static_cast<std::size_t>(std::ceil(partition.activeAverage / (comfortableShare * slots)));
+    const auto n = std::min(std::max<std::size_t>(wanted, 1), serving.size() / 2);
+    std::sort(serving.begin(), serving.end(), std::greater<>());
+    partition.engines.clear();
+    for (std::size_t i = 0; i < n; ++i)
+        partition.engines.insert(serving[i].second);
+}
+
 bool BackendBoard::isCandidate(const Server& server, const PlacementRequest& request) const
 {
     return server.record.service == request.service && server.record.state != BackendState::Leaving && !request.excluded.contains(server.record.id);
 }
 
-// Servers that are set aside keep no home, so that their parts move on to the next one in order.
-BackendId BackendBoard::homeOf(const PlacementRequest& request, std::uint64_t key, TimePoint now) const
+bool BackendBoard::isSetApart(const Server& server) const
 {
-    BackendId home;
-    std::uint64_t best = 0;
+    const auto partition = m_partitions.find(server.record.service);
+    return partition != m_partitions.end() && partition->second.engines.contains(server.record.id);
+}
+
+// A few engines in order of preference, the same at every instance. Engines that are set aside or set apart keep no home.
+std::vector<BackendId> BackendBoard::homesOf(const PlacementRequest& request, std::uint64_t key, TimePoint now) const
+{
+    std::vector<std::pair<std::uint64_t, BackendId>> weighted;
     for (const auto& [id, server] : m_servers) {
-        if (server.record.service != request.service || server.record.state != BackendState::Serving || server.health.isSetAside(now))
-            continue;
-        const auto weight = rendezvousWeight(id, key);
-        if (home.value().empty() || weight > best) {
-            home = id;
-            best = weight;
-        }
+        const auto isServing = server.record.service == request.service && server.record.state == BackendState::Serving && !server.health.isSetAside(now);
+        if (isServing && isSetApart(server) == request.isInteractive)
+            weighted.emplace_back(rendezvousWeight(id, key), id);
     }
-    return home;
+    const auto n = std::min(weighted.size(), maxHomes);
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(n), weighted.end(), std::greater<>());
+    std::vector<BackendId> homes;
+    for (std::size_t i = 0; i < n; ++i)
+        homes.push_back(weighted[i].second);
+    return homes;
 }
 
-double BackendBoard::costOf(const Server& server, const PlacementRequest& request, const BackendId& home, std::uint32_t& unread) const
+double BackendBoard::costOf(const Server& server, const PlacementRequest& request, const std::vector<BackendId>& homes, std::uint32_t& unread) const
 {
     const auto distance = server.record.failureDomain == m_options.ownDomain ? 0.0 : otherDomainMilliseconds;
     const auto running = static_cast<double>(server.calls + server.others.requests);
@@ -107,25 +153,30 @@
         const auto slots = std::max(1U, server.record.slots);
         return distance + running / slots * millisecondsPerPlainCall * server.slowness;
     }
+    std::uint32_t shared = 0;
+    for (std::size_t i = 0; i + 1 < request.prompt.parts.size(); ++i)
+        shared += request.prompt.parts[i].tokens;
     const auto kept = server.cache.keptTokens(request.prompt);
-    unread = request.prompt.tokens - kept;
-    auto expectedUnread = static_cast<double>(unread);
-    if (server.record.id == home && request.prompt.parts.size() > 1) {
-        std::uint32_t shared = 0;
-        for (std::size_t i = 0; i + 1 < request.prompt.parts.size(); ++i)
-            shared += request.prompt.parts[i].tokens;
-        if (shared > kept)
-            expectedUnread -= keptAtHomeShare * std::min<double>(shared - kept, unread);
-    }
+    const auto unreadShared = shared - std::min(shared, kept);
+    unread = request.prompt.tokens - std::min(kept, request.prompt.tokens);
+    // Others may have placed the part at its first home; nobody knows of the other homes.
+    const auto home = std::find(homes.begin(), homes.end(), server.record.id);
+    const auto rank = static_cast<double>(home - homes.begin());
+    const auto chanceKept = home == homes.begin() && home != homes.end() ? keptAtHomeShare : 0.0;
+    const auto expectedShared = static_cast<double>(unreadShared) * (1 - chanceKept);
+    const auto expectedUnread = std::max(0.0, static_cast<double>(unread) - static_cast<double>(unreadShared) * chanceKept);
     unread = static_cast<std::uint32_t>(expectedUnread);
     const auto ahead = static_cast<double>(server.waitingTokens + server.others.promptTokens);
-    return distance + ((ahead + expectedUnread) / tokensPerMillisecond + running * millisecondsPerRunning) * server.slowness;
+    const auto isMisplaced = isSetApart(server) != request.isInteractive && m_partitions.contains(request.service);
+    const auto misplacement = isMisplaced ? (request.isInteractive ? interactiveElsewhereMilliseconds : promptSetApartMilliseconds) : 0.0;
+    const auto reading = (ahead + expectedUnread + expectedShared * rereadWeight) / tokensPerMillisecond;
+    return distance + misplacement + (shared > 0 ? rank * homeRankMilliseconds : 0) + (reading + running * millisecondsPerRunning) * server.slowness;
 }
 
 std::optional<Placement> BackendBoard::choose(const PlacementRequest& request, TimePoint now)
 {
     const auto key = hashOfSharedParts(request.prompt);
-    const auto home = key == 0 ? BackendId() : homeOf(request, key, now);
+    const auto homes = key == 0 ? std::vector<BackendId>() : homesOf(request, key, now);
     const Server* best = nullptr;
     auto bestRank = 0;
     double bestCost = 0;
@@ -137,7 +188,7 @@
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
         const auto rank = (server.health.isSetAside(now) ? 1 : 0) + (isLapsed ? 2 : 0);
         std::uint32_t unread = 0;
-        const auto cost = costOf(server, request, home, unread);
+        const auto cost = costOf(server, request, homes, unread);
         const auto isTie = best && rank == bestRank && cost == bestCost;
         const auto isBetter = !best || rank < bestRank || (rank == bestRank && cost < bestCost);
         ties = isTie ? ties + 1 : ties;
@@ -160,17 +211,20 @@
     };
 }
 
-CallId BackendBoard::begin(const Placement& placement, const Prompt& prompt, TimePoint now)
+CallId BackendBoard::begin(const Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     const CallId id(++m_lastCall);
     const auto it = m_servers.find(placement.backend);
-    Call call { .backend = placement.backend, .incarnation = {}, .unreadTokens = placement.unreadTokens, .hasFirstPiece = false, .hasPrompt = !prompt.isEmpty(), .expected = placement.expected, .begunAt = now };
+    Call call { .backend = placement.backend, .incarnation = {}, .unreadTokens = placement.unreadTokens, .hasFirstPiece = false, .isInteractive = request.isInteractive, .expected = placement.expected, .begunAt = now };
     if (it != m_servers.end()) {
         call.incarnation = it->second.record.incarnation;
         ++it->second.calls;
+        it->second.interactiveCalls += call.isInteractive ? 1 : 0;
         it->second.waitingTokens += call.unreadTokens;
-        it->second.cache.add(prompt);
+        it->second.cache.add(request.prompt);
     }
+    if (request.isInteractive)
+        m_partitions.try_emplace(request.service);
     m_calls.emplace(id, call);
     return id;
 }
@@ -204,6 +258,7 @@
         return;
     auto& server = it->second;
     server.calls -= std::min(server.calls, 1U);
+    server.interactiveCalls -= std::min(server.interactiveCalls, call.isInteractive ? 1U : 0U);
     if (!call.hasFirstPiece)
         server.waitingTokens -= std::min(server.waitingTokens, call.unreadTokens);
     server.health.note(outcome, now);
@@ -214,7 +269,7 @@
     std::map<BackendId, OtherUse> uses;
     for (const auto& [id, server] : m_servers) {
         if (server.calls > 0)
-            uses[id] = { .requests = server.calls, .promptTokens = server.waitingTokens };
+            uses[id] = { .requests = server.calls, .promptTokens = server.waitingTokens, .interactive = server.interactiveCalls };
     }
     return uses;
 }
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -32,6 +32,7 @@
     ServiceId service;
     Prompt prompt;
     std::uint32_t priority = 0;
+    bool isInteractive = false; ///< Suffers from long prompts beside it; see Partition.
     std::set<BackendId> excluded; ///< Tried before.
 };
 
@@ -47,6 +48,7 @@
 struct OtherUse {
     std::uint32_t requests = 0;
     std::uint32_t promptTokens = 0;
+    std::uint32_t interactive = 0; ///< Of the requests.
 };
 
 class BackendBoard {
@@ -64,9 +66,11 @@
     void setEngine(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
     void setOtherUse(const BackendId&, OtherUse);
     void clearOtherUse();
+    /** Others' use is up to date: decides anew how many engines interactive requests need for themselves. */
+    void repartition(TimePoint now);
 
     std::optional<Placement> choose(const PlacementRequest&, TimePoint now);
-    CallId begin(const Placement&, const Prompt&, TimePoint now);
+    CallId begin(const Placement&, const PlacementRequest&, TimePoint now);
     void firstPiece(CallId, TimePoint now);
     void end(CallId, CallOutcome, TimePoint now);
 
@@ -82,6 +86,7 @@
         PromptCache cache { 0 };
         OtherUse others;
         std::uint32_t calls = 0; ///< Own calls that have not ended.
+        std::uint32_t interactiveCalls = 0; ///< Of them.
         std::uint32_t waitingTokens = 0; ///< Unread prompt tokens of own calls without a first piece.
         double slowness = 1; ///< Moving average of measured against expected time to the first piece.
     };
@@ -91,24 +96,33 @@
         Incarnation incarnation;
         std::uint32_t unreadTokens = 0;
         bool hasFirstPiece = false;
-        bool hasPrompt = false;
+        bool isInteractive = false;
         Duration expected {};
         TimePoint begunAt {};
     };
 
+    /** Engines of a service that interactive requests prefer and long prompts avoid. */
+    struct Partition {
+        double activeAverage = 0; ///< Interactive requests of all instances that run at once.
+        std::set<BackendId> engines;
+    };
+
     struct Engine {
         std::uint32_t slots = 1;
         std::uint64_t tokenCapacity = 0;
     };
 
+    bool isSetApart(const Server&) const;
+    void repartition(const ServiceId&, Partition&, TimePoint now);
     bool isCandidate(const Server&, const PlacementRequest&) const;
-    double costOf(const Server&, const PlacementRequest&, const BackendId& home, std::uint32_t& unread) const;
-    BackendId homeOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
+    double costOf(const Server&, const PlacementRequest&, const std::vector<BackendId>& homes, std::uint32_t& unread) const;
+    std::vector<BackendId> homesOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
 
     Options m_options;
     RandomSource& m_random;
     std::map<BackendId, Server> m_servers;
     std::map<ServiceId, Engine> m_engines;
+    std::map<ServiceId, Partition> m_partitions; // Of services that have interactive requests.
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall = 0;
 };
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -4,6 +4,12 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+constexpr double interactiveFactor = 1.3; // Of the service's shortest target between pieces; a longer one is not interactive.
+
+} // namespace
+
 std::string normalisedHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -24,6 +30,34 @@
     }
     for (const auto& it : m_configuration.services)
         m_services.emplace(it.id, &it);
+    findInteractive();
+}
+
+void RouteTable::findInteractive()
+{
+    std::map<ServiceId, std::pair<Duration, Duration>> pauses; // Shortest and longest target of the service's streams.
+    for (const auto& route : m_configuration.routes) {
+        if (!route.hasPrompt || route.betweenPiecesTarget <= Duration::zero())
+            continue;
+        for (const auto& it : route.services) {
+            const auto [known, isNew] = pauses.try_emplace(it.service, route.betweenPiecesTarget, route.betweenPiecesTarget);
+            known->second.first = std::min(known->second.first, route.betweenPiecesTarget);
+            known->second.second = std::max(known->second.second, route.betweenPiecesTarget);
+        }
+    }
+    for (const auto& [service, range] : pauses) {
+        const auto limit = std::chrono::duration_cast<Duration>(range.first * interactiveFactor);
+        if (range.second > limit)
+            m_interactivePauses[service] = limit;
+    }
+}
+
+bool RouteTable::isInteractive(const RouteRule& route) const
+{
+    if (!route.hasPrompt || route.betweenPiecesTarget <= Duration::zero() || route.services.empty())
+        return false;
+    const auto limit = m_interactivePauses.find(route.services.front().service);
+    return limit != m_interactivePauses.end() && route.betweenPiecesTarget <= limit->second;
 }
 
 const RouteRule* RouteTable::find(std::string_view host, std::string_view path) const
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -23,13 +23,18 @@
     const KeyedWorkspace* workspaceOf(std::string_view key) const;
     /** Null for an unknown service. */
     const RoutedService* service(const ServiceId&) const;
+    /** Its callers notice pauses that long prompts of other routes of the service cut into running streams. */
+    bool isInteractive(const RouteRule&) const;
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
 
 private:
+    void findInteractive();
+
     RoutingConfiguration m_configuration;
     std::unordered_map<std::string, std::vector<const RouteRule*>> m_byHost; // Longest prefix first.
     std::unordered_map<std::string, const KeyedWorkspace*> m_byKey;
     std::map<ServiceId, const RoutedService*> m_services;
+    std::map<ServiceId, Duration> m_interactivePauses; // Longest pause of an interactive route; services with one kind only have none.
 };
 
 /** Host without its port, in lower case. */
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -8627,6 +8627,10 @@
 void BackendUse::__set_promptTokens(const int32_t val) {
   this->promptTokens = val;
 }
+
+void BackendUse::__set_interactive(const int32_t val) {
+  this->interactive = val;
+}
 std::ostream& operator<<(std::ostream& out, const BackendUse& obj)
 {
   obj.printTo(out);
@@ -8679,6 +8683,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interactive);
+          this->__isset.interactive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8708,6 +8720,10 @@
   xfer += oprot->writeI32(this->promptTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("interactive", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->interactive);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8718,6 +8734,7 @@
   swap(a.backend, b.backend);
   swap(a.requests, b.requests);
   swap(a.promptTokens, b.promptTokens);
+  swap(a.interactive, b.interactive);
   swap(a.__isset, b.__isset);
 }
 
@@ -8725,12 +8742,14 @@
   backend = other218.backend;
   requests = other218.requests;
   promptTokens = other218.promptTokens;
+  interactive = other218.interactive;
   __isset = other218.__isset;
 }
 BackendUse& BackendUse::operator=(const BackendUse& other219) noexcept {
   backend = other219.backend;
   requests = other219.requests;
   promptTokens = other219.promptTokens;
+  interactive = other219.interactive;
   __isset = other219.__isset;
   return *this;
 }
@@ -8740,6 +8759,7 @@
   out << "backend=" << to_string(backend);
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "interactive=" << to_string(interactive);
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -3676,10 +3676,11 @@
 std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj);
 
 typedef struct _BackendUse__isset {
-  _BackendUse__isset() : backend(false), requests(false), promptTokens(false) {}
+  _BackendUse__isset() : backend(false), requests(false), promptTokens(false), interactive(false) {}
   bool backend :1;
   bool requests :1;
   bool promptTokens :1;
+  bool interactive :1;
 } _BackendUse__isset;
 
 class BackendUse : public virtual ::apache::thrift::TBase {
@@ -3690,13 +3691,15 @@
   BackendUse() noexcept
              : backend(0),
                requests(0),
-               promptTokens(0) {
+               promptTokens(0),
+               interactive(0) {
   }
 
   virtual ~BackendUse() noexcept;
   int32_t backend;
   int32_t requests;
   int32_t promptTokens;
+  int32_t interactive;
 
   _BackendUse__isset __isset;
 
@@ -3706,6 +3709,8 @@
 
   void __set_promptTokens(const int32_t val);
 
+  void __set_interactive(const int32_t val);
+
   bool operator == (const BackendUse & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -3714,6 +3719,8 @@
       return false;
     if (!(promptTokens == rhs.promptTokens))
       return false;
+    if (!(interactive == rhs.interactive))
+      return false;
     return true;
   }
   bool operator != (const BackendUse &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -119,8 +119,9 @@
 struct RoutingSubmit { 1: i64 id, 2: RoutingDocument document }
 // `result` is that of a proposal: 0 committed, 1 not the leader, 2 unknown.
 struct RoutingSubmitReply { 1: i64 id, 2: i32 result, 3: i64 version }
-// Work that entry instances have at a backend server: requests, and prompt tokens that no first piece has answered yet.
-struct BackendUse { 1: i32 backend, 2: i32 requests, 3: i32 promptTokens }
+// Work that entry instances have at a backend server: requests, prompt tokens that no first piece has answered yet, and
+// how many of the requests are interactive.
+struct BackendUse { 1: i32 backend, 2: i32 requests, 3: i32 promptTokens, 4: i32 interactive }
 // Sum over the sender's entry instances, or the sender itself.
 struct UseReport { 1: list<BackendUse> uses, 2: i32 entryInstances }
 
