--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -22,8 +22,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr Duration nodeTickInterval = std::chrono::milliseconds(50);
-constexpr Duration heartbeat = std::chrono::milliseconds(200); // Of the leader; a beat wakes five processes.
-constexpr Duration electionTimeout = std::chrono::milliseconds(1000); // Five beats: a paused process is not deposed at once.
+constexpr Duration heartbeat = std::chrono::milliseconds(100); // Of the leader.
+constexpr Duration electionTimeout = std::chrono::milliseconds(500); // Five beats, so that a short pause deposes nobody.
 constexpr Duration roundTimeout = std::chrono::milliseconds(400);
 constexpr Duration operatorPatience = std::chrono::milliseconds(900); // An operator asks another instance after a second.
 constexpr Duration retryPause = std::chrono::milliseconds(50);
