Let long prompts wait at the entry instance; a busy server is not a silent one

Cause: at the crest drafts were sent to engines at once, so they spilled from their homes onto the engines of interactive streams, and stood before every later prompt.

Change: AdmissionQueue holds requests of long prompts while their engine has much to read, in order of priority, for 0.6 of their target at most. An attempt is cut for silence only where the server sent nothing on any other call either. Use is told when it changes, at most each 150 ms. A third of the engines is set apart until the load is known.

--- /dev/null
+++ b/src/forwarding/AdmissionDesk.cpp
@@ -0,0 +1,38 @@
+#include "forwarding/AdmissionDesk.h"
+
+namespace HickoryHollow {
+
+Task<std::optional<AdmissionQueue::Grant>> AdmissionDesk::place(const PlacementRequest& request, TimePoint holdUntil, OnGone onGone)
+{
+    const auto now = monotonicNow();
+    auto grant = m_queue.tryPlace(request, now);
+    if (grant || !m_queue.mayWait(request))
+        co_return grant;
+    const auto id = m_queue.enter(request, holdUntil, now);
+    const auto waiter = std::make_shared<Waiter>(m_loop);
+    m_waiters.emplace(id, waiter);
+    onGone([waiter] {
+        waiter->isOver = true;
+        waiter->timer.cancel();
+    });
+    while (!waiter->isOver)
+        co_await waiter->timer.async_wait(asTuple);
+    onGone({});
+    m_waiters.erase(id);
+    m_queue.leave(id);
+    co_return waiter->grant;
+}
+
+void AdmissionDesk::pump(TimePoint now)
+{
+    for (auto& [id, grant] : m_queue.pump(now)) {
+        const auto it = m_waiters.find(id);
+        if (it == m_waiters.end())
+            continue;
+        it->second->grant = std::move(grant);
+        it->second->isOver = true;
+        it->second->timer.cancel();
+    }
+}
+
+} // namespace HickoryHollow
--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -13,6 +13,7 @@
 
 namespace HickoryHollow {
 
+class AdmissionDesk;
 class BackendBoard;
 class RandomSource;
 class RequestCodec;
@@ -24,6 +25,7 @@
     const RequestCodec& codec;
     const RoutingInForce& routing;
     BackendBoard& board;
+    AdmissionDesk& desk;
     UpstreamClient& upstream;
     RandomSource& random;
     Metrics& metrics;
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -3,6 +3,7 @@
 #include "base/LogEvent.h"
 #include "base/RandomSource.h"
 #include "base/RouterError.h"
+#include "forwarding/AdmissionDesk.h"
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 #include "routing/RoutingInForce.h"
@@ -27,6 +28,7 @@
 constexpr Duration minTimeToSend = std::chrono::milliseconds(20); // With less left, no server can answer in time.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
+constexpr double holdShare = 0.6; // Of the target for the first piece.
 constexpr int silenceFactor = 3; // Of a target, before a repeatable request is tried elsewhere.
 constexpr Duration freshConnection = std::chrono::milliseconds(1500); // Idle for less: surely still open.
 
@@ -101,40 +103,63 @@
 
 Task<void> RoutedExchange::runAttempts()
 {
-    m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = priority(), .isInteractive = m_table->isInteractive(*m_route), .excluded = {} };
+    m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = priority(), .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
+    m_wanted.ranksAboveLowest = m_table->ranksAboveLowest(m_wanted.service, m_wanted.priority);
     auto& window = m_context.retryWindows.try_emplace(m_wanted.service, m_context.retries).first->second;
     window.noteFirst(m_arrival);
     for (;;) {
         const auto now = monotonicNow();
-        const auto placement = m_context.board.choose(m_wanted, now);
-        if (!placement) {
-            m_lastCause = m_wanted.excluded.empty() ? "no-server" : "no-other-server";
-            co_await refuse(m_runs == 0 ? unavailable : badGateway, m_lastCause, shortRetryAfter);
+        const auto grant = co_await m_context.desk.place(m_wanted, holdEnd(now), [this](auto gone) { m_writer.onCallerGone(std::move(gone)); });
+        if (m_writer.callerGone()) {
+            if (grant)
+                m_context.board.end(grant->call, CallOutcome::Rejected, monotonicNow());
+            logEnd(0, "caller-gone");
             co_return;
         }
-        if (m_deadline - now < minTimeToSend) {
-            co_await refuse(m_runs == 0 ? unavailable : gatewayTimeout, "out-of-time", shortRetryAfter);
-            co_return;
-        }
-        if (m_sends > 0 && !window.tryRepeat(m_context.entryInstances, now)) {
-            co_await refuse(m_runs == 0 ? unavailable : badGateway, "retry-budget-spent", shortRetryAfter);
+        const auto refusal = findRefusal(grant.has_value(), window);
+        if (refusal) {
+            if (grant)
+                m_context.board.end(grant->call, CallOutcome::Rejected, monotonicNow());
+            co_await refuse(m_runs == 0 ? unavailable : badGateway, *refusal, shortRetryAfter);
             co_return;
         }
         ++m_choices;
-        m_placement = *placement;
-        auto result = co_await attempt(*placement);
+        m_placement = grant->placement;
+        auto result = co_await attempt(grant->placement, grant->call);
         m_lastCause = result.cause;
-        m_wanted.excluded.insert(placement->backend);
+        m_wanted.excluded.insert(grant->placement.backend);
         m_sends += result.wasSent ? 1 : 0;
         m_runs += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
         if (!mayTryAgain(result)) {
             co_await finish(result);
             co_return;
         }
-        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_call.id, m_route->id.value(), placement->backend.value(), result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
+        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_call.id, m_route->id.value(), grant->placement.backend.value(), result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
     }
 }
 
+// Why the request goes to no further server, if so. What has run or may have run is never refused as not run.
+std::optional<std::string_view> RoutedExchange::findRefusal(bool hasServer, RetryWindow& window)
+{
+    const auto now = monotonicNow();
+    if (!hasServer)
+        return m_wanted.excluded.empty() ? "no-server" : "no-other-server";
+    if (m_deadline - now < minTimeToSend)
+        return "out-of-time";
+    if (m_sends > 0 && !window.tryRepeat(m_context.entryInstances, now))
+        return "retry-budget-spent";
+    return std::nullopt;
+}
+
+// Long enough to pass a burst by, and short enough to meet the target at the engine.
+TimePoint RoutedExchange::holdEnd(TimePoint now) const
+{
+    if (m_choices > 0)
+        return now;
+    const auto hold = std::chrono::duration_cast<Duration>(m_route->firstPieceTarget * holdShare);
+    return m_arrival + std::min(hold, (m_deadline - m_arrival) / 2);
+}
+
 bool RoutedExchange::mayTryAgain(const Attempt& result)
 {
     if (m_writer.callerGone())
@@ -204,31 +229,41 @@
     return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.forward(m_http.fields, call), .body = m_http.body };
 }
 
-// A request that may run again is not left to a silent server until the caller's time is over.
-Duration RoutedExchange::attemptTime(TimePoint now) const
+// A request that may run again is not left to a silent server until the caller's time is over. A server that sends
+// something on other calls meanwhile is busy, not silent. Nothing when the attempt shall end.
+std::optional<TimePoint> RoutedExchange::silenceEnd(TimePoint begunAt, const Placement& placement) const
 {
-    const auto left = m_deadline - now;
-    if (!m_route->mayRunAgain() || m_runs + 1 >= m_route->maxAttempts)
-        return left;
-    return std::min<Duration>(left, std::max<Duration>(minSilence, m_route->firstPieceTarget * silenceFactor));
+    const auto now = monotonicNow();
+    const auto target = m_lastPieceAt ? m_route->betweenPiecesTarget : m_route->firstPieceTarget;
+    const auto limit = std::max<Duration>(minSilence, target * silenceFactor);
+    const auto quietSince = std::max(begunAt, m_lastPieceAt.value_or(begunAt));
+    if (now < quietSince + limit)
+        return quietSince + limit;
+    if (m_context.board.showedLife(placement.backend, now - minSilence))
+        return now + minSilence / 4;
+    return std::nullopt;
 }
 
-Task<RoutedExchange::Attempt> RoutedExchange::attempt(const Placement& placement)
+Task<RoutedExchange::Attempt> RoutedExchange::attempt(const Placement& placement, CallId callId)
 {
     const auto now = monotonicNow();
     const auto left = m_deadline - now;
-    const auto pieceTime = m_route->mayRunAgain() && m_route->isStream() ? std::max<Duration>(minSilence, m_route->betweenPiecesTarget * silenceFactor) : left;
-    const UpstreamTimeouts timeouts { .head = attemptTime(now), .piece = pieceTime, .idleAtMost = m_route->mayRunAgain() ? Duration(std::chrono::hours(1)) : freshConnection };
+    const auto mayMove = m_route->mayRunAgain() && m_runs + 1 < m_route->maxAttempts;
+    const UpstreamTimeouts timeouts { .head = left, .piece = left, .idleAtMost = m_route->mayRunAgain() ? Duration(std::chrono::hours(1)) : freshConnection };
     const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
-    const auto callId = m_context.board.begin(placement, m_wanted, now);
     m_writer.onCallerGone([&call = *call] { call.cancel(); });
     Attempt result;
     {
-        const DeadlineWatch watch(m_context.loop.get_executor(), m_deadline, *call);
+        const auto executor = m_context.loop.get_executor();
+        const DeadlineWatch deadline(executor, m_deadline, *call);
+        const DeadlineWatch silence(executor, mayMove ? silenceEnd(now, placement) : std::nullopt, *call, [this, now, &placement] { return silenceEnd(now, placement); });
         result = co_await send(*call, placement, callId);
-        if (result.end != AttemptEnd::Delivered && result.end != AttemptEnd::ServerError && watch.hasPassed()) {
+        const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
+        if (!isWhole && deadline.hasPassed()) {
             result.end = AttemptEnd::OutOfTime;
             result.cause = "deadline-passed";
+        } else if (!isWhole && silence.hasPassed()) {
+            result.cause = "server-silent";
         }
     }
     m_writer.onCallerGone({});
@@ -238,6 +273,7 @@
         result.outcome = CallOutcome::Rejected;
     }
     m_context.board.end(callId, result.outcome, monotonicNow());
+    m_context.desk.pump(monotonicNow());
     co_return result;
 }
 
@@ -363,7 +399,11 @@
 void RoutedExchange::notePiece(CallId callId)
 {
     const auto now = monotonicNow();
-    m_context.board.firstPiece(callId, now);
+    m_context.board.noteLife(callId, now);
+    if (!m_lastPieceAt) {
+        m_context.board.firstPiece(callId, now);
+        m_context.desk.pump(now);
+    }
     if (m_lastPieceAt)
         m_longestPause = std::max(m_longestPause, now - *m_lastPieceAt);
     else
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -53,13 +53,15 @@
     const ServiceId& pickService() const;
     std::uint32_t priority() const;
     Task<void> runAttempts();
-    Task<Attempt> attempt(const Placement&);
+    Task<Attempt> attempt(const Placement&, CallId);
     Task<Attempt> send(UpstreamCall&, const Placement&, CallId);
     Task<Attempt> readWhole(UpstreamCall&, const UpstreamHead&, AnswerKind);
     Task<Attempt> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
     Task<std::error_code> startStream(const UpstreamHead&);
     bool mayTryAgain(const Attempt&);
-    Duration attemptTime(TimePoint now) const;
+    std::optional<TimePoint> silenceEnd(TimePoint begunAt, const Placement&) const;
+    std::optional<std::string_view> findRefusal(bool hasServer, RetryWindow&);
+    TimePoint holdEnd(TimePoint now) const;
     Task<void> finish(const Attempt&);
     Task<void> refuse(unsigned status, std::string_view code, Duration retryAfter);
     HttpRequest upstreamRequest(const Placement&) const;
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(250);
+constexpr Duration pumpInterval = std::chrono::milliseconds(40); // While requests wait.
 constexpr Duration drainPoll = std::chrono::milliseconds(100);
 constexpr Duration balancerNotice = std::chrono::milliseconds(3500); // Two missed checks, a second apart, and one on its way.
 constexpr Duration drainMargin = std::chrono::milliseconds(700); // Left for the end of the process.
@@ -39,8 +40,9 @@
     , m_decoder(decoder)
     , m_random(std::make_unique<SeededRandom>(systemSeed()))
     , m_board({ .ownDomain = settings.failureDomain }, *m_random)
+    , m_desk(m_loop, m_board)
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .silenceLimit = serverSilence, .acceptsUnframed = true, .maxIdlePerServer = maxIdleConnections }))
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .board = m_board, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retries = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .longestRetryAfter = settings.bounds.retryAfter }
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .board = m_board, .desk = m_desk, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retries = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .longestRetryAfter = settings.bounds.retryAfter }
     , m_handler(m_context)
     , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .maxConnections = 3000 })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
@@ -133,14 +135,16 @@
         m_board.setOtherUse(backend->second, { .requests = less(it.requests, mine.requests), .promptTokens = less(it.promptTokens, mine.promptTokens), .interactive = less(it.interactive, mine.interactive) });
     }
     m_board.repartition(monotonicNow());
+    m_desk.pump(monotonicNow());
 }
 
 Task<void> EntryInstance::tickLoop()
 {
     Timer timer(m_loop.get_executor());
     for (;;) {
-        timer.expires_after(tickInterval);
+        timer.expires_after(m_desk.waiting() > 0 ? pumpInterval : tickInterval);
         co_await timer.async_wait(asTuple);
+        m_desk.pump(monotonicNow());
         if (const auto now = isReady(); std::exchange(m_wasReady, now) != now)
             logEvent(LogEvent::ReadinessChanged, "ready={} version={} home={}", now, m_routing.version().value(), m_feed.home().value());
     }
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -38,6 +38,7 @@
     void take(const Wire::LinkMessage&);
     void takeReply(const Wire::FreshnessReply&);
     void poll(Link&);
+    void tellUse(Link&, bool always);
 
     asio::io_context& loop;
     Options options;
@@ -47,6 +48,7 @@
     InstanceId home; // Empty between two homes.
     std::map<InstanceId, TimePoint> failedAt;
     std::map<std::uint64_t, TimePoint> askedAt; // Polls of the current link without an answer.
+    UseReport told; // The last report.
     std::uint64_t lastPoll = 0;
     TimePoint confirmedAt {}; // When the last confirmation came, or the link was opened.
     bool isStopped = false;
@@ -98,9 +100,12 @@
     Wire::LinkMessage message;
     message.__set_hello(hello);
     link->send(message);
-    while (!isStopped && link->isOpen() && monotonicNow() - confirmedAt <= options.patience) {
-        poll(*link);
-        wake.expires_after(options.pollInterval);
+    for (int turn = 0; !isStopped && link->isOpen() && monotonicNow() - confirmedAt <= options.patience; ++turn) {
+        const auto isPoll = turn % options.reportsPerPoll == 0;
+        if (isPoll)
+            poll(*link);
+        tellUse(*link, isPoll);
+        wake.expires_after(options.useInterval);
         co_await wake.async_wait(asTuple);
     }
     link->close();
@@ -115,8 +120,16 @@
     Wire::LinkMessage message;
     message.__set_freshnessPoll(poll);
     link.send(message);
+}
+
+void StateFeed::State::tellUse(Link& link, bool always)
+{
+    auto report = events.ownUses();
+    if (!always && report == told)
+        return;
     Wire::LinkMessage uses;
-    uses.__set_uses(toWire(events.ownUses()));
+    uses.__set_uses(toWire(report));
+    told = std::move(report);
     link.send(uses);
 }
 
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -24,7 +24,8 @@
         std::string instance;
         FailureDomainId failureDomain;
         std::uint64_t seed = 0; ///< Spreads instances over equal homes.
-        Duration pollInterval = std::chrono::milliseconds(500);
+        Duration useInterval = std::chrono::milliseconds(150); ///< Between two reports of own use, where it changed.
+        int reportsPerPoll = 3; ///< Each so many reports the configuration is confirmed, and use is told in any case.
         Duration patience = std::chrono::milliseconds(1500); ///< Without a confirmation, before another home is tried.
         LinkOptions link = {};
     };
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -28,7 +28,7 @@
 constexpr Duration operatorPatience = std::chrono::milliseconds(900); // An operator asks another instance after a second.
 constexpr Duration retryPause = std::chrono::milliseconds(50);
 constexpr Duration useLifetime = std::chrono::milliseconds(1500); // Three times the interval of the slowest report.
-constexpr int ticksPerUseReport = 3;
+constexpr int ticksPerUseReport = 5; // Told at least so often; each tick where something changed.
 constexpr int missedAnnouncements = 5; // A backend server that was silent for so many intervals has lapsed.
 constexpr std::uint64_t journalBytesBeforeCompaction = 16ULL << 20U; // Of a disk of 128 MB that holds two generations.
 
@@ -173,8 +173,7 @@
         m_directory.tick(now);
         tellNews();
         m_uses.expire(useLifetime, now);
-        if (turn % ticksPerUseReport == 0)
-            tellUses();
+        tellUses(turn % ticksPerUseReport == 0);
     }
 }
 
@@ -251,16 +250,24 @@
     m_mesh.sendToEntries(message);
 }
 
-void StateInstance::tellUses()
+void StateInstance::tellUses(bool always)
 {
-    Wire::LinkMessage own;
-    own.__set_uses(toWire(m_uses.sum(entrySource)));
-    m_mesh.sendToStates(own);
+    auto own = m_uses.sum(entrySource);
+    if (always || own != m_toldToStates) {
+        Wire::LinkMessage message;
+        message.__set_uses(toWire(own));
+        m_mesh.sendToStates(message);
+        m_toldToStates = std::move(own);
+    }
     if (m_mesh.entryLinks() == 0)
         return;
-    Wire::LinkMessage total;
-    total.__set_uses(toWire(m_uses.sum({})));
-    m_mesh.sendToEntries(total);
+    auto total = m_uses.sum({});
+    if (!always && total == m_toldToEntries)
+        return;
+    Wire::LinkMessage message;
+    message.__set_uses(toWire(total));
+    m_mesh.sendToEntries(message);
+    m_toldToEntries = std::move(total);
 }
 
 bool StateInstance::announce(const BackendRecord& record)
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -57,7 +57,7 @@
     void greetEntry(EntryLinkId);
     void greetState(const InstanceId&);
     void tellNews();
-    void tellUses();
+    void tellUses(bool always);
     void takeRouting(RoutingDocument);
 
     void confirmNewest(ConfirmationCallback);
@@ -75,6 +75,8 @@
     StateMesh m_mesh;
     BackendDirectory m_directory;
     UseLedger m_uses;
+    UseReport m_toldToStates; // The last report.
+    UseReport m_toldToEntries; // The last report.
     std::shared_ptr<const RoutingDocument> m_routing; // Committed; its version only grows.
     std::set<InstanceId> m_peersOfNode; // What the node was told last.
     std::set<InstanceId> m_peersOfDirectory;
--- /dev/null
+++ b/src/placement/AdmissionQueue.cpp
@@ -0,0 +1,68 @@
+#include "placement/AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr Duration lowestBacklog = std::chrono::milliseconds(250); // Reading ahead of a request of the lowest priority.
+constexpr Duration backlogPerRank = std::chrono::milliseconds(750); // For each priority above the lowest.
+
+} // namespace
+
+// An interactive request is short and its engine is set apart, so holding it gains nothing.
+bool AdmissionQueue::isHeldBack(const PlacementRequest& request, const Placement& placement) const
+{
+    if (request.prompt.isEmpty() || request.isInteractive)
+        return false;
+    return placement.backlog > lowestBacklog + backlogPerRank * request.ranksAboveLowest;
+}
+
+std::optional<AdmissionQueue::Grant> AdmissionQueue::place(const PlacementRequest& request, bool mustGo, TimePoint now)
+{
+    auto placement = m_board.choose(request, now);
+    if (!placement || (!mustGo && isHeldBack(request, *placement)))
+        return std::nullopt;
+    const auto call = m_board.begin(*placement, request, now);
+    return Grant { .placement = std::move(*placement), .call = call };
+}
+
+std::optional<AdmissionQueue::Grant> AdmissionQueue::tryPlace(const PlacementRequest& request, TimePoint now)
+{
+    const auto hasElder = std::any_of(m_waiters.begin(), m_waiters.end(), [&request](const auto& it) { return it.second.request.service == request.service && it.second.request.priority <= request.priority; });
+    const auto mayWait = !request.prompt.isEmpty() && !request.isInteractive;
+    if (hasElder && mayWait)
+        return std::nullopt;
+    return place(request, !mayWait, now);
+}
+
+WaiterId AdmissionQueue::enter(PlacementRequest request, TimePoint holdUntil, TimePoint now)
+{
+    const WaiterId id(++m_lastWaiter);
+    const auto priority = request.priority;
+    m_waiters.emplace(Order { priority, now, id }, Waiter { .request = std::move(request), .holdUntil = holdUntil });
+    return id;
+}
+
+void AdmissionQueue::leave(WaiterId id)
+{
+    std::erase_if(m_waiters, [id](const auto& it) { return std::get<WaiterId>(it.first) == id; });
+}
+
+std::vector<std::pair<WaiterId, AdmissionQueue::Grant>> AdmissionQueue::pump(TimePoint now)
+{
+    std::vector<std::pair<WaiterId, Grant>> grants;
+    for (auto it = m_waiters.begin(); it != m_waiters.end();) {
+        auto grant = place(it->second.request, now >= it->second.holdUntil, now);
+        if (!grant) {
+            ++it;
+            continue;
+        }
+        grants.emplace_back(std::get<WaiterId>(it->first), std::move(*grant));
+        it = m_waiters.erase(it);
+    }
+    return grants;
+}
+
+} // namespace HickoryHollow
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -12,6 +12,7 @@
 
 constexpr double tokensPerMillisecond = 60; // Reading speed of an engine until its own is learnt.
 constexpr double millisecondsPerRunning = 2; // A running request slows the step that the new one waits for.
+constexpr double millisecondsPerQueued = 50; // A request beyond the engine's slots waits for the end of another one.
 constexpr double millisecondsPerPlainCall = 30; // A call of a plain service that is ahead in the queue.
 constexpr double otherDomainMilliseconds = 3; // Distance and the price of bytes between failure domains.
 constexpr double keptAtHomeShare = 0.8; // Chance that the home of a shared part has read it for another instance.
@@ -19,8 +20,9 @@
 constexpr double homeRankMilliseconds = 4; // Makes all instances use the same next home.
 constexpr std::size_t maxHomes = 3;
 constexpr double interactiveElsewhereMilliseconds = 100; // A pause that a long prompt cuts into a stream.
-constexpr double promptSetApartMilliseconds = 250; // Pauses for all interactive streams of the engine.
+constexpr double promptSetApartMilliseconds = 1500; // Pauses for all interactive streams of the engine; waiting is better.
 constexpr double comfortableShare = 0.2; // Of an engine's slots, where steps are still short.
+constexpr double roundingSlack = 0.01;
 constexpr double risingWeight = 0.5; // Of the newest count, twice a second.
 constexpr double fallingWeight = 0.05; // Moving an engine costs its cache, so it is given back slowly.
 constexpr std::uint64_t partitionKey = 0x9e3779b97f4a7c15ULL; // Any constant; the same at every instance.
@@ -29,6 +31,11 @@
 constexpr double maxSlowness = 8;
 constexpr Duration lapseGrace = std::chrono::seconds(3); // A server that answers is there, whatever its announcements say.
 
+Duration toDuration(double milliseconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 std::uint64_t rendezvousWeight(const BackendId& backend, std::uint64_t key)
 {
     return XXH64(backend.value().data(), backend.value().size(), key);
@@ -88,6 +95,12 @@
         server.others = {};
 }
 
+double BackendBoard::slotsOf(const ServiceId& service) const
+{
+    const auto engine = m_engines.find(service);
+    return engine == m_engines.end() ? 1 : std::max(1U, engine->second.slots);
+}
+
 void BackendBoard::repartition(TimePoint now)
 {
     for (auto& [service, partition] : m_partitions)
@@ -107,9 +120,10 @@
     }
     const auto isRising = active > partition.activeAverage;
     partition.activeAverage += (isRising ? risingWeight : fallingWeight) * (active - partition.activeAverage);
-    const auto engine = m_engines.find(service);
-    const auto slots = engine == m_engines.end() ? 1 : std::max(1U, engine->second.slots);
-    const auto wanted = static_cast<std::size_t>(std::ceil(partition.activeAverage / (comfortableShare * slots)));
+    // Before the first requests ran, a third of the engines is as good a guess as any, and moving them later costs caches.
+    if (partition.engines.empty())
+        partition.activeAverage = comfortableShare * slotsOf(service) * static_cast<double>(serving.size()) / 3;
+    const auto wanted = static_cast<std::size_t>(std::ceil(partition.activeAverage / (comfortableShare * slotsOf(service)) - roundingSlack));
     const auto n = std::min(std::max<std::size_t>(wanted, 1), serving.size() / 2);
     std::sort(serving.begin(), serving.end(), std::greater<>());
     partition.engines.clear();
@@ -169,8 +183,29 @@
     const auto ahead = static_cast<double>(server.waitingTokens + server.others.promptTokens);
     const auto isMisplaced = isSetApart(server) != request.isInteractive && m_partitions.contains(request.service);
     const auto misplacement = isMisplaced ? (request.isInteractive ? interactiveElsewhereMilliseconds : promptSetApartMilliseconds) : 0.0;
+    const auto slots = static_cast<double>(std::max(1U, server.record.slots));
+    const auto queueing = std::max(0.0, running + 1 - slots) * millisecondsPerQueued;
     const auto reading = (ahead + expectedUnread + expectedShared * rereadWeight) / tokensPerMillisecond;
-    return distance + misplacement + (shared > 0 ? rank * homeRankMilliseconds : 0) + (reading + running * millisecondsPerRunning) * server.slowness;
+    return distance + misplacement + (shared > 0 ? rank * homeRankMilliseconds : 0) + queueing + (reading + running * millisecondsPerRunning) * server.slowness;
+}
+
+bool BackendBoard::hasCandidate(const PlacementRequest& request) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& it) { return isCandidate(it.second, request); });
+}
+
+bool BackendBoard::showedLife(const BackendId& id, TimePoint since) const
+{
+    const auto it = m_servers.find(id);
+    return it != m_servers.end() && it->second.lifeAt >= since;
+}
+
+void BackendBoard::noteLife(CallId id, TimePoint now)
+{
+    const auto call = m_calls.find(id);
+    const auto it = call == m_calls.end() ? m_servers.end() : m_servers.find(call->second.backend);
+    if (it != m_servers.end())
+        it->second.lifeAt = now;
 }
 
 std::optional<Placement> BackendBoard::choose(const PlacementRequest& request, TimePoint now)
@@ -202,10 +237,12 @@
     }
     if (!best)
         return std::nullopt;
+    const auto ahead = best->waitingTokens + best->others.promptTokens;
     return Placement {
         .backend = best->record.id,
         .serverName = best->record.serverName,
-        .expected = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(bestCost)),
+        .expected = toDuration(bestCost),
+        .backlog = toDuration(ahead / tokensPerMillisecond * best->slowness),
         .unreadTokens = bestUnread,
         .isAside = bestRank > 0,
     };
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -33,6 +33,7 @@
     Prompt prompt;
     std::uint32_t priority = 0;
     bool isInteractive = false; ///< Suffers from long prompts beside it; see Partition.
+    std::uint32_t ranksAboveLowest = 0; ///< Priorities of the service's routes that are less urgent.
     std::set<BackendId> excluded; ///< Tried before.
 };
 
@@ -40,6 +41,7 @@
     BackendId backend;
     std::string serverName;
     Duration expected {}; ///< Until the first piece, as far as this instance can tell.
+    Duration backlog {}; ///< Of it, the reading of prompts that are there already.
     std::uint32_t unreadTokens = 0; ///< Of the prompt; thought not to be kept there.
     bool isAside = false; ///< No server was left that is not set aside.
 };
@@ -69,6 +71,12 @@
     /** Others' use is up to date: decides anew how many engines interactive requests need for themselves. */
     void repartition(TimePoint now);
 
+    /** Some server might take the request, now or later. */
+    bool hasCandidate(const PlacementRequest&) const;
+    /** It sent something to this instance at or after `since`, on any call. */
+    bool showedLife(const BackendId&, TimePoint since) const;
+    /** The call's server sent something. */
+    void noteLife(CallId, TimePoint now);
     std::optional<Placement> choose(const PlacementRequest&, TimePoint now);
     CallId begin(const Placement&, const PlacementRequest&, TimePoint now);
     void firstPiece(CallId, TimePoint now);
@@ -88,6 +96,7 @@
         std::uint32_t calls = 0; ///< Own calls that have not ended.
         std::uint32_t interactiveCalls = 0; ///< Of them.
         std::uint32_t waitingTokens = 0; ///< Unread prompt tokens of own calls without a first piece.
+        TimePoint lifeAt {}; ///< When it sent something last.
         double slowness = 1; ///< Moving average of measured against expected time to the first piece.
     };
 
@@ -112,6 +121,7 @@
         std::uint64_t tokenCapacity = 0;
     };
 
+    double slotsOf(const ServiceId&) const;
     bool isSetApart(const Server&) const;
     void repartition(const ServiceId&, Partition&, TimePoint now);
     bool isCandidate(const Server&, const PlacementRequest&) const;
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -30,9 +30,21 @@
     }
     for (const auto& it : m_configuration.services)
         m_services.emplace(it.id, &it);
+    for (const auto& route : m_configuration.routes) {
+        for (const auto& it : route.services) {
+            auto& lowest = m_lowestPriorities[it.service];
+            lowest = std::max(lowest, route.priority);
+        }
+    }
     findInteractive();
 }
 
+std::uint32_t RouteTable::ranksAboveLowest(const ServiceId& service, std::uint32_t priority) const
+{
+    const auto it = m_lowestPriorities.find(service);
+    return it == m_lowestPriorities.end() ? 0 : it->second - std::min(it->second, priority);
+}
+
 void RouteTable::findInteractive()
 {
     std::map<ServiceId, std::pair<Duration, Duration>> pauses; // Shortest and longest target of the service's streams.
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -25,6 +25,8 @@
     const RoutedService* service(const ServiceId&) const;
     /** Its callers notice pauses that long prompts of other routes of the service cut into running streams. */
     bool isInteractive(const RouteRule&) const;
+    /** Priorities between this one and the least urgent route of the service. */
+    std::uint32_t ranksAboveLowest(const ServiceId&, std::uint32_t priority) const;
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
 
 private:
@@ -34,6 +36,7 @@
     std::unordered_map<std::string, std::vector<const RouteRule*>> m_byHost; // Longest prefix first.
     std::unordered_map<std::string, const KeyedWorkspace*> m_byKey;
     std::map<ServiceId, const RoutedService*> m_services;
+    std::map<ServiceId, std::uint32_t> m_lowestPriorities; // Largest number among the routes of the service.
     std::map<ServiceId, Duration> m_interactivePauses; // Longest pause of an interactive route; services with one kind only have none.
 };
 
