Order requests by workspace, then by route

Change: priority = workspace's x (lowest of the routes + 1) + route's. The platform says that the workspace's goes first; it does not say that the route's is dropped.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -96,15 +96,18 @@
     return services.front().service;
 }
 
+// The workspace's priority goes first and the route's decides within it.
 std::uint32_t RoutedExchange::priority() const
 {
-    return m_workspace ? m_workspace->priority.value_or(m_route->priority) : m_route->priority;
+    const auto ofWorkspace = m_workspace ? m_workspace->priority.value_or(0) : 0;
+    return ofWorkspace * (m_table->lowestPriority(m_wanted.service) + 1) + m_route->priority;
 }
 
 Task<void> RoutedExchange::runAttempts()
 {
-    m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = priority(), .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
-    m_wanted.ranksAboveLowest = m_table->ranksAboveLowest(m_wanted.service, m_wanted.priority);
+    m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
+    m_wanted.priority = priority();
+    m_wanted.ranksAboveLowest = m_table->lowestPriority(m_wanted.service) - m_route->priority;
     auto& window = m_context.retryWindows.try_emplace(m_wanted.service, m_context.retries).first->second;
     window.noteFirst(m_arrival);
     for (;;) {
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -39,10 +39,10 @@
     findInteractive();
 }
 
-std::uint32_t RouteTable::ranksAboveLowest(const ServiceId& service, std::uint32_t priority) const
+std::uint32_t RouteTable::lowestPriority(const ServiceId& service) const
 {
     const auto it = m_lowestPriorities.find(service);
-    return it == m_lowestPriorities.end() ? 0 : it->second - std::min(it->second, priority);
+    return it == m_lowestPriorities.end() ? 0 : it->second;
 }
 
 void RouteTable::findInteractive()
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -25,8 +25,8 @@
     const RoutedService* service(const ServiceId&) const;
     /** Its callers notice pauses that long prompts of other routes of the service cut into running streams. */
     bool isInteractive(const RouteRule&) const;
-    /** Priorities between this one and the least urgent route of the service. */
-    std::uint32_t ranksAboveLowest(const ServiceId&, std::uint32_t priority) const;
+    /** Of the least urgent route of the service. */
+    std::uint32_t lowestPriority(const ServiceId&) const;
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
 
 private:
--- a/src/routing/RoutingConfiguration.h
+++ b/src/routing/RoutingConfiguration.h
@@ -73,7 +73,7 @@
 struct KeyedWorkspace {
     WorkspaceId id;
     std::vector<std::string> keys;
-    std::optional<std::uint32_t> priority; ///< Goes before the route's.
+    std::optional<std::uint32_t> priority; ///< Goes before the route's, which decides between requests of equal workspaces.
 };
 
 struct RoutingConfiguration {
