--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t maxWholeAnswer = 16U << 20U;
 constexpr std::uint32_t rejectionsTolerated = 2; // Servers that refuse before the request is refused.
 constexpr Duration minTimeToSend = std::chrono::milliseconds(20); // With less left, no server can answer in time.
+constexpr Duration timeForStream = std::chrono::milliseconds(4500); // A long answer at a busy engine.
+constexpr Duration timeForWhole = std::chrono::milliseconds(1500); // Several times the work of a plain call.
+constexpr Duration soon = std::chrono::milliseconds(50); // Another instance may take it at once.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
 constexpr double holdShare = 0.6; // Of the target for the first piece.
@@ -71,6 +74,10 @@
             return refusal(unauthorized, "unknown-key", {});
     }
     m_deadline = m_arrival + std::min(m_route->timeout, m_call.patience.value_or(m_route->timeout));
+    // A connection that comes late in a drain is better off at another instance than cut in the middle of its answer.
+    const auto needed = m_route->isStream() ? timeForStream : timeForWhole;
+    if (m_context.drainEnd && std::min(m_deadline, m_arrival + needed) > *m_context.drainEnd)
+        return refusal(unavailable, "draining", soon);
     return std::nullopt;
 }
 
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -153,6 +153,7 @@
 Task<std::size_t> EntryInstance::drain()
 {
     m_isDraining = true;
+    m_context.drainEnd = monotonicNow() + m_settings.bounds.drainTime - drainMargin;
     m_server.startDrain();
     const auto startedAt = monotonicNow();
     logEvent(LogEvent::DrainStarted, "in_progress={}", m_server.requestsInProgress());
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -27,6 +27,7 @@
     std::optional<std::string> echo; ///< Name of the attempt that it answers; the right one where empty.
     bool saysNotRun = false;
     bool isStalled = false; ///< No header before the call is cancelled.
+    std::vector<HttpField> fields; ///< Further fields of the header.
     std::vector<std::string> pieces;
     std::error_code breaksWith; ///< After the pieces; else they are complete.
 };
@@ -68,6 +69,8 @@
             head.status = m_script.status;
             head.fields.add("Content-Type", m_script.contentType);
             head.fields.add("X-Hickory-Attempt-Id", m_script.echo.value_or(std::string(request.fields.find("X-Hickory-Attempt-Id"))));
+            for (const auto& it : m_script.fields)
+                head.fields.add(it.name, it.value);
             if (m_script.saysNotRun)
                 head.fields.add("X-Hickory-Verdict", "not-run");
             co_return head;
--- /dev/null
+++ b/test/fakes/RoutedBench.h
@@ -0,0 +1,130 @@
+/** \file
+ * One request on a configured route against scripted backend servers, with the platform's header fields.
+ */
+#pragma once
+
+#include "base/SeededRandom.h"
+#include "forwarding/AdmissionDesk.h"
+#include "forwarding/ForwardingContext.h"
+#include "forwarding/RoutedHandler.h"
+#include "placement/BackendBoard.h"
+#include "platform/HeaderCodec.h"
+#include "routing/RoutingInForce.h"
+#include "test/fakes/FakeUpstream.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace HickoryHollow::Fakes {
+
+inline const std::string callId = "c0ffee";
+
+class RoutedBench {
+public:
+    RoutedBench()
+        : random(1)
+        , board({ .ownDomain = FailureDomainId("a") }, random)
+        , desk(loop, board)
+        , context { .loop = loop, .codec = codec, .routing = routing, .board = board, .desk = desk, .upstream = upstream, .random = random, .metrics = metrics, .retries = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
+        , handler(context)
+    {
+        routing.apply(configuration());
+        confirm(std::chrono::seconds(5));
+        for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+            addServer(address, "models");
+        for (const auto* address : { "10.0.0.4:1", "10.0.0.5:1" })
+            addServer(address, "orders");
+    }
+
+    static RouteRule route(const std::string& name, RequestKind kind, const std::string& service)
+    {
+        RouteRule rule { .id = RouteId(name), .host = "h.example", .pathPrefix = "/" + name + "/", .kind = kind };
+        rule.timeout = std::chrono::seconds(5);
+        rule.firstPieceTarget = std::chrono::milliseconds(300);
+        rule.maxAttempts = kind == RequestKind::Once ? 1 : 2;
+        rule.services = { { .service = ServiceId(service), .weight = 1 } };
+        return rule;
+    }
+
+    static RoutingConfiguration configuration()
+    {
+        RoutingConfiguration made { .version = RoutingVersion(7) };
+        auto resumable = route("draft", RequestKind::Stream, "models");
+        resumable.isResumable = true;
+        auto open = route("open", RequestKind::Idempotent, "orders");
+        open.needsKey = false;
+        made.routes = { resumable, route("chat", RequestKind::Stream, "models"), route("order", RequestKind::Once, "orders"), route("look", RequestKind::Idempotent, "orders"), open };
+        made.services = { { .id = ServiceId("models") }, { .id = ServiceId("orders") } };
+        made.workspaces = { { .id = WorkspaceId("w"), .keys = { "good-key" } } };
+        return made;
+    }
+
+    void addServer(const std::string& address, const std::string& service)
+    {
+        BackendRecord record { .id = BackendId(address), .incarnation = Incarnation(1), .sequence = 1, .service = ServiceId(service), .serverName = "name-of-" + address };
+        record.slots = 8;
+        board.merge(record, monotonicNow());
+    }
+
+    /** The configuration was the newest a moment ago; the lease ends after that time. */
+    void confirm(Duration lease) { routing.confirm(routing.version(), monotonicNow(), lease); }
+
+    static HttpRequest request(const std::string& path, const std::string& key = "good-key")
+    {
+        HttpRequest made { .method = "POST", .target = path, .fields = {}, .body = "body" };
+        made.fields.add("Host", "h.example");
+        made.fields.add("Attempt-Id", callId);
+        made.fields.add("Deadline-Ms", "4000");
+        if (!key.empty())
+            made.fields.add("Authorization", "Bearer " + key);
+        return made;
+    }
+
+    /** What a sound server answers. */
+    static Script answer(const std::string& body, unsigned status = 200)
+    {
+        Script script;
+        script.status = status;
+        script.fields = { { .name = "Attempt-Id", .value = callId }, { .name = "Runner-Seal", .value = "seal" } };
+        script.pieces = { body };
+        return script;
+    }
+
+    static Script rejection()
+    {
+        Script script;
+        script.status = 503;
+        script.fields = { { .name = "Not-Executed", .value = "1" } };
+        script.pieces = { "" };
+        return script;
+    }
+
+    static Script failure(RouterError error, Verdict verdict)
+    {
+        Script script;
+        script.beginError = make_error_code(error);
+        script.beginVerdict = verdict;
+        return script;
+    }
+
+    /** Runs the request to its end. */
+    void run(const HttpRequest& made)
+    {
+        asio::co_spawn(loop, handler.handle(made, writer), asio::detached);
+        loop.run();
+    }
+
+    asio::io_context loop;
+    SeededRandom random;
+    Platform::HeaderCodec codec;
+    RoutingInForce routing;
+    BackendBoard board;
+    AdmissionDesk desk;
+    FakeUpstream upstream;
+    Metrics metrics;
+    ForwardingContext context;
+    RoutedHandler handler;
+    RecordingWriter writer;
+};
+
+} // namespace HickoryHollow::Fakes
