--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -251,6 +251,9 @@
         return "Content-Length beside Transfer-Encoding";
     if (encodings > 1 || lengths > 1)
         return "a framing field appears twice";
+    const std::string_view length = message[http::field::content_length];
+    if (length.find_first_not_of("0123456789") != std::string_view::npos)
+        return "Content-Length is no number";
     if (encodings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))
         return "Transfer-Encoding other than `chunked`";
     if (encodings == 1 && message.version() < 11)
--- /dev/null
+++ b/test/correctness/platform_codecs.cpp
@@ -0,0 +1,181 @@
+/** \file
+ * The platform's documents, reports and header fields, read and written.
+ */
+#include "platform/HeaderCodec.h"
+#include "platform/RoutingJson.h"
+#include "platform/ServerReport.h"
+
+#include <catch2/catch.hpp>
+
+using namespace HickoryHollow;
+using namespace HickoryHollow::Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string document = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path-prefix":"/x/","type":"streaming","timeout-ms":6000,"slo-ms":800.5,"priority":1,"service":"m","max-attempts":1,"public":false,"sticky":true,"resumable":true,"itl-target-ms":300},
+ {"name":"r2","host":"a.example","path-prefix":"/y/","type":"unsafe","timeout-ms":1500.0,"split":[{"service":"o","weight":90},{"service":"m","weight":0.5}],"public":true}],
+ "services":[{"name":"m","health-path":"/h","max-conns":370,"engine":{"slots":64,"kv-capacity":411823}},{"name":"o"}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t","api-keys":["k1","k2"],"priority":1}],"unknown-field":[1]})";
+
+std::string with(std::string text, const std::string& part, const std::string& other)
+{
+    const auto at = text.find(part);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, part.size(), other);
+}
+
+const std::string report = R"({"service":"m","address":"10.0.0.9:80","zone":"a","version":"v1","slots":64,"state":"ready","cold-left-ms":0,"seq":4,"born":1700000000000})";
+
+HttpFields callerFields()
+{
+    return {
+        { .name = "Host", .value = "a.example" },
+        { .name = "Attempt-Id", .value = "id1" },
+        { .name = "Model", .value = "m" },
+        { .name = "Token-Counts", .value = "1460,80" },
+        { .name = "Prefix-Hash", .value = "5c1e07a2:800,91bd3f06:410,e4402b7d:250" },
+        { .name = "Deadline-Ms", .value = "8000" },
+        { .name = "Authorization", .value = "Bearer secret" },
+        { .name = "Tenant", .value = "forged" },
+        { .name = "expected-instance", .value = "forged" },
+        { .name = "Request-Priority", .value = "0" },
+        { .name = "Retain", .value = "1" },
+        { .name = "Pin-Ms", .value = "1" },
+        { .name = "Kv-From", .value = "1" },
+        { .name = "KV-Backup", .value = "1" },
+        { .name = "Connection", .value = "keep-alive, X-Hop, Attempt-Id" },
+        { .name = "X-Hop", .value = "1" },
+        { .name = "X-Own", .value = "kept" },
+    };
+}
+
+} // namespace
+
+TEST_CASE("a configuration document becomes typed values", "[platform]")
+{
+    const auto decoded = RoutingJson().decode(document);
+    REQUIRE(decoded.complaint.empty());
+    const auto& it = decoded.configuration;
+    CHECK(it.version == RoutingVersion(7));
+    REQUIRE(it.routes.size() == 2);
+    CHECK(it.routes[0].kind == RequestKind::Stream);
+    CHECK(it.routes[0].isResumable);
+    CHECK(it.routes[0].needsKey);
+    CHECK(it.routes[0].firstPieceTarget == 800500us);
+    CHECK(it.routes[0].betweenPiecesTarget == 300ms);
+    CHECK(it.routes[1].kind == RequestKind::Once);
+    CHECK_FALSE(it.routes[1].needsKey);
+    CHECK(it.routes[1].services[1].weight * 180 == it.routes[1].services[0].weight);
+    CHECK(it.services[0].engine->tokenCapacity == 411823);
+    CHECK(it.workspaces[0].priority == 1U);
+    CHECK(it.limits.idleTime == 15s);
+}
+
+TEST_CASE("a document that cannot be read in full or is not sound is refused", "[platform]")
+{
+    const auto bad = GENERATE_COPY(
+        document.substr(0, document.size() / 2),
+        std::string("[]"), std::string(),
+        with(document, R"("version":7)", R"("version":"7")"),
+        with(document, R"("version":7)", R"("version":-1)"),
+        with(document, R"("version":7)", R"("version":7.5)"),
+        with(document, R"("type":"unsafe")", R"("type":"other")"),
+        with(document, R"("timeout-ms":6000)", R"("timeout-ms":0)"),
+        with(document, R"("service":"m")", R"("service":"none")"),
+        with(document, R"("weight":90)", R"("weight":-90)"),
+        with(document, R"("/y/")", R"("/x/")"),
+        with(document, R"(["k1","k2"])", R"(["k1","k1"])"),
+        with(document, R"(["k1","k2"])", R"(["k1",2])"));
+    CAPTURE(bad);
+    CHECK_FALSE(RoutingJson().decode(bad).isSound());
+}
+
+TEST_CASE("a status report becomes a record", "[platform]")
+{
+    std::string complaint;
+    const auto record = parseReport("i-1", report, complaint);
+    REQUIRE(record);
+    CHECK(record->id == BackendId("10.0.0.9:80"));
+    CHECK(record->serverName == "i-1");
+    CHECK(record->incarnation == Incarnation(1700000000000));
+    CHECK(record->state == BackendState::Serving);
+    CHECK(parseReport("i-1", with(report, "ready", "draining"), complaint)->state == BackendState::Leaving);
+}
+
+TEST_CASE("a report that is half or foreign names no server", "[platform]")
+{
+    const auto bad = GENERATE_COPY(
+        report.substr(0, 40), std::string("null"),
+        with(report, R"("10.0.0.9:80")", R"("nowhere")"),
+        with(report, R"("10.0.0.9:80")", R"(["10.0.0.9:80"])"),
+        with(report, R"("ready")", R"("resting")"),
+        with(report, R"("seq":4)", R"("seq":"4")"),
+        with(report, R"("seq":4,)", ""),
+        with(report, R"("born":1700000000000)", R"("born":1.5)"),
+        with(report, R"(,"born":1700000000000)", ""),
+        with(report, R"("slots":64)", R"("slots":-1)"),
+        with(report, R"("service":"m")", R"("service":"")"));
+    CAPTURE(bad);
+    std::string complaint;
+    CHECK_FALSE(parseReport("i-1", bad, complaint));
+    CHECK_FALSE(complaint.empty());
+}
+
+TEST_CASE("a parting server may name its start", "[platform]")
+{
+    CHECK(parseParting(R"({"born":5})") == Incarnation(5));
+    CHECK_FALSE(parseParting(""));
+    CHECK_FALSE(parseParting(R"({"born":"5"})"));
+}
+
+TEST_CASE("what a caller says of its request is read", "[platform]")
+{
+    HttpRequest request { .method = "POST", .target = "/x/1", .fields = callerFields(), .body = {} };
+    const auto call = HeaderCodec().describe(request);
+    CHECK(call.id == "id1");
+    CHECK(call.patience == 8s);
+    CHECK(call.key == "secret");
+    CHECK(call.prompt.tokens == 1460);
+    CHECK(call.prompt.maxOutputTokens == 80);
+    REQUIRE(call.prompt.parts.size() == 3);
+    CHECK(call.prompt.parts[0].id == 0x5c1e07a2);
+    CHECK(call.prompt.parts[2].tokens == 250);
+}
+
+TEST_CASE("a server gets the caller's fields, less those of the connection and the router's own", "[platform]")
+{
+    const ForwardedCall call { .serverName = "i-1", .workspace = WorkspaceId("w"), .timeLeft = 1234ms, .priority = 3, .lastEventId = 9 };
+    const auto fields = HeaderCodec().forward(callerFields(), call);
+    CHECK(fields.find("Attempt-Id") == "id1");
+    CHECK(fields.find("Prefix-Hash") == "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    CHECK(fields.find("X-Own") == "kept");
+    CHECK(fields.find("Deadline-Ms") == "1234");
+    CHECK(fields.find("Expected-Instance") == "i-1");
+    CHECK(fields.find("Tenant") == "w");
+    CHECK(fields.find("Request-Priority") == "3");
+    CHECK(fields.find("Last-Event-Id") == "9");
+    for (const auto* name : { "Authorization", "Retain", "Pin-Ms", "Kv-From", "Kv-Backup", "Connection", "X-Hop" }) {
+        CAPTURE(name);
+        CHECK(fields.count(name) == 0);
+    }
+    for (const auto* name : { "Tenant", "Expected-Instance", "Request-Priority", "Deadline-Ms" })
+        CHECK(fields.count(name) == 1);
+}
+
+TEST_CASE("an answer is judged by its id, its seal and its word of not having run", "[platform]")
+{
+    const HeaderCodec codec;
+    const HttpField id { .name = "Attempt-Id", .value = "id1" };
+    const HttpField seal { .name = "Runner-Seal", .value = "s" };
+    CHECK(codec.judge(200, { id, seal }, "id1") == AnswerKind::Server);
+    CHECK(codec.judge(500, { id, seal }, "id1") == AnswerKind::Server);
+    CHECK(codec.judge(200, { id, seal }, "id2") == AnswerKind::OtherRequest);
+    CHECK(codec.judge(200, { id }, "id1") == AnswerKind::Unknown);
+    CHECK(codec.judge(200, { seal }, "id1") == AnswerKind::Unknown);
+    CHECK(codec.judge(200, { id, seal, { .name = "Content-Encoding", .value = "gzip" } }, "id1") == AnswerKind::Unknown);
+    CHECK(codec.judge(503, { { .name = "Not-Executed", .value = "1" } }, "id1") == AnswerKind::NotRun);
+    CHECK(codec.judge(421, { { .name = "Instance-Id", .value = "i-2" } }, "id1") == AnswerKind::OtherServer);
+}
--- /dev/null
+++ b/test/correctness/state_addresses.cpp
@@ -0,0 +1,90 @@
+/** \file
+ * How processes learn of state instances from seeds and from each other.
+ */
+#include "links/StateAddresses.h"
+#include "node/UseLedger.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace HickoryHollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start(1h);
+const InstanceId a("10.0.0.1:1");
+const InstanceId b("10.0.0.2:1");
+const InstanceId c("10.0.0.3:1");
+const InstanceId d("10.0.0.4:1");
+
+} // namespace
+
+TEST_CASE("an instance is not its own peer", "[membership]")
+{
+    StateAddresses addresses({ .self = a });
+    addresses.setSeeds({ a, b }, start);
+    addresses.learn({ .listen = a, .failureDomain = FailureDomainId("x") }, start);
+    CHECK(addresses.all().size() == 1);
+}
+
+TEST_CASE("old seeds stay known when new ones are named, and are forgotten when nobody sees them", "[membership]")
+{
+    StateAddresses addresses({ .self = a });
+    addresses.setSeeds({ b }, start);
+    addresses.setSeeds({ c }, start + 1s);
+    addresses.tick(start + 2s);
+    CHECK(addresses.contains(b));
+    addresses.seen(c, start + 50s);
+    addresses.tick(start + 70s);
+    CHECK_FALSE(addresses.contains(b));
+    CHECK(addresses.contains(c));
+    // A seed is kept however long it is down.
+    addresses.tick(start + 1h);
+    CHECK(addresses.contains(c));
+}
+
+TEST_CASE("only addresses with a sign of life of their own are told on", "[membership]")
+{
+    StateAddresses addresses({ .self = a });
+    addresses.learn({ .listen = b, .failureDomain = FailureDomainId("x") }, start);
+    addresses.learn({ .listen = c, .failureDomain = FailureDomainId("y") }, start);
+    addresses.seen(c, start);
+    const auto told = addresses.seenWithin(30s, start + 1s);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].listen == c);
+    CHECK(addresses.seenWithin(30s, start + 31s).empty());
+}
+
+TEST_CASE("homes in the own failure domain come first, in an order that differs between instances", "[membership]")
+{
+    StateAddresses addresses({ .self = {} });
+    for (const auto& it : { a, b, c })
+        addresses.learn({ .listen = it, .failureDomain = FailureDomainId("far") }, start);
+    addresses.learn({ .listen = d, .failureDomain = FailureDomainId("near") }, start);
+    std::set<InstanceId> seconds;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        const auto homes = addresses.homes(FailureDomainId("near"), seed);
+        REQUIRE(homes.size() == 4);
+        CHECK(homes.front() == d);
+        seconds.insert(homes[1]);
+    }
+    CHECK(seconds.size() == 3);
+}
+
+TEST_CASE("use adds up over sources and is dropped with them", "[membership]")
+{
+    UseLedger ledger;
+    ledger.set("entry-1", { .uses = { { .backend = 7, .requests = 2, .promptTokens = 100, .interactive = 1 } }, .entryInstances = 1 }, start);
+    ledger.set("entry-2", { .uses = { { .backend = 7, .requests = 1 }, { .backend = 8, .requests = 4 } }, .entryInstances = 1 }, start + 1s);
+    ledger.set("state-1", { .uses = { { .backend = 8, .requests = 5 } }, .entryInstances = 3 }, start + 1s);
+    CHECK(ledger.sum("entry-").entryInstances == 2);
+    const auto total = ledger.sum({});
+    CHECK(total.entryInstances == 5);
+    REQUIRE(total.uses.size() == 2);
+    CHECK(total.uses[0] == BackendUse { .backend = 7, .requests = 3, .promptTokens = 100, .interactive = 1 });
+    CHECK(total.uses[1].requests == 9);
+    ledger.expire(500ms, start + 1s);
+    CHECK(ledger.sum({}).entryInstances == 4);
+}
--- /dev/null
+++ b/test/error/upstream_answers.cpp
@@ -0,0 +1,157 @@
+/** \file
+ * Answers of faulty servers on the wire: late answers to other requests, answers before the request is read, bodies
+ * without a length, answers that break off.
+ */
+#include "http/UpstreamClient.h"
+#include "net/EventLoops.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace HickoryHollow;
+
+namespace {
+
+constexpr unsigned short port = 7913;
+
+std::string answer(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** Takes one connection; for each request on it sends the next of these bytes. Then ends it, with a reset if asked. */
+class ScriptedServer {
+public:
+    ScriptedServer(std::vector<std::string> answers, bool resets)
+        : m_acceptor(m_loop, { boost::asio::ip::address_v4::loopback(), port })
+        , m_thread([this, answers = std::move(answers), resets] { serve(answers, resets); })
+    {
+    }
+    ~ScriptedServer() { m_thread.join(); }
+    ScriptedServer(const ScriptedServer&) = delete;
+    ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+private:
+    void serve(const std::vector<std::string>& answers, bool resets)
+    {
+        auto socket = m_acceptor.accept();
+        std::string read;
+        for (const auto& it : answers) {
+            boost::system::error_code ec;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(read), "\r\n\r\n", ec);
+            read.clear();
+            boost::asio::write(socket, boost::asio::buffer(it), ec);
+        }
+        // Closed here, because the destructor takes the option back.
+        if (resets)
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+        m_acceptor.close();
+    }
+
+    boost::asio::io_context m_loop;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+struct Outcome {
+    std::error_code ec;
+    unsigned status = 0;
+    std::string body;
+    bool isWhole = false;
+    bool usedKept = false;
+};
+
+Task<void> call(UpstreamClient& client, std::string id, std::string body, Outcome& outcome)
+{
+    const auto it = client.open("127.0.0.1:" + std::to_string(port));
+    it->skipForeign([id](unsigned, const HttpFields& fields) { return !fields.find("Id").empty() && fields.find("Id") != id; });
+    const HttpRequest request { .method = "POST", .target = "/", .fields = {}, .body = std::move(body) };
+    const auto head = co_await it->begin(request);
+    outcome.ec = head.ec;
+    outcome.status = head.status;
+    outcome.usedKept = it->usedKeptConnection();
+    while (!outcome.ec && !outcome.isWhole) {
+        const auto piece = co_await it->readPiece();
+        outcome.ec = piece.ec;
+        outcome.body += piece.bytes;
+        outcome.isWhole = !piece.ec && piece.isLast;
+    }
+}
+
+/** One call after the other with one client. */
+std::vector<Outcome> calls(const std::vector<std::string>& ids, std::vector<std::string> answers, bool resets = false, std::size_t bodyBytes = 4)
+{
+    const ScriptedServer server(std::move(answers), resets);
+    boost::asio::io_context loop;
+    const auto client = makeUpstreamClient(loop, { .acceptsUnframed = true });
+    std::vector<Outcome> outcomes(ids.size());
+    asio::co_spawn(
+        loop, [&]() -> Task<void> {
+            for (std::size_t i = 0; i < ids.size(); ++i)
+                co_await call(*client, ids[i], std::string(bodyBytes, 'x'), outcomes[i]);
+        },
+        asio::detached);
+    loop.run();
+    return outcomes;
+}
+
+} // namespace
+
+TEST_CASE("a late answer to another request is left out", "[http][loopback]")
+{
+    const auto outcomes = calls({ "1", "2" }, { answer("1", "one"), answer("1", "one again") + answer("2", "two") });
+    CHECK(outcomes[0].body == "one");
+    CHECK(outcomes[1].usedKept);
+    CHECK(outcomes[1].body == "two");
+}
+
+TEST_CASE("a connection that sent bytes without a request is not used again", "[http][loopback]")
+{
+    // The second answer comes with the first, so the connection is spoilt before the next request.
+    const ScriptedServer server({ answer("1", "one") + answer("1", "extra") }, false);
+    boost::asio::io_context loop;
+    const auto client = makeUpstreamClient(loop, {});
+    Outcome first;
+    asio::co_spawn(loop, call(*client, "1", "body", first), asio::detached);
+    loop.run();
+    CHECK(first.body == "one");
+    loop.restart();
+    Outcome second;
+    asio::co_spawn(loop, call(*client, "2", "body", second), asio::detached);
+    loop.run();
+    CHECK_FALSE(second.usedKept);
+    CHECK(second.body != "extra");
+}
+
+TEST_CASE("an answer may come before a long request is read", "[http][loopback]")
+{
+    constexpr std::size_t longBody = 8UL << 20U;
+    const auto outcomes = calls({ "1" }, { answer("1", "early") }, false, longBody);
+    CHECK(outcomes[0].status == 200);
+    CHECK(outcomes[0].body == "early");
+}
+
+TEST_CASE("a body without a length is whole when its connection ends, and not when it is reset", "[http][loopback]")
+{
+    const std::string unframed = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody";
+    const auto ended = calls({ "1" }, { unframed });
+    CHECK(ended[0].isWhole);
+    CHECK(ended[0].body == "body");
+    const auto reset = calls({ "1" }, { unframed }, true);
+    CAPTURE(reset[0].body, reset[0].ec.message());
+    CHECK_FALSE(reset[0].isWhole);
+}
+
+TEST_CASE("a body that breaks off is not whole", "[http][loopback]")
+{
+    const auto resets = GENERATE(false, true);
+    const auto outcomes = calls({ "1" }, { "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf" }, resets);
+    CHECK_FALSE(outcomes[0].isWhole);
+    CHECK(outcomes[0].ec);
+}
