Let requests wait for what a start or an election brings

Change: for six seconds after a start and two after a lease ended, a request waits for the configuration, its confirmation and a server, at most 2 s and 0.3 of the caller's patience. A configuration that comes unconfirmed is confirmed at once.

--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -33,6 +33,7 @@
     RetryWindow::Options retries;
     std::map<ServiceId, RetryWindow> retryWindows = {}; ///< One a service.
     std::uint32_t entryInstances = 1; ///< As the state instances counted them last; they share the budget of repeats.
+    TimePoint startedAt = monotonicNow();
     std::optional<TimePoint> drainEnd = {}; ///< When the process ends; set by a drain.
     Duration longestRetryAfter = std::chrono::seconds(8);
 };
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -29,6 +29,11 @@
 constexpr Duration timeForStream = std::chrono::milliseconds(4500); // A long answer at a busy engine.
 constexpr Duration timeForWhole = std::chrono::milliseconds(1500); // Several times the work of a plain call.
 constexpr Duration soon = std::chrono::milliseconds(50); // Another instance may take it at once.
+constexpr Duration startTime = std::chrono::seconds(6); // Of a process: until it knows configuration and servers.
+constexpr Duration interruptionTime = std::chrono::seconds(2); // An election and the poll after it.
+constexpr Duration longestStartWait = std::chrono::milliseconds(2000);
+constexpr double startWaitShare = 0.3; // Of the caller's patience.
+constexpr Duration startPoll = std::chrono::milliseconds(40);
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
 constexpr double holdShare = 0.6; // Of the target for the first piece.
@@ -45,6 +50,7 @@
     , m_deadline(m_arrival)
     , m_table(context.routing.table())
     , m_call(context.codec.describe(http))
+    , m_startWaitEnd(m_arrival + std::min<Duration>(longestStartWait, std::chrono::duration_cast<Duration>(m_call.patience.value_or(longestStartWait) * startWaitShare)))
 {
 }
 
@@ -53,6 +59,37 @@
     return m_context.routing.mayServeKeys(monotonicNow());
 }
 
+// After a start, or an interruption as short as an election, the configuration, its confirmation and the servers come
+// within a second or two. A caller that is refused has one more try at most, so a short wait serves it better.
+bool RoutedExchange::isStarting(TimePoint now) const
+{
+    return now - m_context.startedAt < startTime || (m_context.routing.leaseEnd() <= now && now - m_context.routing.leaseEnd() < interruptionTime);
+}
+
+bool RoutedExchange::isDecidable() const
+{
+    const auto table = m_context.routing.table();
+    if (!table)
+        return false;
+    if (hasLease())
+        return true;
+    const auto* route = table->find(m_http.fields.find("Host"), m_http.path());
+    return route && !route->needsKey;
+}
+
+Task<void> RoutedExchange::awaitStart()
+{
+    Timer pause(m_context.loop.get_executor());
+    while (!isDecidable() && !m_writer.callerGone()) {
+        const auto now = monotonicNow();
+        if (now >= m_startWaitEnd || !isStarting(now))
+            break;
+        pause.expires_after(startPoll);
+        co_await pause.async_wait(asTuple);
+    }
+    m_table = m_context.routing.table();
+}
+
 std::optional<HttpResponse> RoutedExchange::admit()
 {
     const auto refusal = [this](unsigned status, std::string_view code, Duration retryAfter) {
@@ -83,6 +120,7 @@
 
 Task<void> RoutedExchange::run()
 {
+    co_await awaitStart();
     if (auto refused = admit()) {
         co_await m_writer.send(std::move(*refused));
         co_return;
@@ -110,6 +148,18 @@
     return ofWorkspace * (m_table->lowestPriority(m_wanted.service) + 1) + m_route->priority;
 }
 
+Task<void> RoutedExchange::awaitServer()
+{
+    Timer pause(m_context.loop.get_executor());
+    while (!m_context.board.hasCandidate(m_wanted) && !m_writer.callerGone()) {
+        const auto now = monotonicNow();
+        if (now >= m_startWaitEnd || m_choices > 0 || now - m_context.startedAt > startTime)
+            co_return;
+        pause.expires_after(startPoll);
+        co_await pause.async_wait(asTuple);
+    }
+}
+
 Task<void> RoutedExchange::runAttempts()
 {
     m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
@@ -119,6 +169,7 @@
     window.noteFirst(m_arrival);
     for (;;) {
         const auto now = monotonicNow();
+        co_await awaitServer();
         const auto grant = co_await m_context.desk.place(m_wanted, holdEnd(now), [this](auto gone) { m_writer.onCallerGone(std::move(gone)); });
         if (m_writer.callerGone()) {
             if (grant)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -50,8 +50,13 @@
     /** Nothing when the request may go on. */
     std::optional<HttpResponse> admit();
     bool hasLease() const;
+    /** The request could be admitted, or refused for good. */
+    bool isDecidable() const;
+    Task<void> awaitStart();
+    bool isStarting(TimePoint now) const;
     const ServiceId& pickService() const;
     std::uint32_t priority() const;
+    Task<void> awaitServer();
     Task<void> runAttempts();
     Task<Attempt> attempt(const Placement&, CallId);
     Task<Attempt> send(UpstreamCall&, const Placement&, CallId);
@@ -75,6 +80,7 @@
     TimePoint m_deadline; ///< The earlier of the route's timeout and the caller's patience.
     std::shared_ptr<const RouteTable> m_table; // The configuration that was in force on arrival.
     CallerCall m_call;
+    TimePoint m_startWaitEnd; // For what a start of the process brings.
     const RouteRule* m_route = nullptr;
     const KeyedWorkspace* m_workspace = nullptr; // Null where the route needs no key.
     PlacementRequest m_wanted; // Servers that were tried are excluded.
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -102,6 +102,8 @@
         if (it.engine)
             m_board.setEngine(it.id, it.engine->slots, it.engine->tokenCapacity);
     }
+    if (!m_routing.mayServeKeys(monotonicNow()))
+        m_feed.pollNow();
     logEvent(LogEvent::RoutingApplied, "version={}", document.version.value());
 }
 
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -51,6 +51,7 @@
     UseReport told; // The last report.
     std::uint64_t lastPoll = 0;
     TimePoint confirmedAt {}; // When the last confirmation came, or the link was opened.
+    bool isPollDue = false;
     bool isStopped = false;
 };
 
@@ -101,7 +102,7 @@
     message.__set_hello(hello);
     link->send(message);
     for (int turn = 0; !isStopped && link->isOpen() && monotonicNow() - confirmedAt <= options.patience; ++turn) {
-        const auto isPoll = turn % options.reportsPerPoll == 0;
+        const auto isPoll = std::exchange(isPollDue, false) || turn % options.reportsPerPoll == 0;
         if (isPoll)
             poll(*link);
         tellUse(*link, isPoll);
@@ -190,6 +191,12 @@
     m_state->addresses.setSeeds(seeds, monotonicNow());
 }
 
+void StateFeed::pollNow()
+{
+    m_state->isPollDue = true;
+    m_state->wake.cancel();
+}
+
 InstanceId StateFeed::home() const
 {
     return m_state->home;
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -49,6 +49,8 @@
 
     void start(const std::vector<InstanceId>& seeds);
     void setSeeds(const std::vector<InstanceId>&);
+    /** Asks for a confirmation now. */
+    void pollNow();
     /** Empty while there is none. */
     InstanceId home() const;
 
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -201,3 +201,35 @@
     CHECK(bench.upstream.requests.empty());
     CHECK(bench.board.ownUse().empty());
 }
+
+TEST_CASE("a request that comes before the first configuration waits for it", "[routed]")
+{
+    RoutedBench bench;
+    bench.routing = {};
+    bench.context.startedAt = monotonicNow();
+    bench.upstream.scripts = { RoutedBench::answer("after the start") };
+    Timer later(bench.loop.get_executor(), 100ms);
+    later.async_wait([&bench](const auto&) {
+        bench.routing.apply(RoutedBench::configuration());
+        bench.confirm(5s);
+    });
+    bench.run(RoutedBench::request("/order/7"));
+    CHECK(bench.writer.response->body == "after the start");
+}
+
+TEST_CASE("a request that comes before the first server is known waits for it", "[routed]")
+{
+    RoutedBench bench;
+    auto configuration = RoutedBench::configuration();
+    configuration.version = RoutingVersion(8);
+    configuration.routes[2].services[0].service = ServiceId("new");
+    configuration.services.push_back({ .id = ServiceId("new") });
+    bench.routing.apply(configuration);
+    bench.confirm(5s);
+    bench.context.startedAt = monotonicNow();
+    bench.upstream.scripts = { RoutedBench::answer("found") };
+    Timer later(bench.loop.get_executor(), 100ms);
+    later.async_wait([&bench](const auto&) { bench.addServer("10.0.0.9:1", "new"); });
+    bench.run(RoutedBench::request("/order/7"));
+    CHECK(bench.writer.response->body == "found");
+}
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -29,6 +29,7 @@
         , handler(context)
     {
         routing.apply(configuration());
+        context.startedAt = monotonicNow() - std::chrono::hours(1);
         confirm(std::chrono::seconds(5));
         for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
             addServer(address, "models");
