Set a quarter of the engines apart for interactive streams at least

Change: a quarter to a half of the engines, in between as many as are comfortable at a fifth of their slots.

--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -124,7 +124,8 @@
     if (partition.engines.empty())
         partition.activeAverage = comfortableShare * slotsOf(service) * static_cast<double>(serving.size()) / 3;
     const auto wanted = static_cast<std::size_t>(std::ceil(partition.activeAverage / (comfortableShare * slotsOf(service)) - roundingSlack));
-    const auto n = std::min(std::max<std::size_t>(wanted, 1), serving.size() / 2);
+    const auto least = std::max<std::size_t>(serving.size() / 4, 1);
+    const auto n = std::min(std::max(wanted, least), serving.size() / 2);
     std::sort(serving.begin(), serving.end(), std::greater<>());
     partition.engines.clear();
     for (std::size_t i = 0; i < n; ++i)
