--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -389,6 +389,16 @@
     }
 }
 
+std::optional<Member> Replica::silentMember(TimePoint now) const
+{
+    for (const auto& it : m_log.members()) {
+        const auto peer = m_peers.find(it.replica);
+        if (peer != m_peers.end() && now - peer->second.heardAt > m_options.replaceAfter)
+            return it;
+    }
+    return std::nullopt;
+}
+
 // A replica on a new folder takes the place of its instance's old one: out first, then in, each committed by itself.
 void Replica::replaceMembers(TimePoint now, ReplicaOutput& out)
 {
@@ -402,10 +412,17 @@
         auto members = m_log.members();
         const auto joining = peer.member;
         const auto old = std::find_if(members.begin(), members.end(), [&joining](const auto& it) { return it.instance == joining.instance; });
-        if (old != members.end())
+        const auto isFull = m_options.voters > 0 && members.size() >= m_options.voters;
+        if (old != members.end()) {
             members.erase(old);
-        else
+        } else if (isFull) {
+            const auto silent = silentMember(now);
+            if (!silent)
+                continue;
+            std::erase(members, *silent);
+        } else {
             members.push_back(joining);
+        }
         std::sort(members.begin(), members.end());
         appendOwn({ .term = m_vote.term, .kind = LogEntry::Kind::Membership, .command = {}, .members = members }, out);
         startRound(now, out);
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -35,6 +35,8 @@
     Incarnation incarnation;
     std::set<InstanceId> peers; ///< Other instances that keep state; only these are taken in.
     ReplicaTimings timings;
+    std::size_t voters = 0; ///< Further replicas are spares until a voter is silent; 0 takes in all.
+    Duration replaceAfter = std::chrono::seconds(3); ///< Silence after which a spare takes a voter's place.
 };
 
 /** What was read from the data folder. */
@@ -127,6 +129,8 @@
     void advanceCommit(ReplicaOutput&);
     void commitTo(LogIndex, ReplicaOutput&);
     void replaceMembers(TimePoint now, ReplicaOutput&);
+    /** The voter that a spare may replace, if there is one. */
+    std::optional<Member> silentMember(TimePoint now) const;
     void syncPeers(TimePoint now);
     bool isMember(const Member&) const;
     bool isQuorum(std::size_t n) const { return n * 2 > m_log.members().size(); }
--- a/src/agreement/ReplicaElection.cpp
+++ b/src/agreement/ReplicaElection.cpp
@@ -54,6 +54,9 @@
 
 void Replica::answerVoteRequest(const AgreementMessage& message, const VoteRequest& request, TimePoint now, ReplicaOutput& out)
 {
+    // A spare took its place while it was silent, and it has not learnt so.
+    if (m_role == Role::Leader && !isMember(message.from))
+        return takeJoinRequest(message, now);
     const auto refuse = [&] { send(message.from, VoteReply { .isPreVote = request.isPreVote, .term = m_vote.term, .isGranted = false }, out); };
     // The leader holds a lease on this silence.
     if (now - m_leaderHeardAt < m_options.timings.electionTimeout || (m_role == Role::Leader && mayServeReads(now)))
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -123,6 +123,7 @@
     options.core.self = m_mesh.self();
     options.core.timings.heartbeat = heartbeat;
     options.core.timings.electionTimeout = electionTimeout;
+    options.core.voters = std::size_t { 2 } * m_settings.bearableLosses + 1;
     options.core.compactAfterBytes = journalBytesBeforeCompaction;
     options.core.keptEntries = 50;
     options.dataFolder = m_settings.dataFolder;
--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -95,7 +95,7 @@
     if (!recovered.snapshot.state.empty() && !decodeState(recovered.snapshot.state, m_state))
         return make_error_code(JournalError::Damaged);
     m_applied = recovered.snapshot.index;
-    m_replica = std::make_unique<Replica>(ReplicaOptions { .self = m_identity.self, .incarnation = m_identity.incarnation, .peers = m_options.peers, .timings = m_options.timings }, recovered, m_random, now);
+    m_replica = std::make_unique<Replica>(ReplicaOptions { .self = m_identity.self, .incarnation = m_identity.incarnation, .peers = m_options.peers, .timings = m_options.timings, .voters = m_options.voters }, recovered, m_random, now);
     return {};
 }
 
--- a/src/state/StateCore.h
+++ b/src/state/StateCore.h
@@ -53,6 +53,7 @@
         InstanceId self;
         std::set<InstanceId> peers; ///< Other instances that keep state.
         ReplicaTimings timings;
+        std::size_t voters = 0; ///< See ReplicaOptions.
         LedgerLimits limits;
         std::uint64_t compactAfterBytes = 8ULL << 20U;
         std::uint64_t keptEntries = 1000; ///< Kept behind a snapshot for replicas that lag a little.
--- a/test/fakes/StateFleet.h
+++ b/test/fakes/StateFleet.h
@@ -46,6 +46,28 @@
         return TimePoint(std::chrono::hours(1)) + Duration(own) + node.clockOffset;
     }
 
+    /** Adds a machine with an empty folder at a new address; the others learn of it. */
+    void addNode(const std::string& name)
+    {
+        auto& node = *nodes.emplace_back(std::make_unique<Node>());
+        node.name = InstanceId(name);
+        node.random = std::make_unique<SeededRandom>(m_random.next());
+        start(nodes.size() - 1);
+        for (const auto& it : nodes) {
+            if (it->core && it->name != node.name)
+                it->core->setPeers(peersOf(*it));
+        }
+    }
+    std::set<InstanceId> peersOf(const Node& node) const
+    {
+        std::set<InstanceId> peers;
+        for (const auto& it : nodes) {
+            if (it->name != node.name)
+                peers.insert(it->name);
+        }
+        return peers;
+    }
+
     /** Starts the process on whatever its folder holds. */
     void start(std::size_t i)
     {
@@ -53,10 +75,8 @@
         StateCore::Options options { .self = node.name };
         options.compactAfterBytes = compactAfterBytes;
         options.keptEntries = 2;
-        for (const auto& it : nodes) {
-            if (it->name != node.name)
-                options.peers.insert(it->name);
-        }
+        options.voters = voters;
+        options.peers = peersOf(node);
         node.core = std::make_unique<StateCore>(options, node.files, *node.random);
         if (node.core->open(timeOf(node)))
             node.core.reset();
@@ -129,6 +149,11 @@
         const auto& node = *nodes[i];
         return node.core && !node.isFrozen ? node.core->currentSettings(timeOf(node)) : nullptr;
     }
+    const RoutingDocument* routingOf(std::size_t i) const
+    {
+        const auto& node = *nodes[i];
+        return node.core && !node.isFrozen ? node.core->currentRouting(timeOf(node)) : nullptr;
+    }
     /** Forms the state at node 0. */
     bool form()
     {
@@ -149,6 +174,7 @@
     unsigned repeatPercent = 0;
     unsigned maxDelaySteps = 1; // Messages of one link may overtake each other above 1.
     std::uint64_t compactAfterBytes = 2000;
+    std::size_t voters = 0;
 
 private:
     struct Flying {
