Count and time routed requests by service and priority; the whole path on loopback as a test

A state instance answers what an operator has underway before it stops. platform_path.cpp runs both roles, a signing server, an operator and callers over loopback.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -165,6 +165,8 @@
     m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
     m_wanted.priority = priority();
     m_wanted.ranksAboveLowest = m_table->lowestPriority(m_wanted.service) - m_route->priority;
+    m_metrics = &m_context.metrics.of(ClassId(fmt::format("{}/{}", m_wanted.service.value(), m_route->priority)));
+    ++m_metrics->requests;
     auto& window = m_context.retryWindows.try_emplace(m_wanted.service, m_context.retries).first->second;
     window.noteFirst(m_arrival);
     for (;;) {
@@ -184,6 +186,9 @@
             co_await refuse(m_runs == 0 ? unavailable : badGateway, *refusal, shortRetryAfter);
             co_return;
         }
+        m_metrics->queueing.add(monotonicNow() - now);
+        ++m_metrics->attempts;
+        m_metrics->retries += m_sends > 0 ? 1 : 0;
         ++m_choices;
         m_placement = grant->placement;
         auto result = co_await attempt(grant->placement, grant->call);
@@ -472,9 +477,25 @@
     m_lastPieceAt = now;
 }
 
+void RoutedExchange::countEnd(unsigned status, std::string_view outcome, Duration took)
+{
+    if (!m_metrics)
+        return;
+    if (outcome == "delivered") {
+        ++m_metrics->answered;
+        m_metrics->wholeAnswer.add(took);
+        m_metrics->firstToken.add(m_firstPiece > Duration::zero() ? m_firstPiece : took);
+    } else if (status == unavailable) {
+        ++m_metrics->refusedNotRun;
+    } else if (m_runs > 0) {
+        ++m_metrics->failedMayHaveRun;
+    }
+}
+
 void RoutedExchange::logEnd(unsigned status, std::string_view outcome)
 {
     const auto now = monotonicNow();
+    countEnd(status, outcome, now - m_arrival);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
     logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} expected_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
         m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -71,6 +71,7 @@
     Task<void> refuse(unsigned status, std::string_view code, Duration retryAfter);
     HttpRequest upstreamRequest(const Placement&) const;
     void notePiece(CallId);
+    void countEnd(unsigned status, std::string_view outcome, Duration took);
     void logEnd(unsigned status, std::string_view outcome);
 
     ForwardingContext& m_context;
@@ -87,6 +88,7 @@
     std::uint32_t m_sends = 0; // Attempts of which a byte may have reached a server.
     std::uint32_t m_runs = 0; // Attempts that may have run.
     std::uint32_t m_choices = 0;
+    ClassMetrics* m_metrics = nullptr; // Of the service and priority; null before the admission.
     Placement m_placement; // The last one.
     std::optional<TimePoint> m_lastPieceAt; // Of the stream that the caller has.
     Duration m_firstPiece {}; // From arrival; zero before it.
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
@@ -25,6 +26,8 @@
 namespace {
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
+constexpr Duration controlDrainTime = std::chrono::milliseconds(1000); // The longest that a change takes to be answered.
+constexpr Duration controlDrainPoll = std::chrono::milliseconds(20);
 constexpr int turnsPerSettingsCheck = 4;
 constexpr std::size_t controlBodyBytes = 8U << 20U;
 constexpr std::size_t controlConnections = 2000;
@@ -92,6 +95,7 @@
     Task<void> housekeeping();
     Task<void> signalLoop();
     Task<void> drain();
+    void startDrain();
     void reload(std::string_view cause);
 
     Options options;
@@ -178,9 +182,25 @@
 {
     if (entry)
         cut = co_await entry->drain();
+    if (controlServer) {
+        // An operator's change that is underway is answered rather than left open.
+        controlServer->startDrain();
+        const auto end = monotonicNow() + controlDrainTime;
+        Timer timer(loops.at(0).get_executor());
+        while (controlServer->requestsInProgress() > 0 && monotonicNow() < end) {
+            timer.expires_after(controlDrainPoll);
+            co_await timer.async_wait(asTuple);
+        }
+    }
     loops.stop();
 }
 
+void NodeProcess::Parts::startDrain()
+{
+    if (!std::exchange(isDraining, true))
+        asio::co_spawn(loops.at(0), drain(), asio::detached);
+}
+
 Task<void> NodeProcess::Parts::signalLoop()
 {
     for (;;) {
@@ -189,9 +209,8 @@
             co_return;
         if (number == SIGHUP) {
             reload("signal");
-        } else if (!isDraining) {
-            isDraining = true;
-            asio::co_spawn(loops.at(0), drain(), asio::detached);
+        } else {
+            startDrain();
         }
     }
 }
@@ -203,6 +222,11 @@
 
 NodeProcess::~NodeProcess() = default;
 
+void NodeProcess::requestDrain()
+{
+    asio::post(m_parts->loops.at(0), [parts = m_parts.get()] { parts->startDrain(); });
+}
+
 std::size_t NodeProcess::run()
 {
     auto& parts = *m_parts;
--- a/src/node/NodeProcess.h
+++ b/src/node/NodeProcess.h
@@ -37,6 +37,8 @@
 
     /** Serves until a drain ends. Returns the number of requests that were cut. */
     std::size_t run();
+    /** Does what SIGTERM does; callable from any thread. */
+    void requestDrain();
 
 private:
     struct Parts;
--- /dev/null
+++ b/test/correctness/platform_path.cpp
@@ -0,0 +1,181 @@
+/** \file
+ * The whole path on loopback: a state instance and an entry instance as the platform runs them, a server that announces
+ * itself, an operator and callers.
+ */
+#include "http/HttpHandler.h"
+#include "http/HttpServer.h"
+#include "http/ResponseWriter.h"
+#include "net/EventLoops.h"
+#include "node/ControlPlane.h"
+#include "node/NodeProcess.h"
+#include "platform/ControlApi.h"
+#include "platform/HeaderCodec.h"
+#include "platform/RoutingJson.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+
+using namespace HickoryHollow;
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int linkPort = 7921;
+constexpr int controlPort = 7922;
+constexpr int callerPort = 7923;
+constexpr int readyPort = 7924;
+constexpr int serverPort = 7926;
+
+const std::string common = "[membership]\nseeds = 127.0.0.1:7922\nseed-port = 7921\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = 0.8\nkey-lease-ms = 5000\n";
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"r","host":"h.example","path-prefix":"/a/","type":"unsafe","timeout-ms":5000,"service":"s","public":false},
+{"name":"t","host":"h.example","path-prefix":"/t/","type":"streaming","timeout-ms":5000,"service":"s","public":false,"sticky":true,"resumable":true,"max-attempts":2}],
+"services":[{"name":"s"}],"tenants":[{"name":"w","api-keys":["good-key"]}]})";
+}
+
+/** A server of the platform: signs its answers, and breaks the first stream off behind its second event. */
+class SigningServer final : public HttpHandler {
+public:
+    Task<void> handle(const HttpRequest& request, ResponseWriter& writer) override
+    {
+        HttpFields fields { { .name = "Attempt-Id", .value = std::string(request.fields.find("Attempt-Id")) }, { .name = "Runner-Seal", .value = "seal" } };
+        if (!request.path().starts_with("/t/")) {
+            HttpResponse response { .status = 200, .fields = fields, .body = "for " + std::string(request.fields.find("Tenant")) };
+            co_await writer.send(std::move(response));
+            co_return;
+        }
+        fields.add("Content-Type", "text/event-stream");
+        const auto last = std::string(request.fields.find("Last-Event-Id"));
+        co_await writer.startStream(200, fields);
+        for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= 4; ++id) {
+            const auto event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+            co_await writer.write(event);
+            if (last.empty() && id == 2) {
+                writer.abandon();
+                co_return;
+            }
+        }
+        co_await writer.finishStream();
+    }
+};
+
+/** Runs something on a thread of its own until it is stopped. */
+class Running {
+public:
+    Running(const std::string& settings, const std::string& name)
+        : m_file(std::filesystem::temp_directory_path() / ("hickory-path-" + std::to_string(::getpid()) + name))
+    {
+        std::ofstream(m_file) << settings;
+        Complaints complaints;
+        const auto parsed = parseNodeSettings(m_file, settings, complaints);
+        INFO(toString(complaints));
+        REQUIRE(parsed);
+        m_process = std::make_unique<NodeProcess>(NodeProcess::Options { .settingsFile = m_file, .settings = *parsed, .decoder = m_decoder, .codec = m_codec, .readinessPath = "/readyz", .makeControlApi = [](ControlPlane& plane) { return std::make_unique<Platform::ControlApi>(plane); } });
+        m_thread = std::thread([this] { m_process->run(); });
+    }
+    ~Running()
+    {
+        m_process->requestDrain();
+        m_thread.join();
+        std::filesystem::remove(m_file);
+    }
+    Running(const Running&) = delete;
+    Running& operator=(const Running&) = delete;
+
+private:
+    std::filesystem::path m_file;
+    Platform::RoutingJson m_decoder;
+    Platform::HeaderCodec m_codec;
+    std::unique_ptr<NodeProcess> m_process;
+    std::thread m_thread;
+};
+
+struct Answer {
+    unsigned status = 0;
+    std::string body;
+    std::string seal;
+};
+
+Answer call(int port, http::verb method, const std::string& target, const std::string& body, const std::string& key = {})
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({ boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port) });
+    http::request<http::string_body> request { method, target, 11 };
+    request.set(http::field::host, "h.example");
+    request.set("Attempt-Id", "id-1");
+    if (!key.empty())
+        request.set(http::field::authorization, "Bearer " + key);
+    request.body() = body;
+    request.prepare_payload();
+    http::write(socket, request);
+    boost::beast::flat_buffer buf;
+    http::response<http::string_body> response;
+    boost::system::error_code ec;
+    http::read(socket, buf, response, ec);
+    return { .status = ec ? 0 : response.result_int(), .body = response.body(), .seal = std::string(response["Runner-Seal"]) };
+}
+
+/** An operator sends its change until it is acknowledged. */
+Answer submit(const std::string& text)
+{
+    Answer answer;
+    for (int i = 0; i < 20 && answer.status != 200 && answer.status != 400; ++i)
+        answer = call(controlPort, http::verb::post, "/config/replace", text);
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("a request reaches an announced server by a submitted route and comes back signed", "[platform][loopback]")
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("hickory-path-" + std::to_string(::getpid()) + "-data");
+    std::filesystem::create_directories(folder);
+    SigningServer signing;
+    EventLoops serverLoops(1);
+    const HttpServer server(serverLoops, signing, { .address = "127.0.0.1:" + std::to_string(serverPort) });
+    std::thread serverThread([&serverLoops] { serverLoops.run(); });
+    {
+        const Running state("[instance]\nname = s1\nfailure-domain = a\ndata-folder = " + folder.string() + "\n[listen]\nlinks = 127.0.0.1:7921\ncontrol = 127.0.0.1:7922\n" + common, "-state.ini");
+        const Running entry("[instance]\nname = e1\nfailure-domain = a\n[listen]\nlinks = 127.0.0.1:7925\ncallers = 127.0.0.1:7923\nready = 127.0.0.1:7924\n" + common, "-entry.ini");
+
+        CHECK(submit(configuration(3)).status == 200);
+        CHECK(submit(configuration(2)).status == 200);
+        CHECK(submit("{\"version\":4").status == 400);
+        CHECK(call(controlPort, http::verb::get, "/config/read", "").body == configuration(3));
+        const std::string report = R"({"service":"s","address":"127.0.0.1:7926","zone":"a","version":"v1","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
+        CHECK(call(controlPort, http::verb::post, "/instances/i-1/heartbeat", report).status == 200);
+        CHECK(call(controlPort, http::verb::post, "/instances/i-1/heartbeat", "nonsense").status == 400);
+
+        const auto served = call(callerPort, http::verb::post, "/a/1", "plate", "good-key");
+        CHECK(served.status == 200);
+        CHECK(served.body == "for w");
+        CHECK(served.seal == "seal");
+        CHECK(call(readyPort, http::verb::get, "/readyz", "").status == 200);
+        CHECK(call(callerPort, http::verb::post, "/a/1", "plate", "bad-key").status == 401);
+        CHECK(call(callerPort, http::verb::post, "/b/1", "plate", "good-key").status == 404);
+
+        // The only server breaks the stream off; it cannot go on elsewhere and does not look complete.
+        CHECK(call(callerPort, http::verb::post, "/t/1", "draft", "good-key").status == 0);
+
+        CHECK(call(controlPort, http::verb::post, "/instances/i-1/deregister", "").status == 200);
+        // The news is on its way to the entry instance; from then on there is no server.
+        Answer after;
+        for (int i = 0; i < 1000 && after.status != 503; ++i)
+            after = call(callerPort, http::verb::post, "/a/1", "plate", "good-key");
+        CHECK(after.status == 503);
+    }
+    serverLoops.stop();
+    serverThread.join();
+    std::filesystem::remove_all(folder);
+}
