Try a server's own failure of a resumable stream elsewhere; let only events follow events

Found while looking: an attempt that resumes a stream and is answered with anything but events was written behind the events that the caller had.

Two tests that failed first.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr unsigned ok = 200;
+constexpr unsigned firstRedirect = 300;
 constexpr unsigned notFound = 404;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned badGateway = 502;
@@ -238,7 +239,6 @@
     case AttemptEnd::NotRun:
         return m_choices <= rejectionsTolerated + m_route->maxAttempts;
     case AttemptEnd::ServerError:
-        return m_route->kind == RequestKind::Idempotent && m_runs < m_route->maxAttempts;
     case AttemptEnd::Failed:
         return m_route->mayRunAgain() && m_runs < m_route->maxAttempts;
     }
@@ -373,7 +373,13 @@
         result.cause = "answer-not-signed";
         co_return result;
     }
-    const auto isStream = m_route->isStream() && head.status < 300;
+    const auto isStream = m_route->isStream() && head.status < firstRedirect;
+    // Nothing but further events can follow the events that the caller has.
+    const auto canFollow = isStream && head.fields.find("Content-Type").starts_with("text/event-stream");
+    if (m_streamStarted && !canFollow) {
+        result.cause = "no-stream";
+        co_return result;
+    }
     if (isStream)
         result = co_await relayStream(call, head, callId);
     else
@@ -402,11 +408,6 @@
         co_return result;
     }
     result.outcome = CallOutcome::Answered;
-    if (m_streamStarted) {
-        // A resumed stream was answered by something else; it cannot be joined to what the caller has.
-        result.cause = "no-stream";
-        co_return result;
-    }
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -233,3 +233,24 @@
     bench.run(RoutedBench::request("/order/7"));
     CHECK(bench.writer.response->body == "found");
 }
+
+TEST_CASE("a resumable stream that a server answered with its own failure is tried at another", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { RoutedBench::answer("own failure", 500), stream({ event(1), event(2) }) };
+    bench.run(RoutedBench::request("/draft/1"));
+    CHECK(bench.writer.streamed == event(1) + event(2));
+    CHECK(bench.writer.isFinished);
+}
+
+TEST_CASE("a failure cannot follow the events that the caller has", "[routed]")
+{
+    RoutedBench bench;
+    const auto status = GENERATE(200U, 404U, 500U);
+    bench.upstream.scripts = { stream({ event(1) }, broken()), RoutedBench::answer("no stream", status) };
+    bench.run(RoutedBench::request("/draft/1"));
+    CHECK(bench.writer.streamed == event(1));
+    CHECK_FALSE(bench.writer.response);
+    CHECK_FALSE(bench.writer.isFinished);
+    CHECK(bench.writer.isAbandoned);
+}
