--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -37,7 +37,6 @@
 constexpr Duration startPoll = std::chrono::milliseconds(40);
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
-constexpr double holdShare = 0.6; // Of the target for the first piece.
 constexpr int silenceFactor = 3; // Of a target, before a repeatable request is tried elsewhere.
 constexpr Duration freshConnection = std::chrono::milliseconds(1500); // Idle for less: surely still open.
 
@@ -180,11 +179,14 @@
             logEnd(0, "caller-gone");
             co_return;
         }
-        const auto refusal = findRefusal(grant.has_value(), window);
+        const auto isOverloaded = grant && isHopeless(m_wanted, grant->placement, waiting(monotonicNow()));
+        const auto refusal = isOverloaded ? std::optional<std::string_view>("overloaded") : findRefusal(grant.has_value(), window);
         if (refusal) {
-            if (grant)
+            if (grant) {
+                m_placement = grant->placement;
                 m_context.board.end(grant->call, CallOutcome::Rejected, monotonicNow());
-            co_await refuse(m_runs == 0 ? unavailable : badGateway, *refusal, shortRetryAfter);
+            }
+            co_await refuse(m_runs == 0 ? unavailable : badGateway, *refusal, isOverloaded ? returnTime(waiting(monotonicNow()), m_context.longestRetryAfter, m_context.random) : shortRetryAfter);
             co_return;
         }
         m_metrics->queueing.add(monotonicNow() - now);
@@ -205,6 +207,11 @@
     }
 }
 
+WaitingRequest RoutedExchange::waiting(TimePoint now) const
+{
+    return { .target = m_route->firstPieceTarget, .waited = now - m_arrival, .patience = m_deadline - m_arrival };
+}
+
 // Why the request goes to no further server, if so. What has run or may have run is never refused as not run.
 std::optional<std::string_view> RoutedExchange::findRefusal(bool hasServer, RetryWindow& window)
 {
@@ -218,13 +225,9 @@
     return std::nullopt;
 }
 
-// Long enough to pass a burst by, and short enough to meet the target at the engine.
 TimePoint RoutedExchange::holdEnd(TimePoint now) const
 {
-    if (m_choices > 0)
-        return now;
-    const auto hold = std::chrono::duration_cast<Duration>(m_route->firstPieceTarget * holdShare);
-    return m_arrival + std::min(hold, (m_deadline - m_arrival) / 2);
+    return m_choices > 0 ? now : m_arrival + longestHold(waiting(now));
 }
 
 bool RoutedExchange::mayTryAgain(const Attempt& result)
@@ -498,9 +501,9 @@
     const auto now = monotonicNow();
     countEnd(status, outcome, now - m_arrival);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} expected_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} expected_ms={} predicted_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
         m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, milliseconds(m_placement.expected), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
+        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, milliseconds(m_placement.expected), milliseconds(m_placement.predicted), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
 }
 
 } // namespace HickoryHollow
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint64_t partitionKey = 0x9e3779b97f4a7c15ULL; // Any constant; the same at every instance.
 constexpr double cacheShare = 0.75; // Of an engine's memory; running requests take the rest.
 constexpr double slownessWeight = 0.15; // Of the newest call.
+constexpr double fleetSlownessWeight = 0.05; // Of the newest call; every call counts for it.
 constexpr double maxSlowness = 8;
 constexpr Duration lapseGrace = std::chrono::seconds(3); // A server that answers is there, whatever its announcements say.
 
@@ -96,6 +97,12 @@
         server.others = {};
 }
 
+double BackendBoard::fleetSlowness(const ServiceId& service) const
+{
+    const auto it = m_fleetSlowness.find(service);
+    return it == m_fleetSlowness.end() ? 1.0 : it->second;
+}
+
 double BackendBoard::slotsOf(const ServiceId& service) const
 {
     const auto engine = m_engines.find(service);
@@ -242,6 +249,7 @@
         .backend = best->record.id,
         .serverName = best->record.serverName,
         .expected = toDuration(bestCost),
+        .predicted = toDuration(bestCost * fleetSlowness(request.service)),
         .backlog = toDuration(ahead / tokensPerMillisecond * best->slowness),
         .unreadTokens = bestUnread,
         .isAtHome = !homes.empty() && homes.front() == best->record.id,
@@ -281,6 +289,10 @@
     server.waitingTokens -= std::min(server.waitingTokens, call.unreadTokens);
     constexpr Duration constantPart = std::chrono::milliseconds(100); // Set-up and first step, the same everywhere.
     const auto ratio = std::chrono::duration<double>(now - call.begunAt + constantPart) / std::chrono::duration<double>(call.expected + constantPart);
+    if (!call.isInteractive) {
+        auto& fleet = m_fleetSlowness.try_emplace(server.record.service, 1.0).first->second;
+        fleet = std::clamp(fleet + fleetSlownessWeight * (ratio - fleet), 1.0, maxSlowness);
+    }
     server.slowness = std::clamp(server.slowness * (1 + slownessWeight * (ratio - 1)), 1.0, maxSlowness);
 }
 
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -41,6 +41,7 @@
     BackendId backend;
     std::string serverName;
     Duration expected {}; ///< Until the first piece, as far as this instance can tell.
+    Duration predicted {}; ///< The same, as the service's first pieces of late were slower than expected.
     Duration backlog {}; ///< Of it, the reading of prompts that are there already.
     std::uint32_t unreadTokens = 0; ///< Of the prompt; thought not to be kept there.
     bool isAtHome = false; ///< The server is the home of the prompt's shared parts.
@@ -122,6 +123,7 @@
         std::uint64_t tokenCapacity = 0;
     };
 
+    double fleetSlowness(const ServiceId&) const;
     double slotsOf(const ServiceId&) const;
     bool isSetApart(const Server&) const;
     void repartition(const ServiceId&, Partition&, TimePoint now);
@@ -133,6 +135,7 @@
     RandomSource& m_random;
     std::map<BackendId, Server> m_servers;
     std::map<ServiceId, Engine> m_engines;
+    std::map<ServiceId, double> m_fleetSlowness; // Measured against expected time to the first piece, over all servers.
     std::map<ServiceId, Partition> m_partitions; // Of services that have interactive requests.
     std::map<CallId, Call> m_calls;
     std::uint64_t m_lastCall = 0;
