--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -14,28 +14,20 @@
 
 namespace HickoryHollow {
 
+using namespace Internal;
+
 namespace {
 
 constexpr unsigned ok = 200;
 constexpr unsigned firstRedirect = 300;
-constexpr unsigned notFound = 404;
-constexpr unsigned unauthorized = 401;
 constexpr unsigned badGateway = 502;
-constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned firstServerError = 500;
 constexpr std::size_t maxWholeAnswer = 16U << 20U;
 constexpr std::uint32_t rejectionsTolerated = 2; // Servers that refuse before the request is refused.
 constexpr Duration minTimeToSend = std::chrono::milliseconds(20); // With less left, no server can answer in time.
-constexpr Duration timeForStream = std::chrono::milliseconds(4500); // A long answer at a busy engine.
-constexpr Duration timeForWhole = std::chrono::milliseconds(1500); // Several times the work of a plain call.
-constexpr Duration soon = std::chrono::milliseconds(50); // Another instance may take it at once.
-constexpr Duration startTime = std::chrono::seconds(6); // Of a process: until it knows configuration and servers.
-constexpr Duration interruptionTime = std::chrono::seconds(2); // An election and the poll after it.
 constexpr Duration longestStartWait = std::chrono::milliseconds(2000);
 constexpr double startWaitShare = 0.3; // Of the caller's patience.
-constexpr Duration startPoll = std::chrono::milliseconds(40);
-constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration minSilence = std::chrono::milliseconds(1200); // A paused or slowed server may be silent for as long.
 constexpr int silenceFactor = 3; // Of a target, before a repeatable request is tried elsewhere.
 constexpr Duration freshConnection = std::chrono::milliseconds(1500); // Idle for less: surely still open.
@@ -54,70 +46,6 @@
 {
 }
 
-bool RoutedExchange::hasLease() const
-{
-    return m_context.routing.mayServeKeys(monotonicNow());
-}
-
-// After a start, or an interruption as short as an election, the configuration, its confirmation and the servers come
-// within a second or two. A caller that is refused has one more try at most, so a short wait serves it better.
-bool RoutedExchange::isStarting(TimePoint now) const
-{
-    return now - m_context.startedAt < startTime || (m_context.routing.leaseEnd() <= now && now - m_context.routing.leaseEnd() < interruptionTime);
-}
-
-bool RoutedExchange::isDecidable() const
-{
-    const auto table = m_context.routing.table();
-    if (!table)
-        return false;
-    if (hasLease())
-        return true;
-    const auto* route = table->find(m_http.fields.find("Host"), m_http.path());
-    return route && !route->needsKey;
-}
-
-Task<void> RoutedExchange::awaitStart()
-{
-    Timer pause(m_context.loop.get_executor());
-    while (!isDecidable() && !m_writer.callerGone()) {
-        const auto now = monotonicNow();
-        if (now >= m_startWaitEnd || !isStarting(now))
-            break;
-        pause.expires_after(startPoll);
-        co_await pause.async_wait(asTuple);
-    }
-    m_table = m_context.routing.table();
-}
-
-std::optional<HttpResponse> RoutedExchange::admit()
-{
-    const auto refusal = [this](unsigned status, std::string_view code, Duration retryAfter) {
-        logEnd(status, code);
-        return m_context.codec.refuse(status, code, m_route ? m_route->id.value() : m_http.target, retryAfter);
-    };
-    if (!m_table)
-        return refusal(unavailable, "no-configuration", shortRetryAfter);
-    // Without a lease this instance cannot know whether the route or the key was taken away or added.
-    m_route = m_table->find(m_http.fields.find("Host"), m_http.path());
-    const auto isOpen = m_route && !m_route->needsKey;
-    if (!isOpen && !hasLease())
-        return refusal(unavailable, "configuration-unconfirmed", shortRetryAfter);
-    if (!m_route)
-        return refusal(notFound, "no-route", {});
-    if (m_route->needsKey && m_table->needsKeys()) {
-        m_workspace = m_table->workspaceOf(m_call.key);
-        if (!m_workspace)
-            return refusal(unauthorized, "unknown-key", {});
-    }
-    m_deadline = m_arrival + std::min(m_route->timeout, m_call.patience.value_or(m_route->timeout));
-    // A connection that comes late in a drain is better off at another instance than cut in the middle of its answer.
-    const auto needed = m_route->isStream() ? timeForStream : timeForWhole;
-    if (m_context.drainEnd && std::min(m_deadline, m_arrival + needed) > *m_context.drainEnd)
-        return refusal(unavailable, "draining", soon);
-    return std::nullopt;
-}
-
 Task<void> RoutedExchange::run()
 {
     co_await awaitStart();
@@ -148,18 +76,6 @@
     return ofWorkspace * (m_table->lowestPriority(m_wanted.service) + 1) + m_route->priority;
 }
 
-Task<void> RoutedExchange::awaitServer()
-{
-    Timer pause(m_context.loop.get_executor());
-    while (!m_context.board.hasCandidate(m_wanted) && !m_writer.callerGone()) {
-        const auto now = monotonicNow();
-        if (now >= m_startWaitEnd || m_choices > 0 || now - m_context.startedAt > startTime)
-            co_return;
-        pause.expires_after(startPoll);
-        co_await pause.async_wait(asTuple);
-    }
-}
-
 Task<void> RoutedExchange::runAttempts()
 {
     m_wanted = { .service = pickService(), .prompt = m_call.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .ranksAboveLowest = 0, .excluded = {} };
@@ -199,6 +115,8 @@
         m_wanted.excluded.insert(grant->placement.backend);
         m_sends += result.wasSent ? 1 : 0;
         m_runs += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
+        if (result.end == AttemptEnd::ServerError)
+            m_serverFailure = std::move(result.answer);
         if (!mayTryAgain(result)) {
             co_await finish(result);
             co_return;
@@ -259,8 +177,7 @@
         m_writer.abandon();
         co_return;
     case AttemptEnd::ServerError:
-        logEnd(result.answer.status, "server-error");
-        co_await m_writer.send(result.answer);
+        co_await refuse(badGateway, result.cause, {});
         co_return;
     case AttemptEnd::NotRun:
         co_await refuse(m_runs == 0 ? unavailable : badGateway, result.cause, shortRetryAfter);
@@ -276,6 +193,12 @@
 
 Task<void> RoutedExchange::refuse(unsigned status, std::string_view code, Duration retryAfter)
 {
+    // A server's own answer says more than ours, also where it is a failure.
+    if (m_serverFailure && !m_streamStarted) {
+        logEnd(m_serverFailure->status, "server-error");
+        co_await m_writer.send(std::move(*m_serverFailure));
+        co_return;
+    }
     logEnd(status, code);
     if (m_streamStarted) {
         // The caller sees that the stream is not whole, because its connection ends without the end of the body.
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -17,6 +17,13 @@
 
 namespace HickoryHollow {
 
+namespace Internal {
+
+constexpr unsigned unavailable = 503;
+constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
+
+} // namespace Internal
+
 class DeadlineWatch;
 class ResponseWriter;
 class UpstreamCall;
@@ -96,6 +103,7 @@
     Duration m_firstPiece {}; // From arrival; zero before it.
     Duration m_longestPause {}; // Between two pieces of the stream.
     std::string_view m_lastCause = "none";
+    std::optional<HttpResponse> m_serverFailure; // The last one that a server signed.
     bool m_streamStarted = false; // The caller has the header of a stream.
     EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
 };
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -254,3 +254,14 @@
     CHECK_FALSE(bench.writer.isFinished);
     CHECK(bench.writer.isAbandoned);
 }
+
+TEST_CASE("a server's own failure is passed on where no other server can be asked", "[routed]")
+{
+    RoutedBench bench;
+    bench.context.retries = { .ratio = 0, .slack = 0, .window = std::chrono::seconds(10) };
+    bench.upstream.scripts = { RoutedBench::answer("own failure", 500) };
+    bench.run(RoutedBench::request("/look/7"));
+    CHECK(bench.writer.response->status == 500);
+    CHECK(bench.writer.response->body == "own failure");
+    CHECK(bench.writer.response->fields.find("Runner-Seal") == "seal");
+}
