Keep idle connections to a server within its limit, by the number of entry instances

An answer to HEAD was read as if it had a body.

Change: half of the service's limit is shared among the entry instances. Two tests that failed first by not existing: HEAD, idle.

--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -74,6 +74,15 @@
         idle.push_back(std::move(connection));
     }
 
+    void limitIdle(std::size_t limit)
+    {
+        m_options.maxIdlePerServer = limit;
+        for (auto& [address, idle] : m_idle) {
+            if (idle.size() > limit)
+                idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(limit));
+        }
+    }
+
     asio::io_context& loop() { return m_loop; }
     const UpstreamOptions& options() const { return m_options; }
 
@@ -247,6 +256,7 @@
     {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
+        m_parser->skip(m_message->method() == http::verb::head);
         const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buf, *m_parser, asTuple);
         if (ec)
             co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
@@ -324,6 +334,8 @@
         return std::make_unique<SocketCall>(m_pool, address, timeouts);
     }
 
+    void limitIdle(std::size_t limit) override { m_pool->limitIdle(limit); }
+
 private:
     std::shared_ptr<ConnectionPool> m_pool;
 };
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -73,6 +73,8 @@
 
     /** `address` is `ip:port` of the backend server. */
     virtual std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) = 0;
+    /** From now on keeps at most so many idle connections to each server. */
+    virtual void limitIdle(std::size_t) { }
     std::unique_ptr<UpstreamCall> open(const std::string& address) { return open(address, UpstreamTimeouts {}); }
 };
 
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -24,6 +24,7 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 constexpr Duration serverSilence = std::chrono::milliseconds(2000);
 constexpr Duration leaseMargin = std::chrono::milliseconds(300); // For clocks that run at different rates, and for the send itself.
+constexpr double idleShare = 0.5; // Of a server's connections; the rest is for requests.
 constexpr std::size_t maxIdleConnections = 24; // To each server; its limit counts the connections of all instances.
 
 std::uint64_t systemSeed()
@@ -57,7 +58,9 @@
               .uses = [this](const auto& report) { takeUses(report); },
               .ownUses = [this] { return ownUses(); },
               .held = [this] { return m_routing.version(); },
-              .entryInstances = [this](auto n) { m_context.entryInstances = n; },
+              .entryInstances = [this](auto n) {
+                  if (std::exchange(m_context.entryInstances, n) != n)
+                      limitIdleConnections(); },
           })
 {
 }
@@ -98,6 +101,12 @@
     }
     const auto services = decoded.configuration.services;
     m_routing.apply(std::move(decoded.configuration));
+    m_fewestConnections = 0;
+    for (const auto& it : services) {
+        if (it.maxConnections > 0 && (m_fewestConnections == 0 || it.maxConnections < m_fewestConnections))
+            m_fewestConnections = it.maxConnections;
+    }
+    limitIdleConnections();
     for (const auto& it : services) {
         if (it.engine)
             m_board.setEngine(it.id, it.engine->slots, it.engine->tokenCapacity);
@@ -107,6 +116,15 @@
     logEvent(LogEvent::RoutingApplied, "version={}", document.version.value());
 }
 
+// A server resets connections beyond its limit, which counts those of all entry instances.
+void EntryInstance::limitIdleConnections()
+{
+    if (m_fewestConnections == 0)
+        return;
+    const auto share = idleShare * m_fewestConnections / std::max(1U, m_context.entryInstances);
+    m_upstream->limitIdle(std::clamp<std::size_t>(static_cast<std::size_t>(share), 1, maxIdleConnections));
+}
+
 UseReport EntryInstance::ownUses()
 {
     UseReport report;
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -45,6 +45,7 @@
     void takeUses(const UseReport&);
     UseReport ownUses();
     HttpLimits callerLimits() const;
+    void limitIdleConnections();
 
     asio::io_context& m_loop;
     NodeSettings m_settings;
@@ -61,6 +62,7 @@
     StateFeed m_feed;
     std::map<std::uint32_t, BackendUse> m_told; // What the last report said of this instance.
     RoutingVersion m_unreadable; // Highest version that could not be decoded here.
+    std::uint32_t m_fewestConnections = 0; // That a server of any service accepts; 0 where no service says so.
     bool m_isDraining = false;
     bool m_wasReady = false;
 };
--- a/test/error/upstream_answers.cpp
+++ b/test/error/upstream_answers.cpp
@@ -67,11 +67,11 @@
     bool usedKept = false;
 };
 
-Task<void> call(UpstreamClient& client, std::string id, std::string body, Outcome& outcome)
+Task<void> call(UpstreamClient& client, std::string id, std::string body, Outcome& outcome, std::string method = "POST")
 {
     const auto it = client.open("127.0.0.1:" + std::to_string(port));
     it->skipForeign([id](unsigned, const HttpFields& fields) { return !fields.find("Id").empty() && fields.find("Id") != id; });
-    const HttpRequest request { .method = "POST", .target = "/", .fields = {}, .body = std::move(body) };
+    const HttpRequest request { .method = std::move(method), .target = "/", .fields = {}, .body = std::move(body) };
     const auto head = co_await it->begin(request);
     outcome.ec = head.ec;
     outcome.status = head.status;
@@ -155,3 +155,32 @@
     CHECK_FALSE(outcomes[0].isWhole);
     CHECK(outcomes[0].ec);
 }
+
+TEST_CASE("an answer to HEAD has no body", "[http][loopback]")
+{
+    const ScriptedServer server({ "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\n" }, false);
+    boost::asio::io_context loop;
+    const auto client = makeUpstreamClient(loop, {});
+    Outcome outcome;
+    asio::co_spawn(loop, call(*client, "1", "", outcome, "HEAD"), asio::detached);
+    loop.run();
+    CHECK(outcome.isWhole);
+    CHECK(outcome.body.empty());
+}
+
+TEST_CASE("no more idle connections are kept than permitted", "[http][loopback]")
+{
+    const ScriptedServer server({ answer("1", "one") }, false);
+    boost::asio::io_context loop;
+    const auto client = makeUpstreamClient(loop, {});
+    Outcome first;
+    asio::co_spawn(loop, call(*client, "1", "body", first), asio::detached);
+    loop.run();
+    client->limitIdle(0);
+    loop.restart();
+    Outcome second;
+    asio::co_spawn(loop, call(*client, "2", "body", second), asio::detached);
+    loop.run();
+    CHECK(first.isWhole);
+    CHECK_FALSE(second.usedKept);
+}
