Try up to eight servers for a connection

Change: only what reached a server counts as a refusal; eight connections are tried at most. Test that failed first. The log line of a request tells whether its engine is set apart.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned firstServerError = 500;
 constexpr std::size_t maxWholeAnswer = 16U << 20U;
 constexpr std::uint32_t rejectionsTolerated = 2; // Servers that refuse before the request is refused.
+constexpr std::uint32_t maxChoices = 8; // Servers without a connection cost little, but each may take a connect timeout.
 constexpr Duration minTimeToSend = std::chrono::milliseconds(20); // With less left, no server can answer in time.
 constexpr Duration longestStartWait = std::chrono::milliseconds(2000);
 constexpr double startWaitShare = 0.3; // Of the caller's patience.
@@ -158,7 +159,7 @@
     case AttemptEnd::OutOfTime:
         return false;
     case AttemptEnd::NotRun:
-        return m_choices <= rejectionsTolerated + m_route->maxAttempts;
+        return m_sends <= rejectionsTolerated + m_route->maxAttempts && m_choices < maxChoices;
     case AttemptEnd::ServerError:
     case AttemptEnd::Failed:
         return m_route->mayRunAgain() && m_runs < m_route->maxAttempts;
@@ -424,9 +425,9 @@
     const auto now = monotonicNow();
     countEnd(status, outcome, now - m_arrival);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} expected_ms={} predicted_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} predicted_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
         m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, milliseconds(m_placement.expected), milliseconds(m_placement.predicted), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
+        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, m_placement.isSetApart, milliseconds(m_placement.expected), milliseconds(m_placement.predicted), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
 }
 
 } // namespace HickoryHollow
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -253,6 +253,7 @@
         .backlog = toDuration(ahead / tokensPerMillisecond * best->slowness),
         .unreadTokens = bestUnread,
         .isAtHome = !homes.empty() && homes.front() == best->record.id,
+        .isSetApart = isSetApart(*best),
         .isAside = bestRank > 0,
     };
 }
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -45,6 +45,7 @@
     Duration backlog {}; ///< Of it, the reading of prompts that are there already.
     std::uint32_t unreadTokens = 0; ///< Of the prompt; thought not to be kept there.
     bool isAtHome = false; ///< The server is the home of the prompt's shared parts.
+    bool isSetApart = false; ///< The engine is one of those that interactive streams prefer.
     bool isAside = false; ///< No server was left that is not set aside.
 };
 
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -265,3 +265,14 @@
     CHECK(bench.writer.response->body == "own failure");
     CHECK(bench.writer.response->fields.find("Runner-Seal") == "seal");
 }
+
+TEST_CASE("servers without a connection do not use up a request's attempts", "[routed]")
+{
+    RoutedBench bench;
+    for (const auto* address : { "10.0.0.6:1", "10.0.0.7:1", "10.0.0.8:1" })
+        bench.addServer(address, "orders");
+    const auto down = RoutedBench::failure(RouterError::UpstreamConnectFailed, Verdict::NotRun);
+    bench.upstream.scripts = { down, down, down, down, RoutedBench::answer("fifth") };
+    bench.run(RoutedBench::request("/order/7"));
+    CHECK(bench.writer.response->body == "fifth");
+}
