--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -7,6 +7,7 @@
 #include "settings/DaemonSettings.h"
 #include "settings/RoutingSettings.h"
 #include "storage/Frame.h"
+#include "test/fuzz/Mutation.h"
 #include "wire/AgreementCodec.h"
 #include "wire/LedgerCodec.h"
 
@@ -14,34 +15,12 @@
 #include <fmt/format.h>
 
 using namespace HickoryHollow;
+using HickoryHollow::Fakes::mutated;
 
 namespace {
 
 constexpr int rounds = 2000;
 
-std::string mutated(std::string bytes, RandomSource& random)
-{
-    const auto changes = 1 + random.below(4);
-    for (std::uint64_t i = 0; i < changes && !bytes.empty(); ++i) {
-        const auto at = random.below(bytes.size());
-        switch (random.below(4)) {
-        case 0:
-            bytes[at] = static_cast<char>(random.next());
-            break;
-        case 1:
-            bytes.erase(at, 1 + random.below(8));
-            break;
-        case 2:
-            bytes.insert(at, bytes.substr(at, 1 + random.below(16)));
-            break;
-        default:
-            bytes.resize(at);
-            break;
-        }
-    }
-    return bytes;
-}
-
 } // namespace
 
 TEST_CASE("mutated announcements are taken whole or named as wrong", "[fuzz]")
