--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -16,7 +16,7 @@
 constexpr double millisecondsPerQueued = 50; // A request beyond the engine's slots waits for the end of another one.
 constexpr double millisecondsPerPlainCall = 30; // A call of a plain service that is ahead in the queue.
 constexpr double otherDomainMilliseconds = 3; // Distance and the price of bytes between failure domains.
-constexpr double rereadWeight = 3; // Reading a shared part once more also takes the time of all who come later.
+constexpr double rereadWeight = 6; // Reading a shared part once more also takes the time of all who come later.
 constexpr double homeRankMilliseconds = 30; // Makes all instances use the same next home.
 constexpr std::size_t maxHomes = 6; // In order; an engine that is none costs as much as one more.
 constexpr std::array<double, maxHomes> chanceKeptAtHome { 0.8, 0.5, 0.3, 0.1, 0, 0 }; // That the home has read the part for another instance.
