Measure an engine's slowness against its service's; count rereads in refusals where the service is behind

Cause: the expected time of a placement held the penalties of the choice, so measured slowness came out too small and refusals went by a mixture.

Change: time and cost are apart. An engine's slowness is relative to the service's. A refusal goes by the expected time at the service's slowness, plus rereading as far as the service is behind (from 1.3 times the expected to 2.3).

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -425,9 +425,9 @@
     const auto now = monotonicNow();
     countEnd(status, outcome, now - m_arrival);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} predicted_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
         m_call.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, m_placement.isSetApart, milliseconds(m_placement.expected), milliseconds(m_placement.predicted), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
+        m_placement.backend.value(), m_placement.isAside, m_call.prompt.tokens, m_placement.unreadTokens, m_placement.isAtHome, m_placement.isSetApart, milliseconds(m_placement.expected), milliseconds(m_placement.burden), milliseconds(m_placement.backlog), m_choices, m_sends, m_lastCause, milliseconds(m_firstPiece), milliseconds(m_longestPause), milliseconds(now - m_arrival));
 }
 
 } // namespace HickoryHollow
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -30,6 +30,7 @@
 constexpr double cacheShare = 0.75; // Of an engine's memory; running requests take the rest.
 constexpr double slownessWeight = 0.15; // Of the newest call.
 constexpr double fleetSlownessWeight = 0.05; // Of the newest call; every call counts for it.
+constexpr double slownessUnderNoPressure = 1.3; // Of a service; single engines are slow for moments.
 constexpr double maxSlowness = 8;
 constexpr Duration lapseGrace = std::chrono::seconds(3); // A server that answers is there, whatever its announcements say.
 
@@ -168,32 +169,35 @@
     return homes;
 }
 
-double BackendBoard::costOf(const Server& server, const PlacementRequest& request, const std::vector<BackendId>& homes, std::uint32_t& unread) const
+BackendBoard::Estimate BackendBoard::estimate(const Server& server, const PlacementRequest& request, const std::vector<BackendId>& homes) const
 {
     const auto distance = server.record.failureDomain == m_options.ownDomain ? 0.0 : otherDomainMilliseconds;
     const auto running = static_cast<double>(server.calls + server.others.requests);
     if (request.prompt.isEmpty()) {
         const auto slots = std::max(1U, server.record.slots);
-        return distance + running / slots * millisecondsPerPlainCall * server.slowness;
+        const auto time = distance + running / slots * millisecondsPerPlainCall * server.slowness;
+        return { .cost = time, .time = time, .rereading = 0, .unreadTokens = 0 };
     }
     std::uint32_t shared = 0;
     for (std::size_t i = 0; i + 1 < request.prompt.parts.size(); ++i)
         shared += request.prompt.parts[i].tokens;
     const auto kept = server.cache.keptTokens(request.prompt);
     const auto unreadShared = shared - std::min(shared, kept);
-    unread = request.prompt.tokens - std::min(kept, request.prompt.tokens);
+    const auto unread = request.prompt.tokens - std::min(kept, request.prompt.tokens);
     const auto rank = static_cast<std::size_t>(std::find(homes.begin(), homes.end(), server.record.id) - homes.begin());
     const auto chanceKept = rank < homes.size() ? chanceKeptAtHome[rank] : 0.0;
     const auto expectedShared = static_cast<double>(unreadShared) * (1 - chanceKept);
     const auto expectedUnread = std::max(0.0, static_cast<double>(unread) - static_cast<double>(unreadShared) * chanceKept);
-    unread = static_cast<std::uint32_t>(expectedUnread);
     const auto ahead = static_cast<double>(server.waitingTokens + server.others.promptTokens);
     const auto isMisplaced = isSetApart(server) != request.isInteractive && m_partitions.contains(request.service);
     const auto misplacement = isMisplaced ? (request.isInteractive ? interactiveElsewhereMilliseconds : promptSetApartMilliseconds) : 0.0;
     const auto slots = static_cast<double>(std::max(1U, server.record.slots));
     const auto queueing = std::max(0.0, running + 1 - slots) * millisecondsPerQueued;
-    const auto reading = (ahead + expectedUnread + expectedShared * rereadWeight) / tokensPerMillisecond;
-    return distance + misplacement + (shared > 0 ? static_cast<double>(rank) * homeRankMilliseconds : 0) + queueing + (reading + running * millisecondsPerRunning) * server.slowness;
+    const auto reading = (ahead + expectedUnread) / tokensPerMillisecond;
+    const auto time = distance + queueing + (reading + running * millisecondsPerRunning) * server.slowness;
+    const auto rereading = expectedShared * rereadWeight / tokensPerMillisecond * server.slowness;
+    const auto order = shared > 0 ? static_cast<double>(rank) * homeRankMilliseconds : 0.0;
+    return { .cost = time + rereading + order + misplacement, .time = time, .rereading = rereading, .unreadTokens = static_cast<std::uint32_t>(expectedUnread) };
 }
 
 bool BackendBoard::hasCandidate(const PlacementRequest& request) const
@@ -215,32 +219,37 @@
         it->second.lifeAt = now;
 }
 
+// On a service that keeps up, a reread takes nothing from anybody.
+double BackendBoard::burdenOf(const Estimate& estimate, const ServiceId& service) const
+{
+    const auto slowness = fleetSlowness(service);
+    const auto pressure = std::clamp(slowness - slownessUnderNoPressure, 0.0, 1.0);
+    return (estimate.time + estimate.rereading * pressure) * slowness;
+}
+
 std::optional<Placement> BackendBoard::choose(const PlacementRequest& request, TimePoint now)
 {
     const auto key = hashOfSharedParts(request.prompt);
     const auto homes = key == 0 ? std::vector<BackendId>() : homesOf(request, key, now);
     const Server* best = nullptr;
     auto bestRank = 0;
-    double bestCost = 0;
-    std::uint32_t bestUnread = 0;
+    Estimate bestEstimate;
     std::uint64_t ties = 0;
     for (const auto& [id, server] : m_servers) {
         if (!isCandidate(server, request))
             continue;
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
         const auto rank = (server.health.isSetAside(now) ? 1 : 0) + (isLapsed ? 2 : 0);
-        std::uint32_t unread = 0;
-        const auto cost = costOf(server, request, homes, unread);
-        const auto isTie = best && rank == bestRank && cost == bestCost;
-        const auto isBetter = !best || rank < bestRank || (rank == bestRank && cost < bestCost);
+        const auto it = estimate(server, request, homes);
+        const auto isTie = best && rank == bestRank && it.cost == bestEstimate.cost;
+        const auto isBetter = !best || rank < bestRank || (rank == bestRank && it.cost < bestEstimate.cost);
         ties = isTie ? ties + 1 : ties;
         if (!isBetter && !(isTie && m_random.below(ties + 1) == 0))
             continue;
         ties = isBetter ? 0 : ties;
         best = &server;
         bestRank = rank;
-        bestCost = cost;
-        bestUnread = unread;
+        bestEstimate = it;
     }
     if (!best)
         return std::nullopt;
@@ -248,10 +257,10 @@
     return Placement {
         .backend = best->record.id,
         .serverName = best->record.serverName,
-        .expected = toDuration(bestCost),
-        .predicted = toDuration(bestCost * fleetSlowness(request.service)),
+        .expected = toDuration(bestEstimate.time),
+        .burden = toDuration(burdenOf(bestEstimate, request.service)),
         .backlog = toDuration(ahead / tokensPerMillisecond * best->slowness),
-        .unreadTokens = bestUnread,
+        .unreadTokens = bestEstimate.unreadTokens,
         .isAtHome = !homes.empty() && homes.front() == best->record.id,
         .isSetApart = isSetApart(*best),
         .isAside = bestRank > 0,
@@ -294,7 +303,9 @@
         auto& fleet = m_fleetSlowness.try_emplace(server.record.service, 1.0).first->second;
         fleet = std::clamp(fleet + fleetSlownessWeight * (ratio - fleet), 1.0, maxSlowness);
     }
-    server.slowness = std::clamp(server.slowness * (1 + slownessWeight * (ratio - 1)), 1.0, maxSlowness);
+    // Against the others: where all are late, none is to be avoided.
+    const auto relative = ratio / fleetSlowness(server.record.service);
+    server.slowness = std::clamp(server.slowness + slownessWeight * (relative - server.slowness), 1.0, maxSlowness);
 }
 
 void BackendBoard::end(CallId id, CallOutcome outcome, TimePoint now)
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -41,7 +41,7 @@
     BackendId backend;
     std::string serverName;
     Duration expected {}; ///< Until the first piece, as far as this instance can tell.
-    Duration predicted {}; ///< The same, as the service's first pieces of late were slower than expected.
+    Duration burden {}; ///< Expected time by the service's slowness of late, with what a reread takes from others.
     Duration backlog {}; ///< Of it, the reading of prompts that are there already.
     std::uint32_t unreadTokens = 0; ///< Of the prompt; thought not to be kept there.
     bool isAtHome = false; ///< The server is the home of the prompt's shared parts.
@@ -100,7 +100,7 @@
         std::uint32_t interactiveCalls = 0; ///< Of them.
         std::uint32_t waitingTokens = 0; ///< Unread prompt tokens of own calls without a first piece.
         TimePoint lifeAt {}; ///< When it sent something last.
-        double slowness = 1; ///< Moving average of measured against expected time to the first piece.
+        double slowness = 1; ///< Moving average of measured against expected time to the first piece, against the service's.
     };
 
     struct Call {
@@ -129,7 +129,16 @@
     bool isSetApart(const Server&) const;
     void repartition(const ServiceId&, Partition&, TimePoint now);
     bool isCandidate(const Server&, const PlacementRequest&) const;
-    double costOf(const Server&, const PlacementRequest&, const std::vector<BackendId>& homes, std::uint32_t& unread) const;
+    /** What a request would meet at a server. */
+    struct Estimate {
+        double cost = 0; ///< What the choice goes by, in milliseconds.
+        double time = 0; ///< Milliseconds to the first piece, as far as this instance can tell.
+        double rereading = 0; ///< Milliseconds that reading shared parts again takes from later requests.
+        std::uint32_t unreadTokens = 0;
+    };
+
+    double burdenOf(const Estimate&, const ServiceId&) const;
+    Estimate estimate(const Server&, const PlacementRequest&, const std::vector<BackendId>& homes) const;
     std::vector<BackendId> homesOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
 
     Options m_options;
--- a/src/placement/OverloadPolicy.cpp
+++ b/src/placement/OverloadPolicy.cpp
@@ -31,7 +31,7 @@
     if (request.prompt.isEmpty() || request.isInteractive || !request.excluded.empty())
         return false;
     const auto factor = hopelessFactor + hopelessFactorPerRank * request.ranksAboveLowest;
-    return waiting.waited + placement.predicted > scaled(waiting.target, factor);
+    return waiting.waited + placement.burden > scaled(waiting.target, factor);
 }
 
 Duration returnTime(const WaitingRequest& request, Duration longest, RandomSource& random)
--- a/test/correctness/overload.cpp
+++ b/test/correctness/overload.cpp
@@ -155,7 +155,7 @@
 
 TEST_CASE("interactive and plain requests are never turned away for their wait", "[placement]")
 {
-    const Placement late { .predicted = 1h };
+    const Placement late { .burden = 1h };
     const WaitingRequest waiting { .target = 300ms, .waited = 1s, .patience = 10s };
     PlacementRequest edit { .service = models, .isInteractive = true };
     edit.prompt.tokens = 1000;
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -260,3 +260,36 @@
     }
     CHECK(static_cast<double>(granted) <= 0.2 * 400 + 56);
 }
+
+TEST_CASE("a reread burdens a service that is behind, and none that keeps up", "[placement]")
+{
+    Board it(9);
+    const auto request = draft(100, 1);
+    const auto idle = it.board.choose(request, start);
+    CHECK(idle->burden == idle->expected);
+    // First pieces three times as late as expected.
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        const auto late = draft(200 + i, 3000 + i);
+        const auto placement = it.board.choose(late, start);
+        const auto call = it.board.begin(*placement, late, start);
+        it.board.firstPiece(call, start + 3 * placement->expected + 200ms);
+        it.board.end(call, CallOutcome::Answered, start + 2s);
+    }
+    const auto behind = it.board.choose(request, start);
+    CHECK(behind->burden > 2 * behind->expected);
+}
+
+TEST_CASE("an engine is slow against the others, not where all are late", "[placement]")
+{
+    Board it(9);
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        const auto late = draft(200 + i, 3000 + i);
+        const auto placement = it.board.choose(late, start);
+        const auto call = it.board.begin(*placement, late, start);
+        it.board.firstPiece(call, start + 3 * placement->expected + 200ms);
+        it.board.end(call, CallOutcome::Answered, start + 2s);
+    }
+    // Were each engine taken for slow by itself, the expectation would have grown three-fold.
+    const auto after = it.board.choose(draft(900, 9000), start);
+    CHECK(after->expected < 600ms);
+}
--- a/test/correctness/platform_path.cpp
+++ b/test/correctness/platform_path.cpp
@@ -28,7 +28,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr int linkPort = 7921;
 constexpr int controlPort = 7922;
 constexpr int callerPort = 7923;
 constexpr int readyPort = 7924;
