--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -310,12 +310,12 @@
     if (isStream)
         result = co_await relayStream(call, head, callId);
     else
-        result = co_await readWhole(call, head, kind);
+        result = co_await readWhole(call, head);
     result.wasSent = true;
     co_return result;
 }
 
-Task<RoutedExchange::Attempt> RoutedExchange::readWhole(UpstreamCall& call, const UpstreamHead& head, AnswerKind)
+Task<RoutedExchange::Attempt> RoutedExchange::readWhole(UpstreamCall& call, const UpstreamHead& head)
 {
     Attempt result;
     result.answer = { .status = head.status, .fields = m_context.codec.giveBack(head.fields), .body = {} };
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -68,7 +68,7 @@
     Task<void> runAttempts();
     Task<Attempt> attempt(const Placement&, CallId);
     Task<Attempt> send(UpstreamCall&, const Placement&, CallId);
-    Task<Attempt> readWhole(UpstreamCall&, const UpstreamHead&, AnswerKind);
+    Task<Attempt> readWhole(UpstreamCall&, const UpstreamHead&);
     Task<Attempt> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
     Task<std::error_code> startStream(const UpstreamHead&);
     bool mayTryAgain(const Attempt&);
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -52,7 +52,7 @@
               .confirmed = [this](auto newest, auto askedAt) { m_routing.confirm(newest, askedAt, m_settings.bounds.keyLease - leaseMargin); },
               .backends = [this](const auto& records) {
                   for (const auto& it : records) {
-                      if (m_board.merge(it, monotonicNow()))
+                      if (m_board.merge(it))
                           logEvent(LogEvent::BackendChanged, "backend={} server={} service={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), toString(it.state), it.incarnation.value(), it.sequence);
                   } },
               .uses = [this](const auto& report) { takeUses(report); },
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -23,7 +23,7 @@
 constexpr double interactiveElsewhereMilliseconds = 100; // A pause that a long prompt cuts into a stream.
 constexpr double promptSetApartMilliseconds = 1500; // Pauses for all interactive streams of the engine; waiting is better.
 constexpr double comfortableShare = 0.2; // Of an engine's slots, where steps are still short.
-constexpr double roundingSlack = 0.01;
+constexpr double roundingSlack = 0.01; // Of an engine; a share that is whole but for rounding is not rounded up.
 constexpr double risingWeight = 0.5; // Of the newest count, twice a second.
 constexpr double fallingWeight = 0.05; // Moving an engine costs its cache, so it is given back slowly.
 constexpr std::uint64_t partitionKey = 0x9e3779b97f4a7c15ULL; // Any constant; the same at every instance.
@@ -52,7 +52,7 @@
 {
 }
 
-bool BackendBoard::merge(const BackendRecord& record, TimePoint)
+bool BackendBoard::merge(const BackendRecord& record)
 {
     const auto it = m_servers.find(record.id);
     if (it != m_servers.end() && record.rank() <= it->second.record.rank())
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -66,7 +66,7 @@
     BackendBoard(Options, RandomSource& random);
 
     /** Takes news of a backend server; false for old news. */
-    bool merge(const BackendRecord&, TimePoint now);
+    bool merge(const BackendRecord&);
     /** Engines of the service keep so many tokens each. */
     void setEngine(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
     void setOtherUse(const BackendId&, OtherUse);
--- a/test/correctness/overload.cpp
+++ b/test/correctness/overload.cpp
@@ -29,7 +29,7 @@
         for (int i = 1; i <= engines; ++i) {
             BackendRecord record { .id = BackendId("10.0.0." + std::to_string(i) + ":1"), .incarnation = Incarnation(1), .sequence = 1, .service = models, .serverName = "s" };
             record.slots = 48;
-            m_board.merge(record, start);
+            m_board.merge(record);
         }
     }
 
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -46,7 +46,7 @@
     {
         board.setEngine(models, 48, 440'000);
         for (int i = 1; i <= servers; ++i)
-            board.merge(server(i), start);
+            board.merge(server(i));
     }
 
     /** Places, begins and ends one request. */
@@ -128,7 +128,7 @@
     const ServiceId orders("orders");
     Board it(0);
     for (int i = 1; i <= 3; ++i)
-        it.board.merge(server(i, orders), start);
+        it.board.merge(server(i, orders));
     it.board.setOtherUse(BackendId("10.0.0.1:1"), { .requests = 5 });
     it.board.setOtherUse(BackendId("10.0.0.3:1"), { .requests = 4 });
     CHECK(it.board.choose({ .service = orders }, start)->backend == BackendId("10.0.0.2:1"));
@@ -140,14 +140,14 @@
     auto leaving = server(1);
     leaving.state = BackendState::Leaving;
     leaving.sequence = 2;
-    it.board.merge(leaving, start);
+    it.board.merge(leaving);
     CHECK(it.serve(draft(100, 1), start) == BackendId("10.0.0.2:1"));
     // A late report of the same start does not bring it back, a new start does.
-    CHECK_FALSE(it.board.merge(server(1), start));
+    CHECK_FALSE(it.board.merge(server(1)));
     auto request = draft(100, 2);
     request.excluded = { BackendId("10.0.0.2:1") };
     CHECK_FALSE(it.board.choose(request, start));
-    CHECK(it.board.merge(server(1, models, 2), start));
+    CHECK(it.board.merge(server(1, models, 2)));
     CHECK(it.board.choose(request, start)->backend == BackendId("10.0.0.1:1"));
 }
 
@@ -156,7 +156,7 @@
     Board it(2);
     auto lapsed = server(1);
     lapsed.state = BackendState::Lapsed;
-    it.board.merge(lapsed, start);
+    it.board.merge(lapsed);
     for (std::uint64_t part = 100; part < 120; ++part)
         CHECK(it.serve(draft(part, part + 1), start) == BackendId("10.0.0.2:1"));
     auto request = draft(100, 2);
@@ -179,7 +179,7 @@
     Board it(1);
     const auto request = draft(100, 1);
     const auto call = it.board.begin(*it.board.choose(request, start), request, start);
-    it.board.merge(server(1, models, 2), start);
+    it.board.merge(server(1, models, 2));
     CHECK(it.board.ownUse().empty());
     it.board.end(call, CallOutcome::Broken, start);
     CHECK(it.board.ownUse().empty());
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -64,7 +64,7 @@
     {
         BackendRecord record { .id = BackendId(address), .incarnation = Incarnation(1), .sequence = 1, .service = ServiceId(service), .serverName = "name-of-" + address };
         record.slots = 8;
-        board.merge(record, monotonicNow());
+        board.merge(record);
     }
 
     /** The configuration was the newest a moment ago; the lease ends after that time. */
