Keep a connection alive while the rest of a long request is written; bear one lost probe

A call that ends early (an answer before the request is read, a caller that left) destroyed its connection while a write of a body over 8 KB was underway; a part that had completed already would have gone on with the destroyed stream. And one lost keep-alive probe ended a connection, which a lossy link does to sound ones.

Change: the write holds the connection; two lost probes are needed. No test provokes the first: its window is one turn of the event loop.

--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -51,7 +51,7 @@
     {
     }
 
-    std::unique_ptr<Connection> take(const std::string& address, Duration idleAtMost)
+    std::shared_ptr<Connection> take(const std::string& address, Duration idleAtMost)
     {
         auto& idle = m_idle[address];
         while (!idle.empty()) {
@@ -64,7 +64,7 @@
         return nullptr;
     }
 
-    void give(const std::string& address, std::unique_ptr<Connection> connection)
+    void give(const std::string& address, std::shared_ptr<Connection> connection)
     {
         auto& idle = m_idle[address];
         if (idle.size() >= m_options.maxIdlePerServer || connection->buf.size() != 0)
@@ -89,7 +89,7 @@
 private:
     asio::io_context& m_loop;
     UpstreamOptions m_options;
-    std::unordered_map<std::string, std::vector<std::unique_ptr<Connection>>> m_idle; // Open connections with no request on them.
+    std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> m_idle; // Open connections with no request on them.
 };
 
 std::error_code timeoutOr(const boost::system::error_code& ec, RouterError otherwise)
@@ -189,6 +189,7 @@
     static constexpr std::size_t pieceSize = 4096;
     static constexpr std::size_t largeBody = 8192; // A server may answer before it has read a longer body.
     static constexpr int maxForeignAnswers = 2;
+    static constexpr int lostProbes = 2; // One is lost now and then on a sound link.
     static constexpr Duration keepAliveMargin = std::chrono::milliseconds(1500); // A stated time counts whole seconds of the server's clock.
 
     static bool isMalformed(const boost::system::error_code& ec)
@@ -202,7 +203,7 @@
         const auto endpoint = parseEndpoint(m_address);
         if (!endpoint)
             co_return make_error_code(RouterError::UpstreamConnectFailed);
-        m_connection = std::make_unique<Connection>(m_pool->loop());
+        m_connection = std::make_shared<Connection>(m_pool->loop());
         m_connection->stream.expires_after(m_pool->options().connectTimeout);
         const auto [ec] = co_await m_connection->stream.async_connect(*endpoint, asTuple);
         if (ec)
@@ -223,7 +224,7 @@
         set(SOL_SOCKET, SO_KEEPALIVE, 1);
         set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
         set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-        set(IPPROTO_TCP, TCP_KEEPCNT, 1);
+        set(IPPROTO_TCP, TCP_KEEPCNT, lostProbes);
     }
 
     void fillMessage(const HttpRequest& request)
@@ -246,7 +247,8 @@
     void startWriting()
     {
         m_writing = std::make_shared<bool>(true);
-        http::async_write(m_connection->stream, *m_message, [message = m_message, writing = m_writing](const boost::system::error_code& ec, std::size_t) {
+        // A call may end while parts of the write are still to come, so the write keeps what it works on.
+        http::async_write(m_connection->stream, *m_message, [connection = m_connection, message = m_message, writing = m_writing](const boost::system::error_code& ec, std::size_t) {
             if (!ec)
                 *writing = false;
         });
@@ -311,7 +313,7 @@
     std::shared_ptr<ConnectionPool> m_pool;
     std::string m_address;
     UpstreamTimeouts m_timeouts;
-    std::unique_ptr<Connection> m_connection; // Null before begin and after the answer was read whole.
+    std::shared_ptr<Connection> m_connection; // Null before begin and after the answer was read whole.
     std::shared_ptr<Message> m_message; // Kept by a write that is underway.
     std::optional<Parser> m_parser;
     IsForeignAnswer m_isForeign;
