--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -3,7 +3,6 @@
  */
 #pragma once
 
-#include "base/Verdict.h"
 #include "forwarding/ForwardingContext.h"
 #include "forwarding/RequestCodec.h"
 #include "http/EventStreamScanner.h"
@@ -19,8 +18,8 @@
 
 namespace Internal {
 
-constexpr unsigned unavailable = 503;
-constexpr Duration shortRetryAfter = std::chrono::milliseconds(500);
+constexpr unsigned unavailable = 503; // Promises that the request has not run and never will.
+constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // An election or another instance takes about as long.
 
 } // namespace Internal
 
--- a/src/links/Link.h
+++ b/src/links/Link.h
@@ -60,7 +60,7 @@
     bool m_isWriting = false;
 };
 
-/** Dials an address; an error after `timeout` at the latest. */
+/** Dials an address and hands out the link, not started yet; an error after `timeout` at the latest. */
 Task<std::error_code> dialLink(asio::io_context&, const std::string& address, Duration timeout, const LinkOptions&, std::shared_ptr<Link>&);
 
 } // namespace HickoryHollow
