--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -104,7 +104,6 @@
         m_isWriting = true;
         const auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(buf), asTuple);
         m_isWriting = false;
-        m_bytesSent += n;
         buf.clear();
         if (ec || monotonicNow() - m_heardAt > m_options.silenceLimit)
             break;
--- a/src/links/Link.h
+++ b/src/links/Link.h
@@ -41,7 +41,6 @@
     void sendFrame(const std::string& frame);
     void close();
     bool isOpen() const { return m_isOpen; }
-    std::uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
     Task<void> readLoop();
@@ -55,7 +54,6 @@
     OnClosed m_onClosed; // Empty once it was called.
     std::string m_queued; // Frames that are not handed to the socket yet.
     TimePoint m_heardAt {};
-    std::uint64_t m_bytesSent = 0;
     bool m_isOpen = true;
     bool m_isWriting = false;
 };
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -61,7 +61,6 @@
     HttpServer m_server;
     StateFeed m_feed;
     std::map<std::uint32_t, BackendUse> m_told; // What the last report said of this instance.
-    RoutingVersion m_unreadable; // Highest version that could not be decoded here.
     std::uint32_t m_fewestConnections = 0; // That a server of any service accepts; 0 where no service says so.
     bool m_isDraining = false;
     bool m_wasReady = false;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -38,7 +38,6 @@
     RoutingVersion routingVersion() const { return m_routing->version; }
     std::size_t entryLinks() const { return m_mesh.entryLinks(); }
     std::size_t reachableStates() const { return m_mesh.reachable().size(); }
-    std::vector<BackendRecord> backends() const { return m_directory.all(); }
 
 private:
     /** What a quorum said after a question: the newest version, and its document where it is newer than the one here. */
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -336,11 +336,6 @@
     return uses;
 }
 
-std::size_t BackendBoard::servingOf(const ServiceId& service) const
-{
-    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [&service](const auto& it) { return it.second.record.service == service && it.second.record.state == BackendState::Serving; }));
-}
-
 std::vector<BackendRecord> BackendBoard::all() const
 {
     std::vector<BackendRecord> records;
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -87,7 +87,6 @@
 
     /** Own work at each backend server that has any. */
     std::map<BackendId, OtherUse> ownUse() const;
-    std::size_t servingOf(const ServiceId&) const;
     std::vector<BackendRecord> all() const;
 
 private:
--- a/src/placement/BackendHealth.cpp
+++ b/src/placement/BackendHealth.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr double averageWeight = 0.1; // Of the newest call.
 constexpr std::uint32_t tolerableFailuresInRow = 3;
 constexpr Duration firstTimeAside = std::chrono::milliseconds(400);
 constexpr Duration longestTimeAside = std::chrono::seconds(4);
@@ -24,7 +23,6 @@
 void BackendHealth::note(CallOutcome outcome, TimePoint now)
 {
     const auto isFailure = outcome != CallOutcome::Answered && outcome != CallOutcome::Rejected;
-    m_failures += averageWeight * ((isFailure ? 1.0 : 0.0) - m_failures);
     if (!isFailure) {
         m_failuresInRow = 0;
         if (outcome == CallOutcome::Answered) {
--- a/src/placement/BackendHealth.h
+++ b/src/placement/BackendHealth.h
@@ -25,14 +25,11 @@
     void reset();
     /** Set aside; a request goes there only where no other server is left. */
     bool isSetAside(TimePoint now) const { return now < m_asideUntil; }
-    /** Share of recent calls that failed, 0 to 1. */
-    double failureShare() const { return m_failures; }
     TimePoint lastAnswerAt() const { return m_answeredAt; }
 
 private:
     void setAside(TimePoint now);
 
-    double m_failures = 0; // Moving average over calls.
     std::uint32_t m_failuresInRow = 0;
     Duration m_asideFor {}; // Length of the last time aside; zero after an answer.
     TimePoint m_asideUntil {};
--- a/src/placement/RetryWindow.h
+++ b/src/placement/RetryWindow.h
@@ -27,7 +27,6 @@
     void noteFirst(TimePoint now);
     /** Takes one repeated send from the budget, if there is one. `instances` share the slack. */
     bool tryRepeat(std::uint32_t instances, TimePoint now);
-    std::size_t repeats() const { return m_repeats.size(); }
 
 private:
     void expire(TimePoint now);
