State links: pause when descriptors run out; listen behind a relay

A soak from outside needs to put a relay in front of the links, which fails as long as an instance listens on the address that it tells the others. Ruled out: closing the listener while descriptors are short: callers of other instances would see resets for it. Change: the same pause as HttpServer's; `links-bind` under [listen] names the address to listen on where it is another one. Before and after: no figure; behaviour without the key is as before. Conclusion: no test provokes the shortage itself.

--- a/src/links/StateMesh.cpp
+++ b/src/links/StateMesh.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "net/Listener.h"
+#include "net/Timer.h"
 #include "wire/Signed.h"
 #include "wire/ThriftCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
@@ -17,6 +18,7 @@
 constexpr Duration dialTimeout = std::chrono::milliseconds(700);
 constexpr Duration redialDelay = std::chrono::milliseconds(250);
 constexpr Duration maxRedialDelay = std::chrono::seconds(2); // An address that does not answer for long.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50); // Out of file descriptors: wait for connections to end.
 constexpr Duration toldWithin = std::chrono::seconds(30); // Only addresses with a sign of life are told on.
 
 } // namespace
@@ -107,10 +109,15 @@
     const auto keepAlive = shared_from_this();
     while (!isStopped) {
         auto [ec, socket] = co_await acceptor.async_accept(asTuple);
-        if (!ec)
+        if (!ec) {
             accept(std::move(socket));
-        else if (ec == asio::error::operation_aborted)
+        } else if (ec == asio::error::operation_aborted) {
             co_return;
+        } else {
+            Timer pause(loop.get_executor());
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(asTuple);
+        }
     }
 }
 
@@ -203,7 +210,7 @@
 StateMesh::StateMesh(asio::io_context& loop, Options options, Events events)
     : m_state(std::make_shared<State>(loop, std::move(options), std::move(events)))
 {
-    asio::co_spawn(loop, m_state->acceptLoop(openListener(loop, m_state->options.listen)), asio::detached);
+    asio::co_spawn(loop, m_state->acceptLoop(openListener(loop, m_state->options.bind.empty() ? m_state->options.listen : m_state->options.bind)), asio::detached);
 }
 
 StateMesh::~StateMesh()
--- a/src/links/StateMesh.h
+++ b/src/links/StateMesh.h
@@ -27,7 +27,8 @@
 class StateMesh {
 public:
     struct Options {
-        std::string listen; ///< `ip:port`; also this instance's name among the state instances.
+        std::string listen; ///< `ip:port` that others dial; also this instance's name among the state instances.
+        std::string bind; ///< `ip:port` to listen on, where it is another one.
         std::string instance;
         FailureDomainId failureDomain;
         Incarnation incarnation;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -47,6 +47,7 @@
     settings.metricsListen = reader.address("metrics");
     reader.required("links");
     settings.linkListen = reader.address("links");
+    settings.linkBind = reader.address("links-bind");
     reader.rejectUnknownKeys();
 }
 
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -30,7 +30,8 @@
     InstanceId instance;
     FailureDomainId failureDomain;
     std::vector<InstanceId> seeds; ///< Addresses of state instances' links, `ip:port`.
-    std::string linkListen; ///< `ip:port` for links; used by state instances.
+    std::string linkListen; ///< `ip:port` that others dial for links; used by state instances.
+    std::string linkBind; ///< `ip:port` to listen on for links where a relay stands before it; may be empty.
 
     std::string callerListen; ///< Entry instance: callers' HTTP.
     std::string readyListen; ///< Entry instance: health for the balancer.
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -43,7 +43,7 @@
     , m_settings(settings)
     , m_decoder(decoder)
     , m_isAlive(std::make_shared<bool>(true))
-    , m_mesh(loop, { .listen = settings.linkListen, .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .incarnation = Incarnation(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count())) },
+    , m_mesh(loop, { .listen = settings.linkListen, .bind = settings.linkBind, .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .incarnation = Incarnation(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count())) },
           {
               .stateMessage = [this](const auto& from, const auto& message) { takeFromState(from, message); },
               .entryMessage = [this](auto from, const auto& message) { takeFromEntry(from, message); },
