--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -281,6 +281,7 @@
         co_return result;
     }
     call.skipForeign([this](unsigned status, const HttpFields& fields) { return m_context.codec.judge(status, fields, m_call.id) == AnswerKind::OtherRequest; });
+    m_context.board.sent(callId, m_call.prompt, monotonicNow());
     const auto head = co_await call.begin(upstreamRequest(placement));
     result.wasSent = head.verdict != Verdict::NotRun;
     if (head.ec) {
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -57,6 +57,8 @@
                   } },
               .uses = [this](const auto& report) { takeUses(report); },
               .ownUses = [this] { return ownUses(); },
+              .keptPrompts = [this](const auto& prompts) { takeKeptPrompts(prompts); },
+              .ownKeptPrompts = [this] { return ownKeptPrompts(); },
               .held = [this] { return m_routing.version(); },
               .entryInstances = [this](auto n) {
                   if (std::exchange(m_context.entryInstances, n) != n)
@@ -138,12 +140,37 @@
     return report;
 }
 
-// The total holds what this instance told last; the difference is the others'.
-void EntryInstance::takeUses(const UseReport& report)
+std::vector<KeptPromptNews> EntryInstance::ownKeptPrompts()
+{
+    std::vector<KeptPromptNews> news;
+    for (const auto& it : m_board.takeKeptPrompts())
+        news.push_back({ .parts = it.parts, .backend = hashOf(it.backend.value()), .tokens = it.tokens });
+    return news;
+}
+
+std::map<std::uint32_t, BackendId> EntryInstance::backendsByHash() const
 {
     std::map<std::uint32_t, BackendId> known;
     for (const auto& it : m_board.all())
         known.emplace(hashOf(it.id.value()), it.id);
+    return known;
+}
+
+void EntryInstance::takeKeptPrompts(const std::vector<KeptPromptNews>& news)
+{
+    const auto known = backendsByHash();
+    const auto now = monotonicNow();
+    for (const auto& it : news) {
+        const auto backend = known.find(it.backend);
+        if (backend != known.end())
+            m_board.noteKeptPrompt({ .parts = it.parts, .backend = backend->second, .tokens = it.tokens }, now);
+    }
+}
+
+// The total holds what this instance told last; the difference is the others'.
+void EntryInstance::takeUses(const UseReport& report)
+{
+    const auto known = backendsByHash();
     m_board.clearOtherUse();
     for (const auto& it : report.uses) {
         const auto backend = known.find(it.backend);
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -43,6 +43,9 @@
     Task<void> tickLoop();
     void applyRouting(const RoutingDocument&);
     void takeUses(const UseReport&);
+    std::vector<KeptPromptNews> ownKeptPrompts();
+    void takeKeptPrompts(const std::vector<KeptPromptNews>&);
+    std::map<std::uint32_t, BackendId> backendsByHash() const;
     UseReport ownUses();
     HttpLimits callerLimits() const;
     void limitIdleConnections();
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -39,6 +39,7 @@
     void takeReply(const Wire::FreshnessReply&);
     void poll(Link&);
     void tellUse(Link&, bool always);
+    void tellKeptPrompts(Link&);
 
     asio::io_context& loop;
     Options options;
@@ -106,6 +107,7 @@
         if (isPoll)
             poll(*link);
         tellUse(*link, isPoll);
+        tellKeptPrompts(*link);
         wake.expires_after(options.useInterval);
         co_await wake.async_wait(asTuple);
     }
@@ -134,6 +136,16 @@
     link.send(uses);
 }
 
+void StateFeed::State::tellKeptPrompts(Link& link)
+{
+    const auto prompts = events.ownKeptPrompts();
+    if (prompts.empty())
+        return;
+    Wire::LinkMessage message;
+    message.__set_keptPrompts(toWire(prompts));
+    link.send(message);
+}
+
 void StateFeed::State::take(const Wire::LinkMessage& message)
 {
     if (message.__isset.hello) {
@@ -145,6 +157,8 @@
         events.backends(HickoryHollow::fromWire(message.fleetNews).records);
     } else if (message.__isset.uses) {
         events.uses(HickoryHollow::fromWire(message.uses));
+    } else if (message.__isset.keptPrompts) {
+        events.keptPrompts(HickoryHollow::fromWire(message.keptPrompts));
     } else if (message.__isset.freshnessReply) {
         takeReply(message.freshnessReply);
     }
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -38,6 +38,9 @@
         /** All entry instances together, this one included. */
         std::function<void(const UseReport&)> uses;
         std::function<UseReport()> ownUses;
+        /** Told by other entry instances, and by this one. */
+        std::function<void(const std::vector<KeptPromptNews>&)> keptPrompts;
+        std::function<std::vector<KeptPromptNews>()> ownKeptPrompts;
         std::function<RoutingVersion()> held;
         std::function<void(std::uint32_t)> entryInstances;
     };
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -28,6 +28,8 @@
 constexpr int missedAnnouncements = 5; // A backend server that was silent for so many intervals has lapsed.
 constexpr std::uint64_t journalBytesBeforeCompaction = 16ULL << 20U; // Of a disk of 128 MB that holds two generations.
 
+constexpr std::size_t maxKeptPrompts = 2000; // A tick; 300 instances that begin 60 requests a second tell of fewer.
+
 const std::string entrySource = "entry-";
 const std::string stateSource = "state-";
 
@@ -36,6 +38,13 @@
     return entrySource + std::to_string(id.value());
 }
 
+// What is over the limit is lost; the prompt is read once more than it need be.
+void append(std::vector<KeptPromptNews>& all, const std::vector<KeptPromptNews>& news)
+{
+    const auto n = std::min(news.size(), maxKeptPrompts - std::min(maxKeptPrompts, all.size()));
+    all.insert(all.end(), news.begin(), news.begin() + static_cast<std::ptrdiff_t>(n));
+}
+
 } // namespace
 
 StateInstance::StateInstance(asio::io_context& loop, const NodeSettings& settings, const RoutingDecoder& decoder)
@@ -128,6 +137,7 @@
         tellNews();
         m_uses.expire(useLifetime, now);
         tellUses(turn % ticksPerUseReport == 0);
+        tellKeptPrompts();
     }
 }
 
@@ -224,6 +234,19 @@
     m_toldToEntries = std::move(total);
 }
 
+void StateInstance::tellKeptPrompts()
+{
+    const auto take = [](std::vector<KeptPromptNews>& prompts) {
+        Wire::LinkMessage message;
+        message.__set_keptPrompts(toWire(std::exchange(prompts, {})));
+        return message;
+    };
+    if (!m_keptForStates.empty())
+        m_mesh.sendToStates(take(m_keptForStates));
+    if (!m_keptForEntries.empty())
+        m_mesh.sendToEntries(take(m_keptForEntries));
+}
+
 bool StateInstance::announce(const BackendRecord& record)
 {
     const auto outcome = m_directory.announce(record, monotonicNow());
@@ -259,6 +282,8 @@
         tellNews();
     } else if (isset.uses) {
         m_uses.set(stateSource + from.value(), HickoryHollow::fromWire(message.uses), monotonicNow());
+    } else if (isset.keptPrompts) {
+        append(m_keptForEntries, HickoryHollow::fromWire(message.keptPrompts));
     } else if (isset.freshnessPoll) {
         answerPoll(from, toUnsigned(message.freshnessPoll.id), RoutingVersion(toUnsigned(message.freshnessPoll.held)));
     } else if (isset.freshnessReply) {
@@ -290,6 +315,12 @@
         m_uses.set(sourceOf(from), HickoryHollow::fromWire(message.uses), monotonicNow());
         return;
     }
+    if (message.__isset.keptPrompts) {
+        const auto prompts = HickoryHollow::fromWire(message.keptPrompts);
+        append(m_keptForStates, prompts);
+        append(m_keptForEntries, prompts);
+        return;
+    }
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -57,6 +57,7 @@
     void greetState(const InstanceId&);
     void tellNews();
     void tellUses(bool always);
+    void tellKeptPrompts();
     void takeRouting(RoutingDocument);
 
     void confirmNewest(ConfirmationCallback);
@@ -76,6 +77,8 @@
     UseLedger m_uses;
     UseReport m_toldToStates; // The last report.
     UseReport m_toldToEntries; // The last report.
+    std::vector<KeptPromptNews> m_keptForStates; // From own entry instances, until the next tick; bounded.
+    std::vector<KeptPromptNews> m_keptForEntries; // From all, until the next tick; bounded.
     std::shared_ptr<const RoutingDocument> m_routing; // Committed; its version only grows.
     std::set<InstanceId> m_peersOfNode; // What the node was told last.
     std::set<InstanceId> m_peersOfDirectory;
--- a/src/node/UseCodec.cpp
+++ b/src/node/UseCodec.cpp
@@ -1,5 +1,6 @@
 #include "node/UseCodec.h"
 
+#include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 namespace HickoryHollow {
@@ -27,4 +28,24 @@
     return report;
 }
 
+Wire::KeptPrompts toWire(const std::vector<KeptPromptNews>& prompts)
+{
+    Wire::KeptPrompts wire;
+    for (const auto& it : prompts) {
+        auto& made = wire.prompts.emplace_back();
+        made.parts = toSigned(it.parts);
+        made.backend = static_cast<std::int32_t>(it.backend);
+        made.tokens = static_cast<std::int32_t>(it.tokens);
+    }
+    return wire;
+}
+
+std::vector<KeptPromptNews> fromWire(const Wire::KeptPrompts& wire)
+{
+    std::vector<KeptPromptNews> prompts;
+    for (const auto& it : wire.prompts)
+        prompts.push_back({ .parts = toUnsigned(it.parts), .backend = static_cast<std::uint32_t>(it.backend), .tokens = static_cast<std::uint32_t>(it.tokens) });
+    return prompts;
+}
+
 } // namespace HickoryHollow
--- a/src/node/UseCodec.h
+++ b/src/node/UseCodec.h
@@ -6,6 +6,7 @@
 #include "node/UseLedger.h"
 
 namespace HickoryHollow::Wire {
+class KeptPrompts;
 class UseReport;
 }
 
@@ -13,5 +14,7 @@
 
 Wire::UseReport toWire(const UseReport&);
 UseReport fromWire(const Wire::UseReport&);
+Wire::KeptPrompts toWire(const std::vector<KeptPromptNews>&);
+std::vector<KeptPromptNews> fromWire(const Wire::KeptPrompts&);
 
 } // namespace HickoryHollow
--- a/src/node/UseLedger.h
+++ b/src/node/UseLedger.h
@@ -22,6 +22,13 @@
     bool operator==(const BackendUse&) const = default;
 };
 
+/** A backend server keeps the shared parts of a prompt. */
+struct KeptPromptNews {
+    std::uint64_t parts = 0; ///< See hashOfSharedParts.
+    std::uint32_t backend = 0; ///< Hash of its address; see hashOf.
+    std::uint32_t tokens = 0;
+};
+
 struct UseReport {
     std::vector<BackendUse> uses;
     std::uint32_t entryInstances = 0; ///< That the report covers.
--- a/src/placement/AdmissionQueue.cpp
+++ b/src/placement/AdmissionQueue.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr Duration lowestBacklog = std::chrono::milliseconds(250); // Reading ahead of a request of the lowest priority.
-constexpr Duration backlogPerRank = std::chrono::milliseconds(750); // For each priority above the lowest.
+constexpr Duration lowestBacklog = std::chrono::milliseconds(150); // Reading ahead of a request of the lowest priority.
+constexpr Duration backlogPerRank = std::chrono::milliseconds(400); // For each priority above the lowest.
 
 } // namespace
 
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 #include <xxhash.h>
 
 namespace HickoryHollow {
@@ -16,13 +17,13 @@
 constexpr double millisecondsPerQueued = 50; // A request beyond the engine's slots waits for the end of another one.
 constexpr double millisecondsPerPlainCall = 30; // A call of a plain service that is ahead in the queue.
 constexpr double otherDomainMilliseconds = 3; // Distance and the price of bytes between failure domains.
-constexpr double rereadWeight = 6; // Reading a shared part once more also takes the time of all who come later.
+constexpr double rereadWeight = 4; // Reading a shared part once more also takes the time of all who come later.
 constexpr double homeRankMilliseconds = 30; // Makes all instances use the same next home.
 constexpr std::size_t maxHomes = 6; // In order; an engine that is none costs as much as one more.
 constexpr std::array<double, maxHomes> chanceKeptAtHome { 0.8, 0.5, 0.3, 0.1, 0, 0 }; // That the home has read the part for another instance.
 constexpr double interactiveElsewhereMilliseconds = 100; // A pause that a long prompt cuts into a stream.
 constexpr double promptSetApartMilliseconds = 1500; // Pauses for all interactive streams of the engine; waiting is better.
-constexpr double comfortableShare = 0.2; // Of an engine's slots, where steps are still short.
+constexpr double comfortableShare = 0.35; // Of an engine's slots, where steps are still short.
 constexpr double roundingSlack = 0.01; // Of an engine; a share that is whole but for rounding is not rounded up.
 constexpr double risingWeight = 0.5; // Of the newest count, twice a second.
 constexpr double fallingWeight = 0.05; // Moving an engine costs its cache, so it is given back slowly.
@@ -32,6 +33,7 @@
 constexpr double fleetSlownessWeight = 0.05; // Of the newest call; every call counts for it.
 constexpr double slownessUnderNoPressure = 1.3; // Of a service; single engines are slow for moments.
 constexpr double maxSlowness = 8;
+constexpr std::size_t maxUntoldPrompts = 256; // Between two reports, 150 ms apart; an instance begins fewer in that time.
 constexpr Duration lapseGrace = std::chrono::seconds(3); // A server that answers is there, whatever its announcements say.
 
 Duration toDuration(double milliseconds)
@@ -153,23 +155,24 @@
 }
 
 // A few engines in order of preference, the same at every instance. Engines that are set aside or set apart keep no home.
-std::vector<BackendId> BackendBoard::homesOf(const PlacementRequest& request, std::uint64_t key, TimePoint now) const
+BackendBoard::Homes BackendBoard::homesOf(const PlacementRequest& request, std::uint64_t key, TimePoint now) const
 {
+    Homes homes;
     std::vector<std::pair<std::uint64_t, BackendId>> weighted;
     for (const auto& [id, server] : m_servers) {
+        homes.isKeptSomewhere = homes.isKeptSomewhere || (isCandidate(server, request) && server.cache.keeps(key));
         const auto isServing = server.record.service == request.service && server.record.state == BackendState::Serving && !server.health.isSetAside(now);
         if (isServing && isSetApart(server) == request.isInteractive)
             weighted.emplace_back(rendezvousWeight(id, key), id);
     }
     const auto n = std::min(weighted.size(), maxHomes);
     std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(n), weighted.end(), std::greater<>());
-    std::vector<BackendId> homes;
     for (std::size_t i = 0; i < n; ++i)
-        homes.push_back(weighted[i].second);
+        homes.engines.push_back(weighted[i].second);
     return homes;
 }
 
-BackendBoard::Estimate BackendBoard::estimate(const Server& server, const PlacementRequest& request, const std::vector<BackendId>& homes) const
+BackendBoard::Estimate BackendBoard::estimate(const Server& server, const PlacementRequest& request, const Homes& homes) const
 {
     const auto distance = server.record.failureDomain == m_options.ownDomain ? 0.0 : otherDomainMilliseconds;
     const auto running = static_cast<double>(server.calls + server.others.requests);
@@ -184,8 +187,8 @@
     const auto kept = server.cache.keptTokens(request.prompt);
     const auto unreadShared = shared - std::min(shared, kept);
     const auto unread = request.prompt.tokens - std::min(kept, request.prompt.tokens);
-    const auto rank = static_cast<std::size_t>(std::find(homes.begin(), homes.end(), server.record.id) - homes.begin());
-    const auto chanceKept = rank < homes.size() ? chanceKeptAtHome[rank] : 0.0;
+    const auto rank = static_cast<std::size_t>(std::find(homes.engines.begin(), homes.engines.end(), server.record.id) - homes.engines.begin());
+    const auto chanceKept = rank < homes.engines.size() && !homes.isKeptSomewhere ? chanceKeptAtHome[rank] : 0.0;
     const auto expectedShared = static_cast<double>(unreadShared) * (1 - chanceKept);
     const auto expectedUnread = std::max(0.0, static_cast<double>(unread) - static_cast<double>(unreadShared) * chanceKept);
     const auto ahead = static_cast<double>(server.waitingTokens + server.others.promptTokens);
@@ -230,7 +233,7 @@
 std::optional<Placement> BackendBoard::choose(const PlacementRequest& request, TimePoint now)
 {
     const auto key = hashOfSharedParts(request.prompt);
-    const auto homes = key == 0 ? std::vector<BackendId>() : homesOf(request, key, now);
+    const auto homes = key == 0 ? Homes() : homesOf(request, key, now);
     const Server* best = nullptr;
     auto bestRank = 0;
     Estimate bestEstimate;
@@ -261,7 +264,7 @@
         .burden = toDuration(burdenOf(bestEstimate, request.service)),
         .backlog = toDuration(ahead / tokensPerMillisecond * best->slowness),
         .unreadTokens = bestEstimate.unreadTokens,
-        .isAtHome = !homes.empty() && homes.front() == best->record.id,
+        .isAtHome = !homes.engines.empty() && homes.engines.front() == best->record.id,
         .isSetApart = isSetApart(*best),
         .isAside = bestRank > 0,
     };
@@ -277,7 +280,6 @@
         ++it->second.calls;
         it->second.interactiveCalls += call.isInteractive ? 1 : 0;
         it->second.waitingTokens += call.unreadTokens;
-        it->second.cache.add(request.prompt);
     }
     if (request.isInteractive)
         m_partitions.try_emplace(request.service);
@@ -285,6 +287,34 @@
     return id;
 }
 
+void BackendBoard::sent(CallId id, const Prompt& prompt, TimePoint now)
+{
+    const auto call = m_calls.find(id);
+    const auto it = call == m_calls.end() ? m_servers.end() : m_servers.find(call->second.backend);
+    if (it == m_servers.end() || it->second.record.incarnation != call->second.incarnation)
+        return;
+    call->second.addedParts = it->second.cache.add(prompt);
+    const auto shared = hashOfSharedParts(prompt);
+    if (shared == 0 || m_keptPrompts.size() >= maxUntoldPrompts || !it->second.cache.shouldTell(shared, now))
+        return;
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        tokens += prompt.parts[i].tokens;
+    m_keptPrompts.push_back({ .parts = shared, .backend = call->second.backend, .tokens = tokens });
+}
+
+std::vector<KeptPrompt> BackendBoard::takeKeptPrompts()
+{
+    return std::exchange(m_keptPrompts, {});
+}
+
+void BackendBoard::noteKeptPrompt(const KeptPrompt& kept, TimePoint now)
+{
+    const auto it = m_servers.find(kept.backend);
+    if (it != m_servers.end())
+        it->second.cache.addTold(kept.parts, kept.tokens, now);
+}
+
 void BackendBoard::firstPiece(CallId id, TimePoint now)
 {
     const auto found = m_calls.find(id);
@@ -323,6 +353,8 @@
     server.interactiveCalls -= std::min(server.interactiveCalls, call.isInteractive ? 1U : 0U);
     if (!call.hasFirstPiece)
         server.waitingTokens -= std::min(server.waitingTokens, call.unreadTokens);
+    if (!call.hasFirstPiece && outcome != CallOutcome::Answered)
+        server.cache.forget(call.addedParts);
     server.health.note(outcome, now);
 }
 
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -56,6 +56,13 @@
     std::uint32_t interactive = 0; ///< Of the requests.
 };
 
+/** A server has read, or is about to read, the shared parts of a prompt. */
+struct KeptPrompt {
+    std::uint64_t parts = 0; ///< See hashOfSharedParts.
+    BackendId backend;
+    std::uint32_t tokens = 0;
+};
+
 class BackendBoard {
 public:
     struct Options {
@@ -82,9 +89,15 @@
     void noteLife(CallId, TimePoint now);
     std::optional<Placement> choose(const PlacementRequest&, TimePoint now);
     CallId begin(const Placement&, const PlacementRequest&, TimePoint now);
+    /** The request is on its way to the server. */
+    void sent(CallId, const Prompt&, TimePoint now);
     void firstPiece(CallId, TimePoint now);
     void end(CallId, CallOutcome, TimePoint now);
 
+    /** What was sent since the last call and the other instances should hear of. */
+    std::vector<KeptPrompt> takeKeptPrompts();
+    /** Another instance sent it. */
+    void noteKeptPrompt(const KeptPrompt&, TimePoint now);
     /** Own work at each backend server that has any. */
     std::map<BackendId, OtherUse> ownUse() const;
     std::vector<BackendRecord> all() const;
@@ -110,6 +123,7 @@
         bool isInteractive = false;
         Duration expected {};
         TimePoint begunAt {};
+        std::vector<std::uint64_t> addedParts {}; // To the picture of the server's cache, by this call.
     };
 
     /** Engines of a service that interactive requests prefer and long prompts avoid. */
@@ -136,9 +150,15 @@
         std::uint32_t unreadTokens = 0;
     };
 
+    /** Where the shared parts of a prompt belong. */
+    struct Homes {
+        std::vector<BackendId> engines; ///< In order of preference.
+        bool isKeptSomewhere = false; ///< Some engine is known to keep them, so that chances need not be guessed.
+    };
+
     double burdenOf(const Estimate&, const ServiceId&) const;
-    Estimate estimate(const Server&, const PlacementRequest&, const std::vector<BackendId>& homes) const;
-    std::vector<BackendId> homesOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
+    Estimate estimate(const Server&, const PlacementRequest&, const Homes&) const;
+    Homes homesOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
 
     Options m_options;
     RandomSource& m_random;
@@ -147,6 +167,7 @@
     std::map<ServiceId, double> m_fleetSlowness; // Measured against expected time to the first piece, over all servers.
     std::map<ServiceId, Partition> m_partitions; // Of services that have interactive requests.
     std::map<CallId, Call> m_calls;
+    std::vector<KeptPrompt> m_keptPrompts; // Not yet taken; bounded.
     std::uint64_t m_lastCall = 0;
 };
 
--- a/src/placement/PromptCache.cpp
+++ b/src/placement/PromptCache.cpp
@@ -5,6 +5,12 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+constexpr Duration tellAgainAfter = std::chrono::seconds(3); // A part in use is told as often by all instances together.
+
+} // namespace
+
 std::uint64_t hashOfParts(const Prompt& prompt, std::size_t last)
 {
     auto hash = XXH64(prompt.model.data(), prompt.model.size(), 0);
@@ -20,28 +26,71 @@
 
 std::uint32_t PromptCache::keptTokens(const Prompt& prompt) const
 {
+    // A hash covers all parts before it, and a prefix is used whenever a longer one is.
+    std::uint32_t tokens = 0;
     std::uint32_t kept = 0;
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        if (!m_entries.contains(hashOfParts(prompt, i)))
-            break;
-        kept += prompt.parts[i].tokens;
+        tokens += prompt.parts[i].tokens;
+        if (m_entries.contains(hashOfParts(prompt, i)))
+            kept = tokens;
     }
     return std::min(kept, prompt.tokens);
 }
 
-void PromptCache::add(const Prompt& prompt)
+PromptCache::Entry& PromptCache::touch(std::uint64_t hash, std::uint32_t tokens)
+{
+    const auto known = m_entries.find(hash);
+    if (known != m_entries.end()) {
+        m_byUse.splice(m_byUse.begin(), m_byUse, known->second.use);
+        return known->second;
+    }
+    m_byUse.push_front(hash);
+    m_tokens += tokens;
+    return m_entries.emplace(hash, Entry { .tokens = tokens, .use = m_byUse.begin() }).first->second;
+}
+
+std::vector<std::uint64_t> PromptCache::add(const Prompt& prompt)
 {
+    std::vector<std::uint64_t> added;
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        const auto id = hashOfParts(prompt, i);
-        const auto known = m_entries.find(id);
-        if (known != m_entries.end()) {
-            m_byUse.splice(m_byUse.begin(), m_byUse, known->second.use);
+        const auto hash = hashOfParts(prompt, i);
+        if (!m_entries.contains(hash))
+            added.push_back(hash);
+        touch(hash, prompt.parts[i].tokens);
+    }
+    evict();
+    return added;
+}
+
+void PromptCache::addTold(std::uint64_t hash, std::uint32_t tokens, TimePoint now)
+{
+    touch(hash, tokens).toldAt = now;
+    evict();
+}
+
+void PromptCache::forget(const std::vector<std::uint64_t>& hashes)
+{
+    for (const auto hash : hashes) {
+        const auto it = m_entries.find(hash);
+        if (it == m_entries.end())
             continue;
-        }
-        m_byUse.push_front(id);
-        m_entries.emplace(id, Entry { .tokens = prompt.parts[i].tokens, .use = m_byUse.begin() });
-        m_tokens += prompt.parts[i].tokens;
+        m_tokens -= it->second.tokens;
+        m_byUse.erase(it->second.use);
+        m_entries.erase(it);
     }
+}
+
+bool PromptCache::shouldTell(std::uint64_t hash, TimePoint now)
+{
+    const auto it = m_entries.find(hash);
+    if (it == m_entries.end() || (it->second.toldAt != TimePoint() && now - it->second.toldAt < tellAgainAfter))
+        return false;
+    it->second.toldAt = now;
+    return true;
+}
+
+void PromptCache::evict()
+{
     while (m_tokens > m_capacity && !m_byUse.empty()) {
         const auto oldest = m_entries.find(m_byUse.back());
         m_tokens -= oldest->second.tokens;
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -8896,6 +8896,250 @@
 }
 
 
+KeptPrompt::~KeptPrompt() noexcept {
+}
+
+
+void KeptPrompt::__set_parts(const int64_t val) {
+  this->parts = val;
+}
+
+void KeptPrompt::__set_backend(const int32_t val) {
+  this->backend = val;
+}
+
+void KeptPrompt::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeptPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptPrompt");
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptPrompt &a, KeptPrompt &b) {
+  using ::std::swap;
+  swap(a.parts, b.parts);
+  swap(a.backend, b.backend);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+KeptPrompt::KeptPrompt(const KeptPrompt& other228) noexcept {
+  parts = other228.parts;
+  backend = other228.backend;
+  tokens = other228.tokens;
+  __isset = other228.__isset;
+}
+KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other229) noexcept {
+  parts = other229.parts;
+  backend = other229.backend;
+  tokens = other229.tokens;
+  __isset = other229.__isset;
+  return *this;
+}
+void KeptPrompt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptPrompt(";
+  out << "parts=" << to_string(parts);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+KeptPrompts::~KeptPrompts() noexcept {
+}
+
+
+void KeptPrompts::__set_prompts(const std::vector<KeptPrompt> & val) {
+  this->prompts = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptPrompts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prompts.clear();
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->prompts.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
+            {
+              xfer += this->prompts[_i234].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeptPrompts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptPrompts");
+
+  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
+    std::vector<KeptPrompt> ::const_iterator _iter235;
+    for (_iter235 = this->prompts.begin(); _iter235 != this->prompts.end(); ++_iter235)
+    {
+      xfer += (*_iter235).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptPrompts &a, KeptPrompts &b) {
+  using ::std::swap;
+  swap(a.prompts, b.prompts);
+  swap(a.__isset, b.__isset);
+}
+
+KeptPrompts::KeptPrompts(const KeptPrompts& other236) {
+  prompts = other236.prompts;
+  __isset = other236.__isset;
+}
+KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other237) {
+  prompts = other237.prompts;
+  __isset = other237.__isset;
+  return *this;
+}
+void KeptPrompts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptPrompts(";
+  out << "prompts=" << to_string(prompts);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -8944,6 +9188,11 @@
   this->uses = val;
 __isset.uses = true;
 }
+
+void LinkMessage::__set_keptPrompts(const KeptPrompts& val) {
+  this->keptPrompts = val;
+__isset.keptPrompts = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -9044,6 +9293,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->keptPrompts.read(iprot);
+          this->__isset.keptPrompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9106,6 +9363,11 @@
     xfer += this->uses.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.keptPrompts) {
+    xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->keptPrompts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9122,32 +9384,35 @@
   swap(a.routingSubmitReply, b.routingSubmitReply);
   swap(a.routing, b.routing);
   swap(a.uses, b.uses);
+  swap(a.keptPrompts, b.keptPrompts);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other228) {
-  hello = other228.hello;
-  agreement = other228.agreement;
-  fleetNews = other228.fleetNews;
-  freshnessPoll = other228.freshnessPoll;
-  freshnessReply = other228.freshnessReply;
-  routingSubmit = other228.routingSubmit;
-  routingSubmitReply = other228.routingSubmitReply;
-  routing = other228.routing;
-  uses = other228.uses;
-  __isset = other228.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other229) {
-  hello = other229.hello;
-  agreement = other229.agreement;
-  fleetNews = other229.fleetNews;
-  freshnessPoll = other229.freshnessPoll;
-  freshnessReply = other229.freshnessReply;
-  routingSubmit = other229.routingSubmit;
-  routingSubmitReply = other229.routingSubmitReply;
-  routing = other229.routing;
-  uses = other229.uses;
-  __isset = other229.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other238) {
+  hello = other238.hello;
+  agreement = other238.agreement;
+  fleetNews = other238.fleetNews;
+  freshnessPoll = other238.freshnessPoll;
+  freshnessReply = other238.freshnessReply;
+  routingSubmit = other238.routingSubmit;
+  routingSubmitReply = other238.routingSubmitReply;
+  routing = other238.routing;
+  uses = other238.uses;
+  keptPrompts = other238.keptPrompts;
+  __isset = other238.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other239) {
+  hello = other239.hello;
+  agreement = other239.agreement;
+  fleetNews = other239.fleetNews;
+  freshnessPoll = other239.freshnessPoll;
+  freshnessReply = other239.freshnessReply;
+  routingSubmit = other239.routingSubmit;
+  routingSubmitReply = other239.routingSubmitReply;
+  routing = other239.routing;
+  uses = other239.uses;
+  keptPrompts = other239.keptPrompts;
+  __isset = other239.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -9162,6 +9427,7 @@
   out << ", " << "routingSubmitReply="; (__isset.routingSubmitReply ? (out << to_string(routingSubmitReply)) : (out << "<null>"));
   out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
   out << ", " << "uses="; (__isset.uses ? (out << to_string(uses)) : (out << "<null>"));
+  out << ", " << "keptPrompts="; (__isset.keptPrompts ? (out << to_string(keptPrompts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -147,6 +147,10 @@
 
 class UseReport;
 
+class KeptPrompt;
+
+class KeptPrompts;
+
 class LinkMessage;
 
 typedef struct _Member__isset {
@@ -3788,8 +3792,107 @@
 
 std::ostream& operator<<(std::ostream& out, const UseReport& obj);
 
+typedef struct _KeptPrompt__isset {
+  _KeptPrompt__isset() : parts(false), backend(false), tokens(false) {}
+  bool parts :1;
+  bool backend :1;
+  bool tokens :1;
+} _KeptPrompt__isset;
+
+class KeptPrompt : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptPrompt(const KeptPrompt&) noexcept;
+  KeptPrompt& operator=(const KeptPrompt&) noexcept;
+  KeptPrompt() noexcept
+             : parts(0),
+               backend(0),
+               tokens(0) {
+  }
+
+  virtual ~KeptPrompt() noexcept;
+  int64_t parts;
+  int32_t backend;
+  int32_t tokens;
+
+  _KeptPrompt__isset __isset;
+
+  void __set_parts(const int64_t val);
+
+  void __set_backend(const int32_t val);
+
+  void __set_tokens(const int32_t val);
+
+  bool operator == (const KeptPrompt & rhs) const
+  {
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptPrompt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptPrompt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptPrompt &a, KeptPrompt &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj);
+
+typedef struct _KeptPrompts__isset {
+  _KeptPrompts__isset() : prompts(false) {}
+  bool prompts :1;
+} _KeptPrompts__isset;
+
+class KeptPrompts : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptPrompts(const KeptPrompts&);
+  KeptPrompts& operator=(const KeptPrompts&);
+  KeptPrompts() noexcept {
+  }
+
+  virtual ~KeptPrompts() noexcept;
+  std::vector<KeptPrompt>  prompts;
+
+  _KeptPrompts__isset __isset;
+
+  void __set_prompts(const std::vector<KeptPrompt> & val);
+
+  bool operator == (const KeptPrompts & rhs) const
+  {
+    if (!(prompts == rhs.prompts))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptPrompts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptPrompts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptPrompts &a, KeptPrompts &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -3799,6 +3902,7 @@
   bool routingSubmitReply :1;
   bool routing :1;
   bool uses :1;
+  bool keptPrompts :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -3819,6 +3923,7 @@
   RoutingSubmitReply routingSubmitReply;
   RoutingDocument routing;
   UseReport uses;
+  KeptPrompts keptPrompts;
 
   _LinkMessage__isset __isset;
 
@@ -3840,6 +3945,8 @@
 
   void __set_uses(const UseReport& val);
 
+  void __set_keptPrompts(const KeptPrompts& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3878,6 +3985,10 @@
       return false;
     else if (__isset.uses && !(uses == rhs.uses))
       return false;
+    if (__isset.keptPrompts != rhs.__isset.keptPrompts)
+      return false;
+    else if (__isset.keptPrompts && !(keptPrompts == rhs.keptPrompts))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -125,6 +125,11 @@
 // Sum over the sender's entry instances, or the sender itself.
 struct UseReport { 1: list<BackendUse> uses, 2: i32 entryInstances }
 
+// A backend server, by the hash of its address, keeps the parts of a prompt, by their hash.
+struct KeptPrompt { 1: i64 parts, 2: i32 backend, 3: i32 tokens }
+// Since the sender's last such message.
+struct KeptPrompts { 1: list<KeptPrompt> prompts }
+
 union LinkMessage {
   1: LinkHello hello
   2: AgreementMessage agreement
@@ -135,4 +140,5 @@
   7: RoutingSubmitReply routingSubmitReply
   8: RoutingDocument routing
   9: UseReport uses
+  10: KeptPrompts keptPrompts
 }
