--- a/bench/replay/Policy.cpp
+++ b/bench/replay/Policy.cpp
@@ -226,6 +226,7 @@
 std::vector<std::string> policyNames()
 {
     std::vector<std::string> names;
+    names.reserve(products.size() + plainWays.size());
     for (const auto& [name, parts] : products)
         names.push_back(name);
     for (const auto& [name, way] : plainWays)
--- a/bench/replay/main.cpp
+++ b/bench/replay/main.cpp
@@ -46,7 +46,7 @@
     std::cout << fmt::format(" {:>8} {:>8}\n", "M read", "M again");
 }
 
-void play(Load load, const std::string& only, const std::string& pictures)
+void play(const Load& load, const std::string& only, const std::string& pictures)
 {
     printHead(load);
     std::vector<Row> rows;
