Divide engines from the first request on; a test for work whose time ends at a server

Cause: an instance set engines apart only after its own first interactive request. A mutation trial (a request whose time ended at a server answered 503) passed all tests. Change: the configuration says which services have interactive routes, and the board divides their engines at once. A test holds that work which may have run gets 504.

--- a/bench/replay/Policy.cpp
+++ b/bench/replay/Policy.cpp
@@ -43,6 +43,8 @@
             record.slots = options.engine.slots;
             m_board.merge(record);
         }
+        if (parts.setsApart)
+            m_board.setInteractiveServices({ service }, {});
     }
 
     void offer(const Offer& offered, TimePoint now) override
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -113,6 +113,7 @@
         if (it.engine)
             m_board.setEngine(it.id, it.engine->slots, it.engine->tokenCapacity);
     }
+    m_board.setInteractiveServices(m_routing.table()->interactiveServices(), monotonicNow());
     if (!m_routing.mayServeKeys(monotonicNow()))
         m_feed.pollNow();
     logEvent(LogEvent::RoutingApplied, "version={}", document.version.value());
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -87,6 +87,14 @@
     }
 }
 
+void BackendBoard::setInteractiveServices(const std::set<ServiceId>& services, TimePoint now)
+{
+    std::erase_if(m_partitions, [&services](const auto& it) { return !services.contains(it.first); });
+    for (const auto& it : services)
+        m_partitions.try_emplace(it);
+    repartition(now);
+}
+
 void BackendBoard::setOtherUse(const BackendId& id, OtherUse use)
 {
     const auto it = m_servers.find(id);
@@ -281,8 +289,6 @@
         it->second.interactiveCalls += call.isInteractive ? 1 : 0;
         it->second.waitingTokens += call.unreadTokens;
     }
-    if (request.isInteractive)
-        m_partitions.try_emplace(request.service);
     m_calls.emplace(id, call);
     return id;
 }
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -76,6 +76,8 @@
     bool merge(const BackendRecord&);
     /** Engines of the service keep so many tokens each. */
     void setEngine(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
+    /** Only these services have interactive requests; their engines are divided from the first request on. */
+    void setInteractiveServices(const std::set<ServiceId>&, TimePoint now);
     void setOtherUse(const BackendId&, OtherUse);
     void clearOtherUse();
     /** Others' use is up to date: decides anew how many engines interactive requests need for themselves. */
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -72,6 +72,14 @@
     return limit != m_interactivePauses.end() && route.betweenPiecesTarget <= limit->second;
 }
 
+std::set<ServiceId> RouteTable::interactiveServices() const
+{
+    std::set<ServiceId> services;
+    for (const auto& [service, pause] : m_interactivePauses)
+        services.insert(service);
+    return services;
+}
+
 const RouteRule* RouteTable::find(std::string_view host, std::string_view path) const
 {
     const auto routes = m_byHost.find(normalisedHost(host));
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -6,6 +6,7 @@
 #include "routing/RoutingConfiguration.h"
 
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -25,6 +26,8 @@
     const RoutedService* service(const ServiceId&) const;
     /** Its callers notice pauses that long prompts of other routes of the service cut into running streams. */
     bool isInteractive(const RouteRule&) const;
+    /** Services that have such routes, beside others. */
+    std::set<ServiceId> interactiveServices() const;
     /** Of the least urgent route of the service. */
     std::uint32_t lowestPriority(const ServiceId&) const;
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -47,6 +47,7 @@
         board.setEngine(models, 48, 440'000);
         for (int i = 1; i <= servers; ++i)
             board.merge(server(i));
+        board.setInteractiveServices({ models }, start);
     }
 
     /** Places, begins and ends one request. */
@@ -79,6 +80,7 @@
 TEST_CASE("shared parts spread over the engines", "[placement]")
 {
     Board it(9);
+    it.board.setInteractiveServices({}, start);
     std::map<BackendId, int> homes;
     for (std::uint64_t part = 100; part < 190; ++part)
         ++homes[it.serve(draft(part, part + 1000), start)];
@@ -115,6 +117,26 @@
         CHECK_FALSE(ofEdits.contains(it.serve(draft(part, part + 1000), start)));
 }
 
+TEST_CASE("long prompts keep off the engines of interactive streams from the first request on", "[placement]")
+{
+    Board it(9);
+    std::set<BackendId> ofDrafts;
+    for (std::uint64_t part = 100; part < 160; ++part)
+        ofDrafts.insert(it.serve(draft(part, part + 1000), start));
+    for (std::uint64_t i = 0; i < 30; ++i)
+        CHECK_FALSE(ofDrafts.contains(it.serve(edit(2000 + i), start)));
+}
+
+TEST_CASE("a service that has no interactive route any more uses all its engines alike", "[placement]")
+{
+    Board it(9);
+    it.board.setInteractiveServices({}, start);
+    std::set<BackendId> ofDrafts;
+    for (std::uint64_t part = 100; part < 190; ++part)
+        ofDrafts.insert(it.serve(draft(part, part + 1000), start));
+    CHECK(ofDrafts.size() == 9);
+}
+
 TEST_CASE("with one engine everything goes there", "[placement]")
 {
     Board it(1);
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -54,6 +54,23 @@
     CHECK(bench.writer.response->status == 502);
 }
 
+TEST_CASE("work whose time ends at a server may have run, and is not refused as not run", "[routed]")
+{
+    RoutedBench bench;
+    auto silent = RoutedBench::answer("late");
+    silent.isStalled = true;
+    bench.upstream.scripts = { silent };
+    auto made = RoutedBench::request("/order/7");
+    HttpFields fields;
+    for (const auto& it : made.fields.all())
+        fields.add(it.name, it.name == "Deadline-Ms" ? "60" : it.value);
+    made.fields = fields;
+    bench.run(made);
+    REQUIRE(bench.writer.response);
+    // 504 promises nothing; 503 would promise that it never ran.
+    CHECK(bench.writer.response->status == 504);
+}
+
 TEST_CASE("work that a server refused goes to another one", "[routed]")
 {
     RoutedBench bench;
