Leave a home that cannot confirm after its first word

The bound is 2 s. Ruled out: late delivery (the instance applied 18 within 6 ms of its third home's link); kept prompts (none involved). Change: a state instance that answers that it cannot confirm, and has not confirmed since the link was opened, is left at once; one that has confirmed before still has 1.5 s for an election. The test fails on the code before: four polls at each. Before and after: test 4 polls at a home that cannot confirm, now 1. Conclusion: mended for the traced case; an instance may still spend 0.4 s at each of two homes.

--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -53,6 +53,8 @@
     std::uint64_t lastPoll = 0;
     TimePoint confirmedAt {}; // When the last confirmation came, or the link was opened.
     bool isPollDue = false;
+    bool hasConfirmed = false; // The home, since its link was opened.
+    bool isRefused = false; // The home said that it cannot confirm, and never did.
     bool isStopped = false;
 };
 
@@ -95,6 +97,8 @@
 {
     askedAt.clear();
     confirmedAt = monotonicNow();
+    hasConfirmed = false;
+    isRefused = false;
     link->start([state = shared_from_this()](const auto& message) { state->take(message); }, [state = shared_from_this()] { state->wake.cancel(); });
     Wire::LinkHello hello;
     hello.instance = options.instance;
@@ -102,7 +106,7 @@
     Wire::LinkMessage message;
     message.__set_hello(hello);
     link->send(message);
-    for (int turn = 0; !isStopped && link->isOpen() && monotonicNow() - confirmedAt <= options.patience; ++turn) {
+    for (int turn = 0; !isStopped && !isRefused && link->isOpen() && monotonicNow() - confirmedAt <= options.patience; ++turn) {
         const auto isPoll = std::exchange(isPollDue, false) || turn % options.reportsPerPoll == 0;
         if (isPoll)
             poll(*link);
@@ -178,8 +182,14 @@
     const auto at = asked->second;
     askedAt.erase(askedAt.begin(), std::next(asked));
     events.entryInstances(static_cast<std::uint32_t>(std::max(reply.entryInstances, 1)));
-    if (!reply.confirmed)
+    if (!reply.confirmed) {
+        // One that did confirm may be in an election; a new one that cannot may be cut off from the others for long.
+        isRefused = !hasConfirmed;
+        if (isRefused)
+            wake.cancel();
         return;
+    }
+    hasConfirmed = true;
     confirmedAt = monotonicNow();
     events.confirmed(RoutingVersion(toUnsigned(reply.version)), at);
 }
