--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -18,8 +18,7 @@
 class FakeHome {
 public:
     FakeHome(asio::io_context& loop, const std::string& address, bool confirms)
-        : m_loop(loop)
-        , m_confirms(confirms)
+        : m_confirms(confirms)
     {
         asio::co_spawn(loop, acceptLoop(openListener(loop, address)), asio::detached);
     }
@@ -52,7 +51,6 @@
         link.send(answer);
     }
 
-    asio::io_context& m_loop;
     bool m_confirms;
     int m_polls = 0;
     std::vector<std::shared_ptr<Link>> m_links;
