Hash the parts of a prompt once a choice, not once a server

Ruled out: caching the hashes inside Prompt: a second state that must follow its parts. Change: prefixesOf() gives hash and tokens of each beginning of a prompt in one pass; choose() computes it once, and the board, the caches and the replay's engines use it in place of hashOfParts, hashOfSharedParts and their own sums. Hashes are the same. Conclusion: behaviour as before, less work on a request's path.

--- a/bench/replay/EngineModel.cpp
+++ b/bench/replay/EngineModel.cpp
@@ -22,15 +22,19 @@
 std::uint32_t EngineModel::keptTokens(const Prompt& prompt) const
 {
     std::uint32_t kept = 0;
-    for (std::size_t i = 0; i < prompt.parts.size() && m_kept.contains(hashOfParts(prompt, i)); ++i)
-        kept += prompt.parts[i].tokens;
+    for (const auto& it : prefixesOf(prompt)) {
+        if (!m_kept.contains(it.hash))
+            break;
+        kept = it.tokens;
+    }
     return std::min(kept, prompt.tokens);
 }
 
 void EngineModel::keep(const Prompt& prompt)
 {
-    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        const auto hash = hashOfParts(prompt, i);
+    const auto prefixes = prefixesOf(prompt);
+    for (std::size_t i = 0; i < prefixes.size(); ++i) {
+        const auto hash = prefixes[i].hash;
         const auto known = m_kept.find(hash);
         if (known != m_kept.end()) {
             m_keptByUse.splice(m_keptByUse.begin(), m_keptByUse, known->second.use);
@@ -51,11 +55,10 @@
 void EngineModel::noteReading(const Prompt& prompt, std::uint32_t kept)
 {
     m_tokensRead += prompt.tokens - kept;
-    std::uint32_t end = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        end += prompt.parts[i].tokens;
-        const auto isRead = end > kept;
-        if (isRead && m_readBefore && !m_readBefore->insert(hashOfParts(prompt, i)).second)
+    const auto prefixes = prefixesOf(prompt);
+    for (std::size_t i = 0; i + 1 < prefixes.size(); ++i) {
+        const auto isRead = prefixes[i].tokens > kept;
+        if (isRead && m_readBefore && !m_readBefore->insert(prefixes[i].hash).second)
             m_tokensReread += prompt.parts[i].tokens;
     }
 }
--- a/src/node/UseLedger.h
+++ b/src/node/UseLedger.h
@@ -24,7 +24,7 @@
 
 /** A backend server keeps the shared parts of a prompt. */
 struct KeptPromptNews {
-    std::uint64_t parts = 0; ///< See hashOfSharedParts.
+    std::uint64_t parts = 0; ///< Hash; see sharedPrefixOf.
     std::uint32_t backend = 0; ///< Hash of its address; see hashOf.
     std::uint32_t tokens = 0;
 };
--- a/src/placement/BackendBoard.cpp
+++ b/src/placement/BackendBoard.cpp
@@ -180,7 +180,7 @@
     return homes;
 }
 
-BackendBoard::Estimate BackendBoard::estimate(const Server& server, const PlacementRequest& request, const Homes& homes) const
+BackendBoard::Estimate BackendBoard::estimate(const Server& server, const PlacementRequest& request, const std::vector<PromptPrefix>& prefixes, const Homes& homes) const
 {
     const auto distance = server.record.failureDomain == m_options.ownDomain ? 0.0 : otherDomainMilliseconds;
     const auto running = static_cast<double>(server.calls + server.others.requests);
@@ -189,12 +189,10 @@
         const auto time = distance + running / slots * millisecondsPerPlainCall * server.slowness;
         return { .cost = time, .time = time, .rereading = 0, .unreadTokens = 0 };
     }
-    std::uint32_t shared = 0;
-    for (std::size_t i = 0; i + 1 < request.prompt.parts.size(); ++i)
-        shared += request.prompt.parts[i].tokens;
-    const auto kept = server.cache.keptTokens(request.prompt);
+    const auto shared = sharedPrefixOf(prefixes).tokens;
+    const auto kept = std::min(server.cache.keptTokens(prefixes), request.prompt.tokens);
     const auto unreadShared = shared - std::min(shared, kept);
-    const auto unread = request.prompt.tokens - std::min(kept, request.prompt.tokens);
+    const auto unread = request.prompt.tokens - kept;
     const auto rank = static_cast<std::size_t>(std::find(homes.engines.begin(), homes.engines.end(), server.record.id) - homes.engines.begin());
     const auto chanceKept = rank < homes.engines.size() && !homes.isKeptSomewhere ? chanceKeptAtHome[rank] : 0.0;
     const auto expectedShared = static_cast<double>(unreadShared) * (1 - chanceKept);
@@ -240,7 +238,8 @@
 
 std::optional<Placement> BackendBoard::choose(const PlacementRequest& request, TimePoint now)
 {
-    const auto key = hashOfSharedParts(request.prompt);
+    const auto prefixes = prefixesOf(request.prompt);
+    const auto key = sharedPrefixOf(prefixes).hash;
     const auto homes = key == 0 ? Homes() : homesOf(request, key, now);
     const Server* best = nullptr;
     auto bestRank = 0;
@@ -251,7 +250,7 @@
             continue;
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
         const auto rank = (server.health.isSetAside(now) ? 1 : 0) + (isLapsed ? 2 : 0);
-        const auto it = estimate(server, request, homes);
+        const auto it = estimate(server, request, prefixes, homes);
         const auto isTie = best && rank == bestRank && it.cost == bestEstimate.cost;
         const auto isBetter = !best || rank < bestRank || (rank == bestRank && it.cost < bestEstimate.cost);
         ties = isTie ? ties + 1 : ties;
@@ -300,13 +299,10 @@
     if (it == m_servers.end() || it->second.record.incarnation != call->second.incarnation)
         return;
     call->second.addedParts = it->second.cache.add(prompt);
-    const auto shared = hashOfSharedParts(prompt);
-    if (shared == 0 || m_keptPrompts.size() >= maxUntoldPrompts || !it->second.cache.shouldTell(shared, now))
+    const auto shared = sharedPrefixOf(prefixesOf(prompt));
+    if (shared.hash == 0 || m_keptPrompts.size() >= maxUntoldPrompts || !it->second.cache.shouldTell(shared.hash, now))
         return;
-    std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-        tokens += prompt.parts[i].tokens;
-    m_keptPrompts.push_back({ .parts = shared, .backend = call->second.backend, .tokens = tokens });
+    m_keptPrompts.push_back({ .parts = shared.hash, .backend = call->second.backend, .tokens = shared.tokens });
 }
 
 std::vector<KeptPrompt> BackendBoard::takeKeptPrompts()
--- a/src/placement/BackendBoard.h
+++ b/src/placement/BackendBoard.h
@@ -58,7 +58,7 @@
 
 /** A server has read, or is about to read, the shared parts of a prompt. */
 struct KeptPrompt {
-    std::uint64_t parts = 0; ///< See hashOfSharedParts.
+    std::uint64_t parts = 0; ///< Hash; see sharedPrefixOf.
     BackendId backend;
     std::uint32_t tokens = 0;
 };
@@ -159,7 +159,7 @@
     };
 
     double burdenOf(const Estimate&, const ServiceId&) const;
-    Estimate estimate(const Server&, const PlacementRequest&, const Homes&) const;
+    Estimate estimate(const Server&, const PlacementRequest&, const std::vector<PromptPrefix>&, const Homes&) const;
     Homes homesOf(const PlacementRequest&, std::uint64_t key, TimePoint now) const;
 
     Options m_options;
--- a/src/placement/PromptCache.cpp
+++ b/src/placement/PromptCache.cpp
@@ -11,30 +11,29 @@
 
 } // namespace
 
-std::uint64_t hashOfParts(const Prompt& prompt, std::size_t last)
+std::vector<PromptPrefix> prefixesOf(const Prompt& prompt)
 {
-    auto hash = XXH64(prompt.model.data(), prompt.model.size(), 0);
-    for (std::size_t i = 0; i <= last && i < prompt.parts.size(); ++i)
-        hash = XXH64(&prompt.parts[i].id, sizeof(prompt.parts[i].id), hash);
-    return hash;
+    std::vector<PromptPrefix> prefixes;
+    prefixes.reserve(prompt.parts.size());
+    PromptPrefix prefix { .hash = XXH64(prompt.model.data(), prompt.model.size(), 0) };
+    for (const auto& it : prompt.parts) {
+        prefix.hash = XXH64(&it.id, sizeof(it.id), prefix.hash);
+        prefix.tokens += it.tokens;
+        prefixes.push_back(prefix);
+    }
+    return prefixes;
 }
 
-std::uint64_t hashOfSharedParts(const Prompt& prompt)
+PromptPrefix sharedPrefixOf(const std::vector<PromptPrefix>& prefixes)
 {
-    return prompt.parts.size() < 2 ? 0 : hashOfParts(prompt, prompt.parts.size() - 2);
+    return prefixes.size() < 2 ? PromptPrefix {} : prefixes[prefixes.size() - 2];
 }
 
-std::uint32_t PromptCache::keptTokens(const Prompt& prompt) const
+std::uint32_t PromptCache::keptTokens(const std::vector<PromptPrefix>& prefixes) const
 {
     // A hash covers all parts before it, and a prefix is used whenever a longer one is.
-    std::uint32_t tokens = 0;
-    std::uint32_t kept = 0;
-    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        tokens += prompt.parts[i].tokens;
-        if (m_entries.contains(hashOfParts(prompt, i)))
-            kept = tokens;
-    }
-    return std::min(kept, prompt.tokens);
+    const auto longest = std::find_if(prefixes.rbegin(), prefixes.rend(), [this](const auto& it) { return m_entries.contains(it.hash); });
+    return longest == prefixes.rend() ? 0 : longest->tokens;
 }
 
 PromptCache::Entry& PromptCache::touch(std::uint64_t hash, std::uint32_t tokens)
@@ -52,8 +51,9 @@
 std::vector<std::uint64_t> PromptCache::add(const Prompt& prompt)
 {
     std::vector<std::uint64_t> added;
-    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        const auto hash = hashOfParts(prompt, i);
+    const auto prefixes = prefixesOf(prompt);
+    for (std::size_t i = 0; i < prefixes.size(); ++i) {
+        const auto hash = prefixes[i].hash;
         if (!m_entries.contains(hash))
             added.push_back(hash);
         touch(hash, prompt.parts[i].tokens);
--- a/src/placement/PromptCache.h
+++ b/src/placement/PromptCache.h
@@ -14,6 +14,12 @@
 
 namespace HickoryHollow {
 
+/** The parts of a prompt up to one of them. */
+struct PromptPrefix {
+    std::uint64_t hash = 0; ///< Of the parts, and of the model.
+    std::uint32_t tokens = 0; ///< Of all the parts.
+};
+
 class PromptCache {
 public:
     explicit PromptCache(std::uint64_t capacityTokens)
@@ -21,13 +27,13 @@
     {
     }
 
-    /** The parts of this hash need not be read; see hashOfParts. */
+    /** The parts of this hash need not be read; see PromptPrefix. */
     bool keeps(std::uint64_t hash) const { return m_entries.contains(hash); }
-    /** Tokens at the start of the prompt that need not be read. */
-    std::uint32_t keptTokens(const Prompt&) const;
+    /** Tokens at the start of the prompt that need not be read; `prefixes` are all of it. */
+    std::uint32_t keptTokens(const std::vector<PromptPrefix>& prefixes) const;
     /** The engine has read the prompt, or is about to. Gives the hashes that were not thought to be kept before. */
     std::vector<std::uint64_t> add(const Prompt&);
-    /** Another instance says that the engine keeps the parts of this hash; see hashOfParts. */
+    /** Another instance says that the engine keeps the parts of this hash; see PromptPrefix. */
     void addTold(std::uint64_t hash, std::uint32_t tokens, TimePoint now);
     /** What add() gave; the prompt was not read after all. */
     void forget(const std::vector<std::uint64_t>& hashes);
@@ -52,9 +58,9 @@
     std::list<std::uint64_t> m_byUse; // Most recently used first.
 };
 
-/** Hash of the parts up to and with number `last`, and of the model. */
-std::uint64_t hashOfParts(const Prompt&, std::size_t last);
-/** Hash of the parts that other requests share; 0 where there are none. */
-std::uint64_t hashOfSharedParts(const Prompt&);
+/** One for each part, the shortest first. */
+std::vector<PromptPrefix> prefixesOf(const Prompt&);
+/** The parts that other requests share: all but the last one. Hash and tokens are 0 where there are none. */
+PromptPrefix sharedPrefixOf(const std::vector<PromptPrefix>& prefixes);
 
 } // namespace HickoryHollow
--- a/test/correctness/kept_prompts.cpp
+++ b/test/correctness/kept_prompts.cpp
@@ -121,7 +121,7 @@
 {
     Instance it(1, 1);
     it.board.noteKeptPrompt({ .parts = 1, .backend = BackendId("10.9.9.9:1"), .tokens = 12000 }, start);
-    const auto shared = hashOfSharedParts(draft(100, 1).prompt);
+    const auto shared = sharedPrefixOf(prefixesOf(draft(100, 1).prompt)).hash;
     it.board.noteKeptPrompt({ .parts = shared, .backend = BackendId("10.0.0.1:1"), .tokens = 12000 }, start);
     CHECK(it.board.choose(draft(100, 1), start)->unreadTokens == 3000);
     BackendRecord anew { .id = BackendId("10.0.0.1:1"), .incarnation = Incarnation(2), .sequence = 1, .service = models, .serverName = "s1" };
