Check the lease again right before sending, and bound what a server without end can fill

Cause, from the operators' list and the reading of the code: - A connection may take 400 ms, or as long as the process is suspended there; the lease on keys was checked before, and the time left was computed before. UpstreamCall::checkBeforeSending() runs once the connection is open. - An event without end was held until the deadline, and whole answers up to 16 MB each. BufferBudget bounds them together; answers up to 64 KB always pass, so that endless ones stop no usual ones. - Bytes that are no answer: the framing between two parts of a body grew the read buffer without a bound, and an answer to another request was read to its end, however long. - Comments in a stream counted as its first token and as activity, so a stalled server could look alive. - A queued request whose service lost all servers waited until its caller left. Ruled out: an endless status line and header fields end the call already (Beast's limit of 8 KB); a second copy of an answer is skipped by its id and its connection not reused, which tests cover.

--- a/src/base/RouterError.cpp
+++ b/src/base/RouterError.cpp
@@ -42,6 +42,7 @@
     ErrorRow { RouterError::CallerGone, "caller_gone", 499, "the caller closed the connection before the response was complete" },
     ErrorRow { RouterError::InvalidSettings, "invalid_settings", 400, "the settings are invalid" },
     ErrorRow { RouterError::AnswerNotKept, "answer_not_kept", 409, "the request ran, but its response was too large to record" },
+    ErrorRow { RouterError::SendForbidden, "send_forbidden", 503, "the request must not be sent any more" },
 };
 
 const ErrorRow& rowOf(RouterError error)
--- a/src/base/RouterError.h
+++ b/src/base/RouterError.h
@@ -37,6 +37,7 @@
     CallerGone,
     InvalidSettings,
     AnswerNotKept,
+    SendForbidden,
 };
 
 /** Category of RouterError. */
--- a/src/forwarding/AsyncAdmissionQueue.cpp
+++ b/src/forwarding/AsyncAdmissionQueue.cpp
@@ -33,6 +33,13 @@
         it->second->isOver = true;
         it->second->timer.cancel();
     }
+    for (const auto& id : m_queue.takeUnplaceable(now)) {
+        const auto it = m_waiters.find(id);
+        if (it == m_waiters.end())
+            continue;
+        it->second->isOver = true;
+        it->second->timer.cancel();
+    }
 }
 
 } // namespace HickoryHollow
--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "forwarding/BufferBudget.h"
 #include "metrics/Metrics.h"
 #include "net/Task.h"
 #include "placement/RetryWindow.h"
@@ -36,6 +37,7 @@
     std::uint32_t entryInstances = 1; ///< Entry instances that share the retry budget; last count from the state instances.
     TimePoint startedAt = monotonicNow(); ///< Start of this process.
     std::optional<TimePoint> drainEnd = {}; ///< Time by which a draining process ends; empty unless it is draining.
+    BufferBudget answerBytes = BufferBudget(); ///< Bytes of answers that are held until they are complete.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Upper limit of the retry-after time sent to shed requests.
 };
 
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -280,16 +280,27 @@
 {
     AttemptResult result;
     // If the process was suspended after the admission, the key may have been revoked since; then nothing is sent.
-    if (m_workspace && !hasLease()) {
+    const auto maySend = [this] { return !m_workspace || hasLease(); };
+    const auto forbid = [&result] {
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
         result.cause = "configuration-unconfirmed";
-        co_return result;
-    }
+        return result;
+    };
+    if (!maySend())
+        co_return forbid();
+    call.checkBeforeSending([this, maySend, &placement](HttpRequest& request) {
+        if (!maySend())
+            return false;
+        request = makeUpstreamRequest(placement); // With the time that is left now.
+        return true;
+    });
     call.skipMismatchedResponses([this](unsigned status, const HttpFields& fields) { return m_context.codec.classifyResponse(status, fields, m_metadata.id) == ResponseKind::OtherRequest; });
     m_context.selector.recordSent(callId, m_metadata.prompt, monotonicNow());
     const auto head = co_await call.begin(makeUpstreamRequest(placement));
     result.wasSent = head.verdict != Verdict::NotRun;
+    if (head.ec == RouterError::SendForbidden)
+        co_return forbid();
     if (head.ec) {
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
         result.outcome = result.wasSent ? CallOutcome::Broken : CallOutcome::Unreachable;
@@ -326,10 +337,12 @@
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
+    BufferBudget::Share held(m_context.answerBytes);
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
-        if (chunk.ec || result.answer.body.size() + chunk.bytes.size() > maxWholeAnswerBytes) {
-            result.cause = "answer-broken";
+        const auto size = result.answer.body.size() + chunk.bytes.size();
+        if (chunk.ec || size > maxWholeAnswerBytes || !held.resize(size)) {
+            result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
             co_return result;
         }
         result.answer.body.append(chunk.bytes);
@@ -362,20 +375,28 @@
     m_events = EventStreamScanner(EventStreamScanner::EndMarker::None);
     if (last)
         m_events.skipThrough(*last);
+    BufferBudget::Share held(m_context.answerBytes);
     for (;;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
             co_return result;
         }
+        const auto progressBefore = m_events.progressCount();
         auto bytes = m_events.feed(chunk.bytes);
+        if (m_events.isOversized() || !held.resize(m_events.incompleteEvent().size())) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
         std::string lastBytes;
         if (chunk.isLast && !m_events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(m_events.incompleteEvent());
             bytes = lastBytes;
         }
         if (!bytes.empty() || chunk.isLast) {
-            recordChunk(callId);
+            // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
+            if (chunk.isLast || m_events.progressCount() > progressBefore)
+                recordChunk(callId);
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
                 ec = co_await m_writer.write(bytes);
--- a/src/http/EventStreamScanner.cpp
+++ b/src/http/EventStreamScanner.cpp
@@ -17,6 +17,19 @@
     return lineFeeds == std::string_view::npos ? lineFeeds : lineFeeds + 2;
 }
 
+/** True if the event has only comment lines, which begin with a colon. */
+bool isComment(std::string_view event)
+{
+    for (std::size_t line = 0; line < event.size(); line = event.find('\n', line) + 1) {
+        const auto first = event[line];
+        if (first != ':' && first != '\n' && first != '\r')
+            return false;
+        if (event.find('\n', line) == std::string_view::npos)
+            break;
+    }
+    return true;
+}
+
 } // namespace
 
 std::string_view EventStreamScanner::feed(std::string_view bytes)
@@ -65,6 +78,7 @@
 {
     if (!isNewEvent(event))
         return false;
+    m_progressCount += isComment(event) ? 0 : 1;
     constexpr std::string_view dataField = "data:";
     const auto data = event.find(dataField);
     if (data == std::string_view::npos)
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -37,6 +37,8 @@
     std::string_view incompleteEvent() const { return m_pending; }
     /** Number of events with data that feed() returned, not counting the end marker. */
     std::uint32_t eventCount() const { return m_eventCount; }
+    /** Number of events that feed() returned and that are more than comments, which a stalled server may send as well. */
+    std::uint32_t progressCount() const { return m_progressCount; }
     /** True if an incomplete event exceeds 1 MiB; the stream should then be abandoned. */
     bool isOversized() const { return m_pending.size() > maxEventBytes; }
 
@@ -51,6 +53,7 @@
     std::string m_output; // Result of the last feed().
     std::string m_pending; // Start of an incomplete event.
     std::uint32_t m_eventCount = 0;
+    std::uint32_t m_progressCount = 0;
     bool m_isComplete = false;
 };
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -23,9 +23,13 @@
 
 using Stream = beast::basic_stream<asio::ip::tcp, Executor>;
 
+// Room for a response header or for the framing between two parts of a body, with what the socket delivers beyond it.
+constexpr std::size_t maxBufferedBytes = 64UL << 10U;
+
 struct Connection {
     explicit Connection(asio::io_context& loop)
         : stream(loop)
+        , buf(maxBufferedBytes)
     {
     }
 
@@ -117,11 +121,17 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
-        fillMessage(request);
+        auto checked = request;
+        if (m_beforeSend && !m_beforeSend(checked)) {
+            m_pool->put(m_address, std::move(m_connection));
+            head.ec = make_error_code(RouterError::SendForbidden);
+            co_return head;
+        }
+        fillMessage(checked);
         m_connection->stream.expires_after(m_timeouts.head);
         // A failed write may have sent part of the request, so the request may have run from here on.
         head.verdict = Verdict::MayHaveRun;
-        if (request.body.size() > maxSynchronousBodyBytes) {
+        if (checked.body.size() > maxSynchronousBodyBytes) {
             startWrite();
         } else {
             const auto [writeEc, written] = co_await http::async_write(m_connection->stream, *m_message, asTuple);
@@ -148,6 +158,7 @@
     }
 
     void skipMismatchedResponses(const IsMismatchedResponse& test) override { m_isMismatched = test; }
+    void checkBeforeSending(const BeforeSend& check) override { m_beforeSend = check; }
     bool reusedConnection() const override { return m_reusedConnection; }
 
     Task<UpstreamChunk> readChunk() override
@@ -189,6 +200,7 @@
     static constexpr std::size_t readBufferBytes = 4096;
     static constexpr std::size_t maxSynchronousBodyBytes = 8192; // A server may respond before it has read a larger body.
     static constexpr int maxSkippedResponses = 2;
+    static constexpr std::size_t maxSkippedBytes = 256UL << 10U; // Of one response; reading on would delay the request's own.
     static constexpr int maxLostProbes = 2; // A working link may lose a single probe.
     static constexpr Duration keepAliveMargin = std::chrono::milliseconds(1500); // Servers count whole seconds of their clock.
 
@@ -271,12 +283,16 @@
         if (m_parser->need_eof())
             co_return make_error_code(RouterError::UpstreamMalformed);
         m_skippedResponse = true;
+        std::size_t skippedBytes = 0;
         while (!m_parser->is_done()) {
             m_parser->get().body().data = m_readBuffer.data();
             m_parser->get().body().size = m_readBuffer.size();
             const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser, asTuple);
             if (ec && ec != http::error::need_buffer)
                 co_return timeoutOr(ec, RouterError::UpstreamBroken);
+            skippedBytes += m_readBuffer.size() - m_parser->get().body().size;
+            if (skippedBytes > maxSkippedBytes)
+                co_return make_error_code(RouterError::UpstreamMalformed);
         }
         co_return co_await readHead();
     }
@@ -317,6 +333,7 @@
     std::shared_ptr<Message> m_message; // Also owned by an asynchronous write.
     std::optional<Parser> m_parser;
     IsMismatchedResponse m_isMismatched;
+    BeforeSend m_beforeSend;
     std::shared_ptr<bool> m_isWriting; // True until an asynchronous write of the request succeeds; null if begin writes it.
     bool m_skippedResponse = false;
     bool m_reusedConnection = false;
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -53,6 +53,12 @@
 /** True for the header of a response to another request, which a faulty server sent late on a reused connection. */
 using IsMismatchedResponse = std::function<bool(unsigned status, const HttpFields&)>;
 
+/**
+ * Called once a connection is open, right before the first byte of the request is sent, which may be long after begin() was
+ * called. May adjust the request to the time that has passed; returns false if it must not be sent any more.
+ */
+using BeforeSend = std::function<bool(HttpRequest&)>;
+
 /** One request to one backend server. Its destructor closes the connection if the response was not read to its end. */
 class UpstreamCall {
 public:
@@ -64,6 +70,11 @@
     virtual Task<UpstreamChunk> readChunk() = 0;
     /** Makes begin skip responses for which `test` is true, two at most. Call before begin. */
     virtual void skipMismatchedResponses(const IsMismatchedResponse&) { }
+    /**
+     * Sets the last check before the request is sent; without one, it is sent as passed to begin(). If the check forbids
+     * it, begin() returns RouterError::SendForbidden with Verdict::NotRun.
+     */
+    virtual void checkBeforeSending(const BeforeSend&) { }
     /** True if the request was sent on a connection that had served another request. Valid after begin. */
     virtual bool reusedConnection() const { return false; }
     /** Makes a pending begin or read end with an error. Call on the event loop of the call only. */
--- a/src/placement/AdmissionQueue.cpp
+++ b/src/placement/AdmissionQueue.cpp
@@ -65,4 +65,16 @@
     return grants;
 }
 
+std::vector<WaiterId> AdmissionQueue::takeUnplaceable(TimePoint now)
+{
+    std::vector<WaiterId> ids;
+    std::erase_if(m_waiters, [&](const auto& it) {
+        const auto isUnplaceable = now >= it.second.queueUntil && !m_selector.hasCandidate(it.second.request);
+        if (isUnplaceable)
+            ids.push_back(std::get<WaiterId>(it.first));
+        return isUnplaceable;
+    });
+    return ids;
+}
+
 } // namespace HickoryHollow
--- a/src/placement/AdmissionQueue.h
+++ b/src/placement/AdmissionQueue.h
@@ -53,6 +53,8 @@
      * tens of milliseconds.
      */
     std::vector<std::pair<WaiterId, Grant>> placeWaiting(TimePoint now);
+    /** Removes and returns the requests that may not wait any longer although their service has no server left. */
+    std::vector<WaiterId> takeUnplaceable(TimePoint now);
     /** Number of waiting requests. */
     std::size_t size() const { return m_waiters.size(); }
 
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -2,6 +2,7 @@
  * Failures at each step of a request on a configured route: what the caller receives, and which requests are never sent a
  * second time.
  */
+#include "http/EventStreamScanner.h"
 #include "test/fakes/RoutedBench.h"
 
 #include <catch2/catch.hpp>
@@ -294,3 +295,87 @@
     bench.run(RoutedBench::request("/order/7"));
     CHECK(bench.writer.response->body == "fifth");
 }
+
+TEST_CASE("an event that does not end is given up before it fills the memory", "[routed]")
+{
+    RoutedBench bench;
+    auto endless = RoutedBench::answer("");
+    endless.contentType = "text/event-stream";
+    endless.chunks = { "id: 1\ndata: a\n\n" };
+    for (int i = 0; i < 64; ++i)
+        endless.chunks.push_back(std::string(64UL << 10U, 'x'));
+    bench.upstream.scripts = { endless };
+    bench.run(RoutedBench::request("/chat/7"));
+    CHECK(bench.writer.isAbandoned);
+    CHECK(bench.writer.streamed == "id: 1\ndata: a\n\n");
+    CHECK(bench.context.answerBytes.used() == 0);
+}
+
+TEST_CASE("whole answers that do not end leave room for the usual ones", "[routed]")
+{
+    RoutedBench bench;
+    BufferBudget::Share endless(bench.context.answerBytes);
+    REQUIRE(endless.resize(BufferBudget::defaultLimit));
+    bench.upstream.scripts = { RoutedBench::answer("usual") };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "usual");
+    CHECK_FALSE(endless.resize(BufferBudget::defaultLimit + 1));
+}
+
+TEST_CASE("an answer beyond the memory for answers is an error that does not claim that nothing ran", "[routed]")
+{
+    RoutedBench bench;
+    BufferBudget::Share others(bench.context.answerBytes);
+    REQUIRE(others.resize(BufferBudget::defaultLimit));
+    auto large = RoutedBench::answer("");
+    large.chunks = { std::string(40UL << 10U, 'x'), std::string(40UL << 10U, 'x'), "" };
+    bench.upstream.scripts = { large };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 502);
+}
+
+TEST_CASE("comments of a stream count neither as its first token nor as progress", "[routed]")
+{
+    RoutedBench bench;
+    auto stalled = RoutedBench::answer("");
+    stalled.contentType = "text/event-stream";
+    stalled.chunks = { ": still here\n\n", ":\n\n" };
+    stalled.bodyError = make_error_code(RouterError::UpstreamBroken);
+    bench.upstream.scripts = { stalled };
+    bench.run(RoutedBench::request("/chat/7"));
+    REQUIRE(bench.upstream.addresses.size() == 1);
+    CHECK_FALSE(bench.selector.wasActiveSince(BackendId(bench.upstream.addresses[0]), TimePoint(1us)));
+    EventStreamScanner scanner(EventStreamScanner::EndMarker::None);
+    scanner.feed(": still here\n\n:\r\n\r\n");
+    CHECK(scanner.progressCount() == 0);
+    scanner.feed("id: 3\n: note\ndata: x\n\n");
+    CHECK(scanner.progressCount() == 1);
+}
+
+TEST_CASE("a request whose lease ends while it waits for a connection is not sent", "[routed]")
+{
+    RoutedBench bench;
+    auto slow = RoutedBench::answer("too late");
+    slow.beforeSending = [&bench] { bench.expireLease(); };
+    bench.upstream.scripts = { slow, slow };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+    CHECK(bench.upstream.requests.empty());
+}
+
+TEST_CASE("a request that waited for a connection tells the server the time that is left then", "[routed]")
+{
+    RoutedBench bench;
+    auto slow = RoutedBench::answer("in time");
+    slow.beforeSending = [] {
+        const auto until = monotonicNow() + std::chrono::milliseconds(30);
+        while (monotonicNow() < until) { }
+    };
+    bench.upstream.scripts = { slow };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.upstream.requests.size() == 1);
+    CHECK(std::stoi(std::string(bench.upstream.requests[0].fields.find("Deadline-Ms"))) <= 4000 - 30);
+}
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -12,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,7 @@
     std::string contentType = "application/json";
     std::optional<std::string> echoedAttemptId; ///< Attempt id in the response header; the id of the request if unset.
     bool saysNotRun = false; ///< The response header has the verdict `not-run`.
+    std::function<void()> beforeSending; ///< Runs once a connection is open, before the check that precedes the request.
     bool isStalled = false; ///< No header is received until the call is cancelled.
     std::vector<HttpField> fields; ///< Additional header fields.
     std::vector<std::string> chunks;
@@ -57,8 +59,15 @@
 
         Task<UpstreamHead> begin(const HttpRequest& request) override
         {
-            m_owner.requests.push_back(request);
             UpstreamHead head;
+            auto checked = request;
+            if (m_script.beforeSending)
+                m_script.beforeSending();
+            if (m_check && !m_check(checked)) {
+                head.ec = make_error_code(RouterError::SendForbidden);
+                co_return head;
+            }
+            m_owner.requests.push_back(checked);
             if (m_script.isStalled) {
                 m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, Timer::time_point::max());
                 co_await m_stall->async_wait(asTuple);
@@ -68,7 +77,7 @@
             head.verdict = m_script.beginVerdict;
             head.status = m_script.status;
             head.fields.add("Content-Type", m_script.contentType);
-            head.fields.add("X-Hickory-Attempt-Id", m_script.echoedAttemptId.value_or(std::string(request.fields.find("X-Hickory-Attempt-Id"))));
+            head.fields.add("X-Hickory-Attempt-Id", m_script.echoedAttemptId.value_or(std::string(checked.fields.find("X-Hickory-Attempt-Id"))));
             for (const auto& it : m_script.fields)
                 head.fields.add(it.name, it.value);
             if (m_script.saysNotRun)
@@ -87,6 +96,8 @@
             co_return chunk;
         }
 
+        void checkBeforeSending(const BeforeSend& check) override { m_check = check; }
+
         void cancel() override
         {
             if (m_stall)
@@ -98,6 +109,7 @@
         Script m_script;
         std::size_t m_next = 0;
         std::unique_ptr<Timer> m_stall;
+        BeforeSend m_check;
     };
 };
 
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -71,6 +71,13 @@
     /** Confirms the configuration as the newest one; its lease starts now. */
     void confirm(Duration lease) { routing.confirm(routing.version(), monotonicNow(), lease); }
 
+    /** Ends the lease at once, as a suspension of the process past its end does. */
+    void expireLease()
+    {
+        routing = ActiveRouting();
+        routing.apply(configuration());
+    }
+
     static HttpRequest request(const std::string& path, const std::string& key = "good-key")
     {
         HttpRequest http { .method = "POST", .target = path, .fields = {}, .body = "body" };
