--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t maxEntriesPerMessage = 512;
+// Each heartbeat sends the entries again that a silent peer has not acknowledged, until its link closes.
+constexpr std::size_t maxCommandBytesPerMessage = 1UL << 20U;
 constexpr std::size_t maxTrackedRounds = 1024;
 constexpr Duration joinRequestInterval = std::chrono::milliseconds(500);
 constexpr Duration snapshotResendTimeout = std::chrono::seconds(5);
@@ -300,7 +302,7 @@
             request.previousIndex = LogIndex(first.value() - 1);
             request.previousTerm = m_log.termAt(request.previousIndex).value_or(Term(0));
         }
-        request.entries = m_log.slice(successor(request.previousIndex), maxEntriesPerMessage);
+        request.entries = m_log.slice(successor(request.previousIndex), maxEntriesPerMessage, maxCommandBytesPerMessage);
         peer.nextIndex = LogIndex(request.previousIndex.value() + request.entries.size() + 1);
     }
     peer.lastSentAt = now;
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -113,7 +113,7 @@
     std::optional<Term> termAt(LogIndex index) const { return m_log.termAt(index); }
     /** Voters as of the entry at `index`, which must not be discarded. */
     Members membersAt(LogIndex index) const { return m_log.membersAt(index); }
-    std::vector<LogEntry> entriesAfter(LogIndex index) const { return m_log.slice(LogIndex(index.value() + 1), SIZE_MAX); }
+    std::vector<LogEntry> entriesAfter(LogIndex index) const { return m_log.slice(LogIndex(index.value() + 1), SIZE_MAX, SIZE_MAX); }
     /** True if this replica is the leader, holds the leader lease and has output every committed entry of earlier terms.
      *  Until the lease ends no other replica can be elected, so the applied state has every acknowledged command. */
     bool mayServeReads(TimePoint now) const;
--- a/src/agreement/ReplicaLog.cpp
+++ b/src/agreement/ReplicaLog.cpp
@@ -63,11 +63,16 @@
     m_membersIndex = std::max(m_membersIndex, m_base);
 }
 
-std::vector<LogEntry> ReplicaLog::slice(LogIndex first, std::size_t maxCount) const
+std::vector<LogEntry> ReplicaLog::slice(LogIndex first, std::size_t maxCount, std::size_t maxBytes) const
 {
     std::vector<LogEntry> entries;
-    for (auto it = first; it <= last() && entries.size() < maxCount; it = LogIndex(it.value() + 1))
+    std::size_t bytes = 0;
+    for (auto it = first; it <= last() && entries.size() < maxCount; it = LogIndex(it.value() + 1)) {
+        bytes += at(it).command.size();
+        if (!entries.empty() && bytes > maxBytes)
+            break;
         entries.push_back(at(it));
+    }
     return entries;
 }
 
--- a/src/agreement/ReplicaLog.h
+++ b/src/agreement/ReplicaLog.h
@@ -34,8 +34,8 @@
     void truncateFrom(LogIndex first);
     /** Discards the entries up to and including `index`, which a snapshot now includes. */
     void compactTo(LogIndex index);
-    /** Copies of up to `maxCount` entries, starting at index `first`. */
-    std::vector<LogEntry> slice(LogIndex first, std::size_t maxCount) const;
+    /** Copies of up to `maxCount` entries with commands of up to `maxBytes`, but at least one, starting at index `first`. */
+    std::vector<LogEntry> slice(LogIndex first, std::size_t maxCount, std::size_t maxBytes) const;
 
     /** Voters according to the latest membership entry, whether it is committed or not. */
     const Members& members() const { return m_members; }
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -45,6 +45,7 @@
     RoutingRejected = 4104,
     RoutingApplied = 4105,
     RoutingUnreadable = 4106,
+    RoutingDeltaUnusable = 4107,
     StorageFailed = 5001,
     StorageTailCut = 5002,
     StorageDamaged = 5003,
--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -11,6 +11,12 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+constexpr std::size_t maxWriteBytes = 64UL << 10U; // Frames up to this size together are passed to the socket in one call.
+
+} // namespace
+
 Link::Link(PeerSocket&& socket, const LinkOptions& options)
     : m_socket(std::move(socket))
     , m_options(options)
@@ -34,23 +40,38 @@
 
 void Link::send(const Wire::LinkMessage& message)
 {
-    sendFrame(encodeFrame(encodeThrift(message)));
+    sendFrame(std::make_shared<const std::string>(encodeFrame(encodeThrift(message))));
 }
 
-void Link::sendFrame(const std::string& frame)
+void Link::sendFrame(SharedFrame frame)
 {
     if (!m_isOpen)
         return;
-    m_writeQueue += frame;
-    if (m_writeQueue.size() > m_options.maxQueuedBytes)
+    m_queue.push(std::move(frame));
+    if (m_queue.queuedBytes() > m_options.maxQueuedBytes)
         close();
-    else if (!m_isWriting)
+    else
+        wakeWriter();
+}
+
+void Link::sendLatest(LinkSubject subject, FrameSource source)
+{
+    if (!m_isOpen)
+        return;
+    m_queue.pushLatest(subject, std::move(source));
+    wakeWriter();
+}
+
+void Link::wakeWriter()
+{
+    if (!m_isWriting)
         m_wake.cancel();
 }
 
 void Link::close()
 {
     m_isOpen = false;
+    m_queue = {};
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_wake.cancel();
@@ -86,10 +107,9 @@
 Task<void> Link::writeLoop()
 {
     const auto self = shared_from_this();
-    const auto keepAliveFrame = encodeFrame({});
-    std::string buf;
+    const auto keepAliveFrame = std::make_shared<const std::string>(encodeFrame({}));
     while (m_isOpen) {
-        if (m_writeQueue.empty()) {
+        if (m_queue.isEmpty()) {
             m_wake.expires_after(m_options.keepAliveInterval);
             const auto [ec] = co_await m_wake.async_wait(asTuple);
             if (!ec && monotonicNow() - m_lastReceivedAt > m_options.silenceLimit)
@@ -97,14 +117,16 @@
         }
         if (!m_isOpen)
             break;
-        buf.swap(m_writeQueue);
-        m_writeQueue.clear();
-        if (buf.empty())
-            buf = keepAliveFrame;
+        auto frames = m_queue.take(maxWriteBytes);
+        if (frames.empty())
+            frames.push_back(keepAliveFrame);
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(frames.size());
+        for (const auto& it : frames)
+            buffers.push_back(asio::buffer(*it));
         m_isWriting = true;
-        const auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(buf), asTuple);
+        const auto [ec, n] = co_await asio::async_write(m_socket, buffers, asTuple);
         m_isWriting = false;
-        buf.clear();
         if (ec || monotonicNow() - m_lastReceivedAt > m_options.silenceLimit)
             break;
     }
--- a/src/links/Link.h
+++ b/src/links/Link.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "links/LinkQueue.h"
 #include "net/Task.h"
 #include "net/Timer.h"
 #include "peer/FrameIo.h"
@@ -25,7 +26,7 @@
     Duration keepAliveInterval = std::chrono::milliseconds(500); ///< An empty frame is sent after this time without another.
     /** The link closes if no frame arrives, or sent bytes stay unacknowledged, for longer. */
     Duration silenceLimit = std::chrono::milliseconds(1600);
-    /** The link closes if more bytes are queued for writing, because its peer reads too slowly. */
+    /** The link closes if frames of more bytes are queued for writing, because its peer reads too slowly. */
     std::size_t maxQueuedBytes = 16UL << 20U;
 };
 
@@ -41,8 +42,10 @@
     void start(OnMessage, OnClosed closed);
     /** Queues a message; drops it if the link is closed. */
     void send(const Wire::LinkMessage&);
-    /** Queues a frame made by encodeFrame(), so that a message to many links is encoded once. */
-    void sendFrame(const std::string& frame);
+    /** Queues a frame made by encodeFrame(), so that a message to many links is encoded once and shared by them. */
+    void sendFrame(SharedFrame);
+    /** Sends the newest state of a subject once the link is free; see LinkQueue::pushLatest(). */
+    void sendLatest(LinkSubject, FrameSource);
     /** Closes the socket and discards queued messages. `closed` follows asynchronously. */
     void close();
     bool isOpen() const { return m_isOpen; }
@@ -51,13 +54,14 @@
     Task<void> readLoop();
     Task<void> writeLoop();
     void finish();
+    void wakeWriter();
 
     PeerSocket m_socket;
     LinkOptions m_options;
     Timer m_wake; // Keep-alive timer; cancelled to write sooner, or to end the write loop.
     OnMessage m_onMessage;
     OnClosed m_onClosed; // Empty after its call.
-    std::string m_writeQueue; // Encoded frames that have not been passed to the socket.
+    LinkQueue m_queue; // Frames that have not been passed to the socket.
     TimePoint m_lastReceivedAt {}; // Time of the last complete frame, empty ones included.
     bool m_isOpen = true;
     bool m_isWriting = false;
--- a/src/links/StateMesh.cpp
+++ b/src/links/StateMesh.cpp
@@ -22,6 +22,11 @@
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration advertisedAge = std::chrono::seconds(30); // Addresses without a link for longer are not advertised.
 
+SharedFrame makeSharedFrame(const Wire::LinkMessage& message)
+{
+    return std::make_shared<const std::string>(encodeFrame(encodeThrift(message)));
+}
+
 } // namespace
 
 std::vector<StateAddress> fromWire(const std::vector<Wire::StateAddress>& wire)
@@ -58,6 +63,8 @@
         std::shared_ptr<Link> link;
         bool hasSentHello = false; ///< The first frame of the other instance arrived.
         InstanceId state; ///< Address of the state instance that dialled; empty for an entry instance.
+
+        bool isEntry() const { return hasSentHello && state.value().empty(); }
     };
 
     asio::io_context& loop;
@@ -167,7 +174,7 @@
 void StateMesh::State::handleAcceptedClosed(std::uint64_t number)
 {
     const auto peer = accepted.extract(number);
-    if (!peer.empty() && !isStopped && peer.mapped().hasSentHello && peer.mapped().state.value().empty())
+    if (!peer.empty() && !isStopped && peer.mapped().isEntry())
         events.entryLeft(EntryLinkId(number));
 }
 
@@ -247,7 +254,7 @@
 
 void StateMesh::sendToStates(const Wire::LinkMessage& message)
 {
-    const auto frame = encodeFrame(encodeThrift(message));
+    const auto frame = makeSharedFrame(message);
     for (const auto& [id, link] : m_state->outgoing)
         link->sendFrame(frame);
 }
@@ -261,13 +268,29 @@
 
 void StateMesh::sendToEntries(const Wire::LinkMessage& message)
 {
-    const auto frame = encodeFrame(encodeThrift(message));
+    const auto frame = makeSharedFrame(message);
     for (const auto& [number, peer] : m_state->accepted) {
-        if (peer.hasSentHello && peer.state.value().empty())
+        if (peer.isEntry())
             peer.link->sendFrame(frame);
     }
 }
 
+void StateMesh::sendLatestToEntry(EntryLinkId to, LinkSubject subject, FrameSource source)
+{
+    const auto it = m_state->accepted.find(to.value());
+    if (it != m_state->accepted.end())
+        it->second.link->sendLatest(subject, std::move(source));
+}
+
+void StateMesh::sendLatestToEntries(LinkSubject subject, const Wire::LinkMessage& message)
+{
+    const auto frame = makeSharedFrame(message);
+    for (const auto& [number, peer] : m_state->accepted) {
+        if (peer.isEntry())
+            peer.link->sendLatest(subject, [frame] { return frame; });
+    }
+}
+
 const InstanceId& StateMesh::self() const
 {
     return m_state->self;
@@ -291,7 +314,7 @@
 
 std::size_t StateMesh::entryLinks() const
 {
-    return static_cast<std::size_t>(std::count_if(m_state->accepted.begin(), m_state->accepted.end(), [](const auto& it) { return it.second.hasSentHello && it.second.state.value().empty(); }));
+    return static_cast<std::size_t>(std::count_if(m_state->accepted.begin(), m_state->accepted.end(), [](const auto& it) { return it.second.isEntry(); }));
 }
 
 std::vector<Wire::StateAddress> StateMesh::advertisedAddresses() const
--- a/src/links/StateMesh.h
+++ b/src/links/StateMesh.h
@@ -65,6 +65,10 @@
     /** Drops the message if the link is no longer open. */
     void sendToEntry(EntryLinkId, const Wire::LinkMessage&);
     void sendToEntries(const Wire::LinkMessage&);
+    /** Sends the newest state of a subject once that link is free; see LinkQueue::pushLatest(). */
+    void sendLatestToEntry(EntryLinkId, LinkSubject, FrameSource);
+    /** Sends the message as the newest state of a subject to every entry instance. */
+    void sendLatestToEntries(LinkSubject, const Wire::LinkMessage&);
 
     /** Returns Options::listen. */
     const InstanceId& self() const;
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "links/StateMesh.h"
+#include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/FleetCodec.h"
 #include "wire/LedgerCodec.h"
@@ -37,6 +38,8 @@
     Task<void> run();
     Task<void> serveLink(std::shared_ptr<Link>);
     void handleMessage(const Wire::LinkMessage&);
+    void receiveRouting(RoutingDocument);
+    void receiveRoutingDelta(const Wire::RoutingDelta&);
     void handleFreshnessReply(const Wire::FreshnessReply&);
     void poll(Link&);
     void reportUsage(Link&, bool evenIfUnchanged);
@@ -51,6 +54,8 @@
     std::map<InstanceId, TimePoint> failedAt; // When a dial attempt failed or a link ended last.
     std::map<std::uint64_t, TimePoint> pollSentAt; // Unanswered polls of the current link, by poll id.
     UsageReport lastReport; // The usage that was sent last.
+    RoutingDocument held; // Newest configuration that was received; differences apply to its text.
+    bool needsWhole = false; // A difference did not fit `held`, and no whole configuration came since.
     std::uint64_t lastPoll = 0;
     TimePoint confirmedAt {}; // Time of the last confirmation, or of opening the link if there was none since.
     bool isPollDue = false; // pollNow() was called.
@@ -123,7 +128,9 @@
 {
     Wire::FreshnessPoll poll;
     poll.id = toSigned(++lastPoll);
-    poll.held = toSigned(events.heldVersion().value());
+    poll.held = toSigned(held.version.value());
+    if (needsWhole)
+        poll.__set_needsWhole(true);
     pollSentAt[lastPoll] = monotonicNow();
     Wire::LinkMessage message;
     message.__set_freshnessPoll(poll);
@@ -157,7 +164,9 @@
         for (const auto& it : HickoryHollow::fromWire(message.hello.states))
             addresses.learn(it, monotonicNow());
     } else if (message.__isset.routing) {
-        events.routing(HickoryHollow::fromWire(message.routing));
+        receiveRouting(HickoryHollow::fromWire(message.routing));
+    } else if (message.__isset.routingDelta) {
+        receiveRoutingDelta(message.routingDelta);
     } else if (message.__isset.fleetNews) {
         events.backends(HickoryHollow::fromWire(message.fleetNews).records);
     } else if (message.__isset.uses) {
@@ -169,14 +178,34 @@
     }
 }
 
+void StateFeed::State::receiveRouting(RoutingDocument document)
+{
+    needsWhole = false;
+    if (document.version > held.version)
+        held = std::move(document);
+    events.routing(held);
+}
+
+void StateFeed::State::receiveRoutingDelta(const Wire::RoutingDelta& wire)
+{
+    const auto delta = HickoryHollow::fromWire(wire);
+    if (delta.version <= held.version)
+        return;
+    auto document = applyDelta(held, delta);
+    if (document)
+        return receiveRouting(std::move(*document));
+    logEvent(LogEvent::RoutingDeltaUnusable, "instance={} base={} held={} version={}", attached.value(), delta.base.value(), held.version.value(), delta.version.value());
+    needsWhole = true;
+    isPollDue = true;
+    wake.cancel();
+}
+
 void StateFeed::State::handleFreshnessReply(const Wire::FreshnessReply& reply)
 {
     for (const auto& it : HickoryHollow::fromWire(reply.states))
         addresses.learn(it, monotonicNow());
     addresses.markConnected(attached, monotonicNow());
     addresses.forgetStale(monotonicNow());
-    if (reply.__isset.document)
-        events.routing(HickoryHollow::fromWire(reply.document));
     const auto poll = pollSentAt.find(toUnsigned(reply.id));
     if (poll == pollSentAt.end())
         return;
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -34,7 +34,7 @@
 
     /** Functions that connect the feed to its owner. All are called on the event loop. */
     struct Events {
-        /** Receives a configuration; its version may be lower than the held one. */
+        /** Receives a configuration, whole; its version may be lower than an earlier one. */
         std::function<void(const RoutingDocument&)> routing;
         /** `newest` was the newest accepted version at some time after `askedAt`. */
         std::function<void(RoutingVersion newest, TimePoint askedAt)> confirmed;
@@ -47,7 +47,6 @@
         std::function<void(const std::vector<CachedPrefixReport>&)> cachedPrefixes;
         /** Returns the prefixes that this instance has to report since the last call. */
         std::function<std::vector<CachedPrefixReport>()> takeLocalPrefixes;
-        std::function<RoutingVersion()> heldVersion; ///< Returns the version that this instance holds; 0 for none.
         /** Receives the number of entry instances in the deployment; at least 1. */
         std::function<void(std::uint32_t)> entryInstances;
     };
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -56,7 +56,9 @@
               .stateMessage = [this](const auto& from, const auto& message) { handleStateMessage(from, message); },
               .entryMessage = [this](auto from, const auto& message) { handleEntryMessage(from, message); },
               .entryJoined = [this](auto id) { sendInitialStateToEntry(id); },
-              .entryLeft = [this](auto id) { m_usage.remove(sourceOf(id)); },
+              .entryLeft = [this](auto id) {
+                  m_usage.remove(sourceOf(id));
+                  m_broadcast.remove(id); },
               .stateJoined = [this](const auto& id) { sendRecordsToState(id); },
               .stateLeft = [this](const auto& id) { m_usage.remove(stateSourcePrefix + id.value()); },
           })
@@ -168,20 +170,18 @@
         return;
     m_routing = std::make_shared<const RoutingDocument>(std::move(document));
     logEvent(LogEvent::RoutingCommitted, "version={} bytes={}", m_routing->version.value(), m_routing->text.size());
-    m_mesh.sendToEntries(routingMessage());
+    m_broadcast.publish(m_routing);
+    for (const auto& it : m_broadcast.dueLinks())
+        sendRoutingWhenFree(it);
 }
 
-Wire::LinkMessage StateInstance::routingMessage() const
+void StateInstance::sendRoutingWhenFree(EntryLinkId id)
 {
-    Wire::LinkMessage message;
-    message.__set_routing(toWire(*m_routing));
-    return message;
+    m_mesh.sendLatestToEntry(id, LinkSubject::Routing, [this, alive = m_isAlive, id] { return *alive ? m_broadcast.takeFrame(id) : nullptr; });
 }
 
 void StateInstance::sendInitialStateToEntry(EntryLinkId id)
 {
-    if (m_routing->version.value() > 0)
-        m_mesh.sendToEntry(id, routingMessage());
     const FleetUpdate update { .records = m_directory.all(), .renewals = {}, .loads = {} };
     Wire::LinkMessage message;
     message.__set_fleetNews(toWire(update));
@@ -230,7 +230,7 @@
         return;
     Wire::LinkMessage message;
     message.__set_uses(toWire(total));
-    m_mesh.sendToEntries(message);
+    m_mesh.sendLatestToEntries(LinkSubject::Usage, message);
     m_lastReportToEntries = std::move(total);
 }
 
@@ -324,6 +324,9 @@
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
+    m_broadcast.setHeld(from, RoutingVersion(toUnsigned(poll.held)), poll.__isset.needsWhole && poll.needsWhole);
+    if (m_broadcast.isDue(from))
+        sendRoutingWhenFree(from);
     confirmNewest([this, from, poll](const std::optional<Confirmation>& confirmation) {
         Wire::FreshnessReply reply;
         reply.id = poll.id;
@@ -331,8 +334,6 @@
         reply.version = toSigned((confirmation ? confirmation->version : m_routing->version).value());
         reply.entryInstances = static_cast<std::int32_t>(m_usage.sum({}).entryInstances);
         reply.states = m_mesh.advertisedAddresses();
-        if (m_routing->version.value() > toUnsigned(poll.held))
-            reply.__set_document(toWire(*m_routing));
         Wire::LinkMessage answer;
         answer.__set_freshnessReply(reply);
         m_mesh.sendToEntry(from, answer);
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -8,6 +8,7 @@
 #include "membership/BackendDirectory.h"
 #include "node/ControlPlane.h"
 #include "node/NodeSettings.h"
+#include "node/RoutingBroadcast.h"
 #include "node/UsageAggregator.h"
 #include "state/StateNode.h"
 
@@ -70,7 +71,8 @@
     void proposeLocally(const RoutingDocument&, CommitCallback);
     /** Proposes the document to the leader until it is committed or the operator's time is over. */
     Task<bool> commit(const RoutingDocument&);
-    Wire::LinkMessage routingMessage() const;
+    /** Sends the newest routing configuration, or the difference to it, to an entry instance once its link is free. */
+    void sendRoutingWhenFree(EntryLinkId);
 
     asio::io_context& m_loop;
     NodeSettings m_settings;
@@ -87,6 +89,7 @@
 
     // Newest committed document known here; never null. The version only grows.
     std::shared_ptr<const RoutingDocument> m_routing;
+    RoutingBroadcast m_broadcast; // What the entry instances attached here have of m_routing.
     std::set<InstanceId> m_nodePeers; // The known state instances, as last passed to m_node.
     std::set<InstanceId> m_directoryPeers; // The reachable state instances, as last passed to m_directory.
     bool m_hasFormed = false; // The replicated state exists; formOnFirstStart() has nothing left to do.
--- a/src/routing/ActiveRouting.h
+++ b/src/routing/ActiveRouting.h
@@ -10,7 +10,9 @@
 #include "base/Time.h"
 #include "routing/RouteTable.h"
 
+#include <cstddef>
 #include <memory>
+#include <vector>
 
 namespace HickoryHollow {
 
@@ -27,17 +29,20 @@
         if (m_table && configuration.version <= m_table->version())
             return false;
         m_table = std::make_shared<const RouteTable>(std::move(configuration));
+        extendLease();
         return true;
     }
 
     /**
-     * Extends the lease to `requestedAt + lease` if the active version is `newest`, which was the newest version at some
-     * time after `requestedAt`. Otherwise changes nothing. Never shortens the lease.
+     * Extends the lease to `requestedAt + lease` once the active version is at least `newest`, which was the newest version
+     * at some time after `requestedAt`: now, or when that version is applied. Never shortens the lease.
      */
     void confirm(RoutingVersion newest, TimePoint requestedAt, Duration lease)
     {
-        if (newest == version())
-            m_leaseEnd = std::max(m_leaseEnd, requestedAt + lease);
+        // Those that wait longest are met first, so a new one is not needed when there are many.
+        if (m_confirmations.size() < maxConfirmations)
+            m_confirmations.push_back({ .newest = newest, .leaseEnd = requestedAt + lease });
+        extendLease();
     }
     /** Returns true if requests that need a key may be served. */
     bool hasValidLease(TimePoint now) const { return m_table && now < m_leaseEnd; }
@@ -45,7 +50,26 @@
     TimePoint leaseEnd() const { return m_leaseEnd; }
 
 private:
+    /** A confirmation that no accepted version above `newest` had existed when it was requested. */
+    struct Confirmation {
+        RoutingVersion newest;
+        TimePoint leaseEnd;
+    };
+
+    static constexpr std::size_t maxConfirmations = 8;
+
+    void extendLease()
+    {
+        std::erase_if(m_confirmations, [this](const auto& it) {
+            const auto isMet = m_table && it.newest <= m_table->version();
+            if (isMet)
+                m_leaseEnd = std::max(m_leaseEnd, it.leaseEnd);
+            return isMet;
+        });
+    }
+
     std::shared_ptr<const RouteTable> m_table;
+    std::vector<Confirmation> m_confirmations; // Of versions that are not applied yet; at most maxConfirmations.
     TimePoint m_leaseEnd {}; // From then on, requests that need a key are refused.
 };
 
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -8053,6 +8053,11 @@
 void FreshnessPoll::__set_held(const int64_t val) {
   this->held = val;
 }
+
+void FreshnessPoll::__set_needsWhole(const bool val) {
+  this->needsWhole = val;
+__isset.needsWhole = true;
+}
 std::ostream& operator<<(std::ostream& out, const FreshnessPoll& obj)
 {
   obj.printTo(out);
@@ -8097,6 +8102,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsWhole);
+          this->__isset.needsWhole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8122,6 +8135,11 @@
   xfer += oprot->writeI64(this->held);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.needsWhole) {
+    xfer += oprot->writeFieldBegin("needsWhole", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->needsWhole);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8131,17 +8149,20 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.held, b.held);
+  swap(a.needsWhole, b.needsWhole);
   swap(a.__isset, b.__isset);
 }
 
 FreshnessPoll::FreshnessPoll(const FreshnessPoll& other204) noexcept {
   id = other204.id;
   held = other204.held;
+  needsWhole = other204.needsWhole;
   __isset = other204.__isset;
 }
 FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other205) noexcept {
   id = other205.id;
   held = other205.held;
+  needsWhole = other205.needsWhole;
   __isset = other205.__isset;
   return *this;
 }
@@ -8150,6 +8171,7 @@
   out << "FreshnessPoll(";
   out << "id=" << to_string(id);
   out << ", " << "held=" << to_string(held);
+  out << ", " << "needsWhole="; (__isset.needsWhole ? (out << to_string(needsWhole)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8612,6 +8634,442 @@
 }
 
 
+DeltaPart::~DeltaPart() noexcept {
+}
+
+
+void DeltaPart::__set_start(const int32_t val) {
+  this->start = val;
+}
+
+void DeltaPart::__set_length(const int32_t val) {
+  this->length = val;
+}
+
+void DeltaPart::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const DeltaPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DeltaPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->start);
+          this->__isset.start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DeltaPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DeltaPart");
+
+  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->start);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DeltaPart &a, DeltaPart &b) {
+  using ::std::swap;
+  swap(a.start, b.start);
+  swap(a.length, b.length);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+DeltaPart::DeltaPart(const DeltaPart& other218) {
+  start = other218.start;
+  length = other218.length;
+  text = other218.text;
+  __isset = other218.__isset;
+}
+DeltaPart& DeltaPart::operator=(const DeltaPart& other219) {
+  start = other219.start;
+  length = other219.length;
+  text = other219.text;
+  __isset = other219.__isset;
+  return *this;
+}
+void DeltaPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DeltaPart(";
+  out << "start=" << to_string(start);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+RoutingDelta::~RoutingDelta() noexcept {
+}
+
+
+void RoutingDelta::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void RoutingDelta::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RoutingDelta::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void RoutingDelta::__set_parts(const std::vector<DeltaPart> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingDelta& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoutingDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->parts.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += this->parts[_i224].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RoutingDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoutingDelta");
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<DeltaPart> ::const_iterator _iter225;
+    for (_iter225 = this->parts.begin(); _iter225 != this->parts.end(); ++_iter225)
+    {
+      xfer += (*_iter225).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoutingDelta &a, RoutingDelta &b) {
+  using ::std::swap;
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingDelta::RoutingDelta(const RoutingDelta& other226) {
+  base = other226.base;
+  version = other226.version;
+  digest = other226.digest;
+  parts = other226.parts;
+  __isset = other226.__isset;
+}
+RoutingDelta& RoutingDelta::operator=(const RoutingDelta& other227) {
+  base = other227.base;
+  version = other227.version;
+  digest = other227.digest;
+  parts = other227.parts;
+  __isset = other227.__isset;
+  return *this;
+}
+void RoutingDelta::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoutingDelta(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+BackendCalls::~BackendCalls() noexcept {
+}
+
+
+void BackendCalls::__set_answers(const int32_t val) {
+  this->answers = val;
+}
+
+void BackendCalls::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void BackendCalls::__set_witnesses(const int32_t val) {
+  this->witnesses = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendCalls& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendCalls::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->witnesses);
+          this->__isset.witnesses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BackendCalls::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendCalls");
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("witnesses", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->witnesses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendCalls &a, BackendCalls &b) {
+  using ::std::swap;
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.witnesses, b.witnesses);
+  swap(a.__isset, b.__isset);
+}
+
+BackendCalls::BackendCalls(const BackendCalls& other228) noexcept {
+  answers = other228.answers;
+  failures = other228.failures;
+  witnesses = other228.witnesses;
+  __isset = other228.__isset;
+}
+BackendCalls& BackendCalls::operator=(const BackendCalls& other229) noexcept {
+  answers = other229.answers;
+  failures = other229.failures;
+  witnesses = other229.witnesses;
+  __isset = other229.__isset;
+  return *this;
+}
+void BackendCalls::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendCalls(";
+  out << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "witnesses=" << to_string(witnesses);
+  out << ")";
+}
+
+
 BackendUse::~BackendUse() noexcept {
 }
 
@@ -8631,6 +9089,11 @@
 void BackendUse::__set_interactive(const int32_t val) {
   this->interactive = val;
 }
+
+void BackendUse::__set_calls(const BackendCalls& val) {
+  this->calls = val;
+__isset.calls = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendUse& obj)
 {
   obj.printTo(out);
@@ -8691,6 +9154,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->calls.read(iprot);
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8724,6 +9195,11 @@
   xfer += oprot->writeI32(this->interactive);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.calls) {
+    xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->calls.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8735,22 +9211,25 @@
   swap(a.requests, b.requests);
   swap(a.promptTokens, b.promptTokens);
   swap(a.interactive, b.interactive);
+  swap(a.calls, b.calls);
   swap(a.__isset, b.__isset);
 }
 
-BackendUse::BackendUse(const BackendUse& other218) noexcept {
-  backend = other218.backend;
-  requests = other218.requests;
-  promptTokens = other218.promptTokens;
-  interactive = other218.interactive;
-  __isset = other218.__isset;
-}
-BackendUse& BackendUse::operator=(const BackendUse& other219) noexcept {
-  backend = other219.backend;
-  requests = other219.requests;
-  promptTokens = other219.promptTokens;
-  interactive = other219.interactive;
-  __isset = other219.__isset;
+BackendUse::BackendUse(const BackendUse& other230) noexcept {
+  backend = other230.backend;
+  requests = other230.requests;
+  promptTokens = other230.promptTokens;
+  interactive = other230.interactive;
+  calls = other230.calls;
+  __isset = other230.__isset;
+}
+BackendUse& BackendUse::operator=(const BackendUse& other231) noexcept {
+  backend = other231.backend;
+  requests = other231.requests;
+  promptTokens = other231.promptTokens;
+  interactive = other231.interactive;
+  calls = other231.calls;
+  __isset = other231.__isset;
   return *this;
 }
 void BackendUse::printTo(std::ostream& out) const {
@@ -8760,6 +9239,7 @@
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "promptTokens=" << to_string(promptTokens);
   out << ", " << "interactive=" << to_string(interactive);
+  out << ", " << "calls="; (__isset.calls ? (out << to_string(calls)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8807,14 +9287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->uses.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->uses.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->uses[_i224].read(iprot);
+              xfer += this->uses[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8851,10 +9331,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<BackendUse> ::const_iterator _iter225;
-    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end(); ++_iter225)
+    std::vector<BackendUse> ::const_iterator _iter237;
+    for (_iter237 = this->uses.begin(); _iter237 != this->uses.end(); ++_iter237)
     {
-      xfer += (*_iter225).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8876,15 +9356,15 @@
   swap(a.__isset, b.__isset);
 }
 
-UseReport::UseReport(const UseReport& other226) {
-  uses = other226.uses;
-  entryInstances = other226.entryInstances;
-  __isset = other226.__isset;
+UseReport::UseReport(const UseReport& other238) {
+  uses = other238.uses;
+  entryInstances = other238.entryInstances;
+  __isset = other238.__isset;
 }
-UseReport& UseReport::operator=(const UseReport& other227) {
-  uses = other227.uses;
-  entryInstances = other227.entryInstances;
-  __isset = other227.__isset;
+UseReport& UseReport::operator=(const UseReport& other239) {
+  uses = other239.uses;
+  entryInstances = other239.entryInstances;
+  __isset = other239.__isset;
   return *this;
 }
 void UseReport::printTo(std::ostream& out) const {
@@ -9005,17 +9485,17 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompt::KeptPrompt(const KeptPrompt& other228) noexcept {
-  parts = other228.parts;
-  backend = other228.backend;
-  tokens = other228.tokens;
-  __isset = other228.__isset;
+KeptPrompt::KeptPrompt(const KeptPrompt& other240) noexcept {
+  parts = other240.parts;
+  backend = other240.backend;
+  tokens = other240.tokens;
+  __isset = other240.__isset;
 }
-KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other229) noexcept {
-  parts = other229.parts;
-  backend = other229.backend;
-  tokens = other229.tokens;
-  __isset = other229.__isset;
+KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other241) noexcept {
+  parts = other241.parts;
+  backend = other241.backend;
+  tokens = other241.tokens;
+  __isset = other241.__isset;
   return *this;
 }
 void KeptPrompt::printTo(std::ostream& out) const {
@@ -9067,14 +9547,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->prompts.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->prompts.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->prompts[_i234].read(iprot);
+              xfer += this->prompts[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9103,10 +9583,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter235;
-    for (_iter235 = this->prompts.begin(); _iter235 != this->prompts.end(); ++_iter235)
+    std::vector<KeptPrompt> ::const_iterator _iter247;
+    for (_iter247 = this->prompts.begin(); _iter247 != this->prompts.end(); ++_iter247)
     {
-      xfer += (*_iter235).write(oprot);
+      xfer += (*_iter247).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9123,13 +9603,13 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompts::KeptPrompts(const KeptPrompts& other236) {
-  prompts = other236.prompts;
-  __isset = other236.__isset;
+KeptPrompts::KeptPrompts(const KeptPrompts& other248) {
+  prompts = other248.prompts;
+  __isset = other248.__isset;
 }
-KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other237) {
-  prompts = other237.prompts;
-  __isset = other237.__isset;
+KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other249) {
+  prompts = other249.prompts;
+  __isset = other249.__isset;
   return *this;
 }
 void KeptPrompts::printTo(std::ostream& out) const {
@@ -9193,6 +9673,11 @@
   this->keptPrompts = val;
 __isset.keptPrompts = true;
 }
+
+void LinkMessage::__set_routingDelta(const RoutingDelta& val) {
+  this->routingDelta = val;
+__isset.routingDelta = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -9301,6 +9786,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routingDelta.read(iprot);
+          this->__isset.routingDelta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9368,6 +9861,11 @@
     xfer += this->keptPrompts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.routingDelta) {
+    xfer += oprot->writeFieldBegin("routingDelta", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->routingDelta.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9385,34 +9883,37 @@
   swap(a.routing, b.routing);
   swap(a.uses, b.uses);
   swap(a.keptPrompts, b.keptPrompts);
+  swap(a.routingDelta, b.routingDelta);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other238) {
-  hello = other238.hello;
-  agreement = other238.agreement;
-  fleetNews = other238.fleetNews;
-  freshnessPoll = other238.freshnessPoll;
-  freshnessReply = other238.freshnessReply;
-  routingSubmit = other238.routingSubmit;
-  routingSubmitReply = other238.routingSubmitReply;
-  routing = other238.routing;
-  uses = other238.uses;
-  keptPrompts = other238.keptPrompts;
-  __isset = other238.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other239) {
-  hello = other239.hello;
-  agreement = other239.agreement;
-  fleetNews = other239.fleetNews;
-  freshnessPoll = other239.freshnessPoll;
-  freshnessReply = other239.freshnessReply;
-  routingSubmit = other239.routingSubmit;
-  routingSubmitReply = other239.routingSubmitReply;
-  routing = other239.routing;
-  uses = other239.uses;
-  keptPrompts = other239.keptPrompts;
-  __isset = other239.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other250) {
+  hello = other250.hello;
+  agreement = other250.agreement;
+  fleetNews = other250.fleetNews;
+  freshnessPoll = other250.freshnessPoll;
+  freshnessReply = other250.freshnessReply;
+  routingSubmit = other250.routingSubmit;
+  routingSubmitReply = other250.routingSubmitReply;
+  routing = other250.routing;
+  uses = other250.uses;
+  keptPrompts = other250.keptPrompts;
+  routingDelta = other250.routingDelta;
+  __isset = other250.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other251) {
+  hello = other251.hello;
+  agreement = other251.agreement;
+  fleetNews = other251.fleetNews;
+  freshnessPoll = other251.freshnessPoll;
+  freshnessReply = other251.freshnessReply;
+  routingSubmit = other251.routingSubmit;
+  routingSubmitReply = other251.routingSubmitReply;
+  routing = other251.routing;
+  uses = other251.uses;
+  keptPrompts = other251.keptPrompts;
+  routingDelta = other251.routingDelta;
+  __isset = other251.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -9428,6 +9929,7 @@
   out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
   out << ", " << "uses="; (__isset.uses ? (out << to_string(uses)) : (out << "<null>"));
   out << ", " << "keptPrompts="; (__isset.keptPrompts ? (out << to_string(keptPrompts)) : (out << "<null>"));
+  out << ", " << "routingDelta="; (__isset.routingDelta ? (out << to_string(routingDelta)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -143,6 +143,12 @@
 
 class RoutingSubmitReply;
 
+class DeltaPart;
+
+class RoutingDelta;
+
+class BackendCalls;
+
 class BackendUse;
 
 class UseReport;
@@ -3446,9 +3452,10 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _FreshnessPoll__isset {
-  _FreshnessPoll__isset() : id(false), held(false) {}
+  _FreshnessPoll__isset() : id(false), held(false), needsWhole(false) {}
   bool id :1;
   bool held :1;
+  bool needsWhole :1;
 } _FreshnessPoll__isset;
 
 class FreshnessPoll : public virtual ::apache::thrift::TBase {
@@ -3458,12 +3465,14 @@
   FreshnessPoll& operator=(const FreshnessPoll&) noexcept;
   FreshnessPoll() noexcept
                 : id(0),
-                  held(0) {
+                  held(0),
+                  needsWhole(0) {
   }
 
   virtual ~FreshnessPoll() noexcept;
   int64_t id;
   int64_t held;
+  bool needsWhole;
 
   _FreshnessPoll__isset __isset;
 
@@ -3471,12 +3480,18 @@
 
   void __set_held(const int64_t val);
 
+  void __set_needsWhole(const bool val);
+
   bool operator == (const FreshnessPoll & rhs) const
   {
     if (!(id == rhs.id))
       return false;
     if (!(held == rhs.held))
       return false;
+    if (__isset.needsWhole != rhs.__isset.needsWhole)
+      return false;
+    else if (__isset.needsWhole && !(needsWhole == rhs.needsWhole))
+      return false;
     return true;
   }
   bool operator != (const FreshnessPoll &rhs) const {
@@ -3679,12 +3694,190 @@
 
 std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj);
 
+typedef struct _DeltaPart__isset {
+  _DeltaPart__isset() : start(false), length(false), text(false) {}
+  bool start :1;
+  bool length :1;
+  bool text :1;
+} _DeltaPart__isset;
+
+class DeltaPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  DeltaPart(const DeltaPart&);
+  DeltaPart& operator=(const DeltaPart&);
+  DeltaPart() noexcept
+            : start(0),
+              length(0),
+              text() {
+  }
+
+  virtual ~DeltaPart() noexcept;
+  int32_t start;
+  int32_t length;
+  std::string text;
+
+  _DeltaPart__isset __isset;
+
+  void __set_start(const int32_t val);
+
+  void __set_length(const int32_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const DeltaPart & rhs) const
+  {
+    if (!(start == rhs.start))
+      return false;
+    if (!(length == rhs.length))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const DeltaPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DeltaPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DeltaPart &a, DeltaPart &b);
+
+std::ostream& operator<<(std::ostream& out, const DeltaPart& obj);
+
+typedef struct _RoutingDelta__isset {
+  _RoutingDelta__isset() : base(false), version(false), digest(false), parts(false) {}
+  bool base :1;
+  bool version :1;
+  bool digest :1;
+  bool parts :1;
+} _RoutingDelta__isset;
+
+class RoutingDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoutingDelta(const RoutingDelta&);
+  RoutingDelta& operator=(const RoutingDelta&);
+  RoutingDelta() noexcept
+               : base(0),
+                 version(0),
+                 digest(0) {
+  }
+
+  virtual ~RoutingDelta() noexcept;
+  int64_t base;
+  int64_t version;
+  int64_t digest;
+  std::vector<DeltaPart>  parts;
+
+  _RoutingDelta__isset __isset;
+
+  void __set_base(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_parts(const std::vector<DeltaPart> & val);
+
+  bool operator == (const RoutingDelta & rhs) const
+  {
+    if (!(base == rhs.base))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const RoutingDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoutingDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoutingDelta &a, RoutingDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const RoutingDelta& obj);
+
+typedef struct _BackendCalls__isset {
+  _BackendCalls__isset() : answers(false), failures(false), witnesses(false) {}
+  bool answers :1;
+  bool failures :1;
+  bool witnesses :1;
+} _BackendCalls__isset;
+
+class BackendCalls : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendCalls(const BackendCalls&) noexcept;
+  BackendCalls& operator=(const BackendCalls&) noexcept;
+  BackendCalls() noexcept
+               : answers(0),
+                 failures(0),
+                 witnesses(0) {
+  }
+
+  virtual ~BackendCalls() noexcept;
+  int32_t answers;
+  int32_t failures;
+  int32_t witnesses;
+
+  _BackendCalls__isset __isset;
+
+  void __set_answers(const int32_t val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_witnesses(const int32_t val);
+
+  bool operator == (const BackendCalls & rhs) const
+  {
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(witnesses == rhs.witnesses))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendCalls &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendCalls & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendCalls &a, BackendCalls &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendCalls& obj);
+
 typedef struct _BackendUse__isset {
-  _BackendUse__isset() : backend(false), requests(false), promptTokens(false), interactive(false) {}
+  _BackendUse__isset() : backend(false), requests(false), promptTokens(false), interactive(false), calls(false) {}
   bool backend :1;
   bool requests :1;
   bool promptTokens :1;
   bool interactive :1;
+  bool calls :1;
 } _BackendUse__isset;
 
 class BackendUse : public virtual ::apache::thrift::TBase {
@@ -3704,6 +3897,7 @@
   int32_t requests;
   int32_t promptTokens;
   int32_t interactive;
+  BackendCalls calls;
 
   _BackendUse__isset __isset;
 
@@ -3715,6 +3909,8 @@
 
   void __set_interactive(const int32_t val);
 
+  void __set_calls(const BackendCalls& val);
+
   bool operator == (const BackendUse & rhs) const
   {
     if (!(backend == rhs.backend))
@@ -3725,6 +3921,10 @@
       return false;
     if (!(interactive == rhs.interactive))
       return false;
+    if (__isset.calls != rhs.__isset.calls)
+      return false;
+    else if (__isset.calls && !(calls == rhs.calls))
+      return false;
     return true;
   }
   bool operator != (const BackendUse &rhs) const {
@@ -3892,7 +4092,7 @@
 std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj);
 
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -3903,6 +4103,7 @@
   bool routing :1;
   bool uses :1;
   bool keptPrompts :1;
+  bool routingDelta :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -3924,6 +4125,7 @@
   RoutingDocument routing;
   UseReport uses;
   KeptPrompts keptPrompts;
+  RoutingDelta routingDelta;
 
   _LinkMessage__isset __isset;
 
@@ -3947,6 +4149,8 @@
 
   void __set_keptPrompts(const KeptPrompts& val);
 
+  void __set_routingDelta(const RoutingDelta& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3989,6 +4193,10 @@
       return false;
     else if (__isset.keptPrompts && !(keptPrompts == rhs.keptPrompts))
       return false;
+    if (__isset.routingDelta != rhs.__isset.routingDelta)
+      return false;
+    else if (__isset.routingDelta && !(routingDelta == rhs.routingDelta))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -116,18 +116,28 @@
 // First frame of each side of a link. `listen` is empty when the sender is not a state instance; `states` are the state
 // instances that the sender knows.
 struct LinkHello { 1: string instance, 2: string listen, 3: string failureDomain, 4: i64 incarnation, 5: list<StateAddress> states }
-// Asks which accepted configuration is the newest; `held` is the version that the sender has.
-struct FreshnessPoll { 1: i64 id, 2: i64 held }
+// Asks which accepted configuration is the newest; `held` is the version that the sender has. `needsWhole` is true after a
+// difference did not fit the text that the sender has; the next configuration is then sent whole.
+struct FreshnessPoll { 1: i64 id, 2: i64 held, 3: optional bool needsWhole }
 // `confirmed` is true when `version` was the newest accepted version at some time after the poll was received. `document` is
-// set when a configuration newer than `held` is known. `entryInstances` is the number of entry instances that the sender
+// set between state instances when a configuration newer than `held` is known; an entry instance receives a `routing` or a
+// `routingDelta` message for it. `entryInstances` is the number of entry instances that the sender
 // knows of.
 struct FreshnessReply { 1: i64 id, 2: bool confirmed, 3: i64 version, 4: optional RoutingDocument document, 5: i32 entryInstances, 6: list<StateAddress> states }
 struct RoutingSubmit { 1: i64 id, 2: RoutingDocument document }
 // `result` is the result of the proposal: 0 committed, 1 not the leader, 2 unknown.
 struct RoutingSubmitReply { 1: i64 id, 2: i32 result, 3: i64 version }
+// One part of a text: `length` bytes of the base text from `start`, followed by `text`.
+struct DeltaPart { 1: i32 start, 2: i32 length, 3: binary text }
+// A routing configuration as its difference from the one of version `base`. `digest` is a 64-bit hash of the whole text.
+struct RoutingDelta { 1: i64 base, 2: i64 version, 3: i64 digest, 4: list<DeltaPart> parts }
+
+// Recent calls of entry instances at one backend server. `witnesses` is the number of entry instances that saw a failure.
+struct BackendCalls { 1: i32 answers, 2: i32 failures, 3: i32 witnesses }
 // Work of entry instances at one backend server: `requests` in progress, `interactive` ones among them, and uncached
-// `promptTokens` of the requests that have no first token yet. `backend` is a hash of the server's address.
-struct BackendUse { 1: i32 backend, 2: i32 requests, 3: i32 promptTokens, 4: i32 interactive }
+// `promptTokens` of the requests that have no first token yet. `backend` is a hash of the server's address. `calls` is left out
+// if there were none, and in reports to entry instances if none failed.
+struct BackendUse { 1: i32 backend, 2: i32 requests, 3: i32 promptTokens, 4: i32 interactive, 5: optional BackendCalls calls }
 // From an entry instance: its own usage. From a state instance to another: the sum over the entry instances attached to the
 // sender; to an entry instance: the sum over all entry instances. `entryInstances` is the number of those in the sum.
 struct UseReport { 1: list<BackendUse> uses, 2: i32 entryInstances }
@@ -149,4 +159,5 @@
   8: RoutingDocument routing
   9: UseReport uses
   10: KeptPrompts keptPrompts
+  11: RoutingDelta routingDelta
 }
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -1,9 +1,12 @@
 /** \file
- * An entry instance attaches to a state instance that can confirm its configuration if others cannot.
+ * An entry instance attaches to a state instance that can confirm its configuration if others cannot, and asks for a whole
+ * configuration if a difference does not fit the one that it holds.
  */
 #include "links/Link.h"
 #include "net/Listener.h"
+#include "node/RoutingDeltaCodec.h"
 #include "node/StateFeed.h"
+#include "wire/LedgerCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +27,14 @@
     }
 
     int polls() const { return m_polls; }
+    /** Sends the message on the link of each entry instance that polled. */
+    void send(const Wire::LinkMessage& message)
+    {
+        for (const auto& it : m_links)
+            it->send(message);
+    }
+    /** Called with each poll, after its answer was sent. */
+    std::function<void(const Wire::FreshnessPoll&)> polled = [](const auto&) {};
 
 private:
     Task<void> acceptLoop(Acceptor acceptor)
@@ -49,6 +60,7 @@
         Wire::LinkMessage answer;
         answer.__set_freshnessReply(reply);
         link.send(answer);
+        polled(message.freshnessPoll);
     }
 
     bool m_confirms;
@@ -66,7 +78,6 @@
         .localUsage = [] { return UsageReport {}; },
         .cachedPrefixes = [](const auto&) {},
         .takeLocalPrefixes = [] { return std::vector<CachedPrefixReport> {}; },
-        .heldVersion = [] { return RoutingVersion(0); },
         .entryInstances = [](auto) {},
     };
 }
@@ -90,3 +101,50 @@
         CHECK(instances[i]->polls() <= 1);
     CHECK(feed.attachedInstance() == addresses[confirming]);
 }
+
+TEST_CASE("a feed applies differences to the configuration it holds, and asks for the whole if one does not fit", "[state][loopback]")
+{
+    asio::io_context loop(1);
+    const InstanceId address("127.0.0.1:7954");
+    FakeStateInstance instance(loop, address.value(), true);
+    const RoutingDocument first { .version = RoutingVersion(3), .text = "the text of the first version" };
+    const RoutingDocument second { .version = RoutingVersion(5), .text = "the text of the second version" };
+    const RoutingDocument third { .version = RoutingVersion(8), .text = "the text of the third version" };
+    const auto whole = [](const RoutingDocument& document) {
+        Wire::LinkMessage message;
+        message.__set_routing(toWire(document));
+        return message;
+    };
+    const auto difference = [](const RoutingDocument& from, const RoutingDocument& to) {
+        Wire::LinkMessage message;
+        message.__set_routingDelta(toWire({ .base = from.version, .version = to.version, .text = makeDelta(from.text, to.text) }));
+        return message;
+    };
+    std::vector<Wire::FreshnessPoll> polls;
+    instance.polled = [&](const auto& poll) {
+        polls.push_back(poll);
+        if (polls.size() == 1) {
+            instance.send(whole(first));
+            instance.send(difference(first, second));
+            // Made from a text that the feed does not hold under that version.
+            instance.send(difference({ .version = second.version, .text = third.text + "!" }, third));
+        } else if (poll.needsWhole) {
+            instance.send(whole(third));
+        }
+    };
+    std::vector<RoutingDocument> received;
+    auto events = ignoredEvents();
+    events.routing = [&](const auto& document) {
+        received.push_back(document);
+        if (document == third)
+            loop.stop();
+    };
+    StateFeed feed(loop, { .instance = "e", .failureDomain = FailureDomainId("d"), .seed = 1 }, std::move(events));
+    feed.start({ address });
+    loop.run();
+    CHECK(received == std::vector<RoutingDocument> { first, second, third });
+    REQUIRE(polls.size() >= 2);
+    CHECK(polls.front().held == 0);
+    CHECK(polls.back().held == 5);
+    CHECK(polls.back().needsWhole);
+}
