Eject servers by the failures that all entry instances saw together

Cause: an engine was ejected after three failures in a row at one instance, so 77 instances paid up to 77 x 3 failures for each bad engine, and again after each ejection; at 300 instances one instance sees an engine once in a minute and a half. An engine that fails at once also looked empty and attracted requests. Change: instances report recent answers and failures by server with their usage; state instances sum them; each instance judges a service's servers by the sums (FleetEjection): too many failures to be chance at the share of the better half, seen by two instances, at most a third of the servers. After an ejection four instances try the server first. A failed call counts as running for two seconds. Ruled out in trials: judging at once with answers reported only of failing servers (ejects healthy ones, whose answers arrive later); the median share of failures (a service of 5 servers whose calls fail in 14 of 100 loses one in 20 s).

--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -63,7 +63,6 @@
               .localUsage = [this] { return localUsage(); },
               .cachedPrefixes = [this](const auto& prefixes) { applyCachedPrefixes(prefixes); },
               .takeLocalPrefixes = [this] { return takeLocalPrefixes(); },
-              .heldVersion = [this] { return m_routing.version(); },
               .entryInstances = [this](auto n) {
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
@@ -139,10 +138,17 @@
     report.entryInstances = 1;
     m_reportedUsage.clear();
     for (const auto& [backend, local] : m_selector.localUsage()) {
-        const BackendUsage usage { .backendHash = hashOfAddress(backend.value()), .requests = local.requests, .promptTokens = local.promptTokens, .interactive = local.interactive };
-        report.backends.push_back(usage);
-        m_reportedUsage[usage.backendHash] = usage;
+        const auto hash = hashOfAddress(backend.value());
+        m_reportedUsage[hash] = { .backendHash = hash, .requests = local.requests, .promptTokens = local.promptTokens, .interactive = local.interactive };
+    }
+    for (const auto& [backend, calls] : m_selector.localCalls(monotonicNow())) {
+        const auto hash = hashOfAddress(backend.value());
+        auto& usage = m_reportedUsage[hash];
+        usage.backendHash = hash;
+        usage.calls = calls;
     }
+    for (const auto& [hash, usage] : m_reportedUsage)
+        report.backends.push_back(usage);
     return report;
 }
 
@@ -178,6 +184,7 @@
 {
     const auto known = backendsByHash();
     m_selector.clearRemoteUsage();
+    std::map<BackendId, CallCounts> calls;
     for (const auto& it : total.backends) {
         const auto backend = known.find(it.backendHash);
         if (backend == known.end())
@@ -186,7 +193,10 @@
         const auto subtract = [](std::uint32_t sum, std::uint32_t part) { return sum - std::min(sum, part); };
         const auto local = reported == m_reportedUsage.end() ? BackendUsage {} : reported->second;
         m_selector.setRemoteUsage(backend->second, { .requests = subtract(it.requests, local.requests), .promptTokens = subtract(it.promptTokens, local.promptTokens), .interactive = subtract(it.interactive, local.interactive) });
+        if (it.calls != CallCounts {})
+            calls.emplace(backend->second, it.calls);
     }
+    m_selector.setFleetCalls(calls, total.entryInstances, monotonicNow());
     m_selector.updateReservations(monotonicNow());
     m_admissionQueue.placeWaiting(monotonicNow());
 }
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -226,6 +226,7 @@
     if (m_mesh.entryLinks() == 0)
         return;
     auto total = m_usage.sum({});
+    dropFaultlessCalls(total);
     if (!evenIfUnchanged && total == m_lastReportToEntries)
         return;
     Wire::LinkMessage message;
--- a/src/node/UsageAggregator.cpp
+++ b/src/node/UsageAggregator.cpp
@@ -9,6 +9,15 @@
     return XXH32(address.data(), address.size(), 0);
 }
 
+void dropFaultlessCalls(UsageReport& report)
+{
+    for (auto& it : report.backends) {
+        if (it.calls.failures == 0)
+            it.calls = {};
+    }
+    std::erase_if(report.backends, [](const auto& it) { return it == BackendUsage { .backendHash = it.backendHash }; });
+}
+
 void UsageAggregator::set(const std::string& source, UsageReport report, TimePoint now)
 {
     m_reports[source] = { .report = std::move(report), .receivedAt = now };
@@ -33,6 +42,7 @@
             usage.requests += it.requests;
             usage.promptTokens += it.promptTokens;
             usage.interactive += it.interactive;
+            usage.calls += it.calls;
         }
     }
     for (const auto& [backend, usage] : byBackend)
--- a/src/node/UsageAggregator.h
+++ b/src/node/UsageAggregator.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "placement/CallWindow.h"
 
 #include <cstdint>
 #include <map>
@@ -12,12 +13,13 @@
 
 namespace HickoryHollow {
 
-/** Work in progress at one backend server. */
+/** Work in progress and recent failures at one backend server. */
 struct BackendUsage {
     std::uint32_t backendHash = 0; ///< Hash of the server's address; see hashOfAddress.
     std::uint32_t requests = 0; ///< Number of requests that have not ended.
     std::uint32_t promptTokens = 0; ///< Prompt tokens awaiting prefill, summed over the requests without a first token.
     std::uint32_t interactive = 0; ///< Number of these requests that are interactive.
+    CallCounts calls = {}; ///< Recent calls. In reports to entry instances all zero unless some of the calls failed.
 
     bool operator==(const BackendUsage&) const = default;
 };
@@ -30,7 +32,7 @@
 };
 
 struct UsageReport {
-    std::vector<BackendUsage> backends; ///< One item for each backend server with work in progress.
+    std::vector<BackendUsage> backends; ///< One item for each backend server with work in progress or failures.
     std::uint32_t entryInstances = 0; ///< Number of entry instances whose work the report includes.
 
     bool operator==(const UsageReport&) const = default;
@@ -56,6 +58,11 @@
     std::map<std::string, Entry> m_reports; // By source.
 };
 
+/**
+ * Leaves out the calls at servers without failures, and the servers of which nothing else is reported. A report to all entry
+ * instances is much smaller without them.
+ */
+void dropFaultlessCalls(UsageReport&);
 /** Identifies a backend server in reports. A receiver resolves the hash among the servers that it knows. */
 std::uint32_t hashOfAddress(const std::string& address);
 
--- a/src/node/UsageCodec.cpp
+++ b/src/node/UsageCodec.cpp
@@ -5,6 +5,24 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+Wire::BackendCalls toWire(const CallCounts& calls)
+{
+    Wire::BackendCalls wire;
+    wire.answers = static_cast<std::int32_t>(calls.answers);
+    wire.failures = static_cast<std::int32_t>(calls.failures);
+    wire.witnesses = static_cast<std::int32_t>(calls.witnesses);
+    return wire;
+}
+
+CallCounts fromWire(const Wire::BackendCalls& wire)
+{
+    return { .answers = static_cast<std::uint32_t>(wire.answers), .failures = static_cast<std::uint32_t>(wire.failures), .witnesses = static_cast<std::uint32_t>(wire.witnesses) };
+}
+
+} // namespace
+
 Wire::UseReport toWire(const UsageReport& report)
 {
     Wire::UseReport wire;
@@ -15,6 +33,8 @@
         encoded.requests = static_cast<std::int32_t>(it.requests);
         encoded.promptTokens = static_cast<std::int32_t>(it.promptTokens);
         encoded.interactive = static_cast<std::int32_t>(it.interactive);
+        if (it.calls != CallCounts {})
+            encoded.__set_calls(toWire(it.calls));
     }
     return wire;
 }
@@ -24,7 +44,7 @@
     UsageReport report;
     report.entryInstances = static_cast<std::uint32_t>(wire.entryInstances);
     for (const auto& it : wire.uses)
-        report.backends.push_back({ .backendHash = static_cast<std::uint32_t>(it.backend), .requests = static_cast<std::uint32_t>(it.requests), .promptTokens = static_cast<std::uint32_t>(it.promptTokens), .interactive = static_cast<std::uint32_t>(it.interactive) });
+        report.backends.push_back({ .backendHash = static_cast<std::uint32_t>(it.backend), .requests = static_cast<std::uint32_t>(it.requests), .promptTokens = static_cast<std::uint32_t>(it.promptTokens), .interactive = static_cast<std::uint32_t>(it.interactive), .calls = it.__isset.calls ? fromWire(it.calls) : CallCounts {} });
     return report;
 }
 
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -65,9 +65,14 @@
     auto& server = m_servers[record.id];
     const auto isNewStart = server.record.incarnation != record.incarnation;
     const auto cameBack = server.record.state != BackendState::Serving && record.state == BackendState::Serving;
-    if (isNewStart || cameBack)
+    if (isNewStart || cameBack) {
         server.health.reset();
+        if (const auto fleet = m_fleetEjections.find(record.service); fleet != m_fleetEjections.end())
+            fleet->second.reset(record.id);
+    }
     if (isNewStart) {
+        server.recentCalls = {};
+        server.fleetFailures = 0;
         server.cache.clear();
         server.slowness = 1;
         server.remoteUsage = {};
@@ -111,6 +116,38 @@
         server.remoteUsage = {};
 }
 
+void BackendSelector::setFleetCalls(const std::map<BackendId, CallCounts>& calls, std::uint32_t instances, TimePoint now)
+{
+    std::map<ServiceId, std::map<BackendId, CallCounts>> byService;
+    for (auto& [id, server] : m_servers) {
+        const auto it = calls.find(id);
+        server.fleetFailures = it == calls.end() ? 0 : it->second.failures;
+        if (server.record.state == BackendState::Serving)
+            byService[server.record.service][id] = it == calls.end() ? CallCounts {} : it->second;
+        if (it != calls.end())
+            m_fleetEjections.try_emplace(server.record.service, m_random);
+    }
+    for (auto& [service, ejection] : m_fleetEjections)
+        ejection.update(byService[service], instances, now);
+}
+
+std::map<BackendId, CallCounts> BackendSelector::localCalls(TimePoint now) const
+{
+    std::map<BackendId, CallCounts> calls;
+    for (const auto& [id, server] : m_servers) {
+        const auto counts = server.recentCalls.counts(now);
+        if (counts.calls() > 0)
+            calls.emplace(id, counts);
+    }
+    return calls;
+}
+
+bool BackendSelector::isEjected(const Server& server, TimePoint now) const
+{
+    const auto fleet = m_fleetEjections.find(server.record.service);
+    return server.health.isEjected(now) || (fleet != m_fleetEjections.end() && fleet->second.isEjected(server.record.id, now));
+}
+
 double BackendSelector::serviceSlowness(const ServiceId& service) const
 {
     const auto it = m_serviceSlowness.find(service);
@@ -137,7 +174,7 @@
         if (server.record.service != service)
             continue;
         active += server.interactiveCalls + server.remoteUsage.interactive;
-        if (server.record.state == BackendState::Serving && !server.health.isEjected(now))
+        if (server.record.state == BackendState::Serving && !isEjected(server, now))
             serving.emplace_back(rendezvousWeight(id, reservationHashSeed), id);
     }
     const auto isRising = active > reservation.averageInteractive;
@@ -173,7 +210,7 @@
     std::vector<std::pair<std::uint64_t, BackendId>> weighted;
     for (const auto& [id, server] : m_servers) {
         preferred.isPrefixCached = preferred.isPrefixCached || (isCandidate(server, request) && server.cache.contains(prefixHash));
-        const auto isServing = server.record.service == request.service && server.record.state == BackendState::Serving && !server.health.isEjected(now);
+        const auto isServing = server.record.service == request.service && server.record.state == BackendState::Serving && !isEjected(server, now);
         if (isServing && isReserved(server) == request.isInteractive)
             weighted.emplace_back(rendezvousWeight(id, prefixHash), id);
     }
@@ -184,15 +221,18 @@
     return preferred;
 }
 
-BackendSelector::Estimate BackendSelector::estimate(const Server& server, const PlacementRequest& request, const std::vector<PromptPrefix>& prefixes, const PreferredEngines& preferred) const
+BackendSelector::Estimate BackendSelector::estimate(const Server& server, const PlacementRequest& request, const std::vector<PromptPrefix>& prefixes, const PreferredEngines& preferred, TimePoint now) const
 {
     const auto domainPenalty = server.record.failureDomain == m_options.ownDomain ? 0.0 : otherDomainMilliseconds;
-    const auto running = static_cast<double>(server.calls + server.remoteUsage.requests);
+    const auto active = server.calls + server.remoteUsage.requests;
     if (request.prompt.isEmpty()) {
         const auto slots = std::max(1U, server.record.slots);
-        const auto time = domainPenalty + running / slots * millisecondsPerPlainCall * server.slowness;
+        const auto time = domainPenalty + static_cast<double>(active) / slots * millisecondsPerPlainCall * server.slowness;
         return { .cost = time, .time = time, .repeatedPrefill = 0, .uncachedTokens = 0 };
     }
+    // A failed call counts as running for a while, as an answered one would: failing at once is no spare capacity.
+    const auto failed = std::max(server.fleetFailures, server.recentCalls.counts(now).failures);
+    const auto running = static_cast<double>(active + failed);
     const auto shared = sharedPrefixOf(prefixes).tokens;
     const auto cached = std::min(server.cache.cachedTokens(prefixes), request.prompt.tokens);
     const auto uncachedShared = shared - std::min(shared, cached);
@@ -253,8 +293,8 @@
         if (!isCandidate(server, request))
             continue;
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
-        const auto healthRank = (server.health.isEjected(now) ? 1 : 0) + (isLapsed ? 2 : 0);
-        const auto it = estimate(server, request, prefixes, preferred);
+        const auto healthRank = (isEjected(server, now) ? 1 : 0) + (isLapsed ? 2 : 0);
+        const auto it = estimate(server, request, prefixes, preferred, now);
         const auto isTie = best && healthRank == bestHealthRank && it.cost == bestEstimate.cost;
         const auto isBetter = !best || healthRank < bestHealthRank || (healthRank == bestHealthRank && it.cost < bestEstimate.cost);
         ties = isTie ? ties + 1 : ties;
@@ -362,6 +402,10 @@
     if (!call.hasFirstToken && outcome != CallOutcome::Answered)
         server.cache.remove(call.addedPrefixes);
     server.health.record(outcome, now);
+    if (outcome == CallOutcome::Answered)
+        server.recentCalls.recordAnswer(now);
+    else if (outcome != CallOutcome::Rejected)
+        server.recentCalls.recordFailure(now);
 }
 
 std::map<BackendId, ServerUsage> BackendSelector::localUsage() const
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -12,7 +12,9 @@
 #include "base/Ids.h"
 #include "membership/BackendRecord.h"
 #include "placement/BackendHealth.h"
+#include "placement/CallWindow.h"
 #include "placement/EnginePrefixCache.h"
+#include "placement/FleetEjection.h"
 #include "placement/Prompt.h"
 
 #include <map>
@@ -85,6 +87,13 @@
     /** Replaces the usage of the other instances at a backend server; ignored for an unknown server. */
     void setRemoteUsage(const BackendId&, ServerUsage);
     void clearRemoteUsage();
+    /**
+     * Sets the recent calls of all `instances` entry instances at the servers where any of them failed, and decides which
+     * servers are ejected for these failures. Call with each update of the remote usage.
+     */
+    void setFleetCalls(const std::map<BackendId, CallCounts>&, std::uint32_t instances, TimePoint now);
+    /** Returns this instance's recent calls at each server that it had any from. */
+    std::map<BackendId, CallCounts> localCalls(TimePoint now) const;
     /**
      * Recomputes which engines are reserved for interactive requests: at least a quarter and at most half of a service's
      * serving engines, and none of a single one. Call after each update of the remote usage.
@@ -125,6 +134,8 @@
     struct Server {
         BackendRecord record;
         BackendHealth health;
+        CallWindow recentCalls; ///< Calls of this instance.
+        std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of the last setFleetCalls().
         EnginePrefixCache cache { 0 };
         ServerUsage remoteUsage; ///< Usage of all other instances together.
         std::uint32_t calls = 0; ///< Number of calls of this instance that have not ended.
@@ -172,13 +183,15 @@
         bool isPrefixCached = false; ///< Some engine is known to hold the prefix, so no probabilities are assumed.
     };
 
+    /** Returns true if the server is ejected, by this instance's outcomes or by those of all instances. */
+    bool isEjected(const Server&, TimePoint now) const;
     double serviceSlowness(const ServiceId&) const;
     double slotsOf(const ServiceId&) const;
     bool isReserved(const Server&) const;
     void updateReservation(const ServiceId&, Reservation&, TimePoint now);
     bool isCandidate(const Server&, const PlacementRequest&) const;
     double loadAdjustedTime(const Estimate&, const ServiceId&) const;
-    Estimate estimate(const Server&, const PlacementRequest&, const std::vector<PromptPrefix>&, const PreferredEngines&) const;
+    Estimate estimate(const Server&, const PlacementRequest&, const std::vector<PromptPrefix>&, const PreferredEngines&, TimePoint now) const;
     PreferredEngines preferredEngines(const PlacementRequest&, std::uint64_t prefixHash, TimePoint now) const;
 
     Options m_options;
@@ -186,6 +199,7 @@
     std::map<BackendId, Server> m_servers;
     std::map<ServiceId, Engine> m_engines; // Limits of the engines of each service that has any.
     std::map<ServiceId, double> m_serviceSlowness; // Moving average of actual / expected time to the first token.
+    std::map<ServiceId, FleetEjection> m_fleetEjections; // By service; created with the service's first failure.
     std::map<ServiceId, Reservation> m_reservations; // Holds exactly the services that have interactive requests.
     std::map<CallId, Call> m_calls; // Calls that have not ended.
     std::vector<CachedPrefix> m_unreportedPrefixes; // Waits for takeCachedPrefixes(); bounded by maxUnreportedPrefixes.
--- /dev/null
+++ b/src/placement/FleetEjection.cpp
@@ -0,0 +1,93 @@
+#include "placement/FleetEjection.h"
+
+#include "base/RandomSource.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr double minFailures = 3; // Beyond those that the service's usual share of failures explains.
+constexpr double chanceFactor = 4; // Standard deviations of a Poisson distribution.
+constexpr double minFailureShare = 0.25; // Below, the server's answers are worth more than its failures cost.
+constexpr std::uint32_t minWitnesses = 2; // A single one may have lost its own network.
+// Share of failures that is assumed of a service, as if it had been seen in that many calls: a few calls prove little.
+constexpr double priorShare = 0.05;
+constexpr double priorCalls = 10;
+constexpr std::size_t maxEjectedDivisor = 3; // The others must be able to take the load.
+// The counts cover two seconds, so those that led to an ejection are gone at its end.
+constexpr Duration minEjectionTime = std::chrono::seconds(2);
+constexpr Duration maxEjectionTime = std::chrono::seconds(8);
+constexpr Duration probationTime = std::chrono::seconds(1);
+constexpr std::uint32_t probers = 4; // One call of each proves that the server still fails.
+constexpr Duration forgetAfter = std::chrono::seconds(10); // Time without a new ejection, after which its length starts anew.
+
+double failureShare(const CallCounts& counts)
+{
+    return counts.calls() == 0 ? 0 : static_cast<double>(counts.failures) / counts.calls();
+}
+
+// The share of failures at the better half of the servers, which servers in trouble do not distort.
+double usualFailureShare(const std::map<BackendId, CallCounts>& servers)
+{
+    std::vector<CallCounts> byShare;
+    byShare.reserve(servers.size());
+    for (const auto& [id, counts] : servers)
+        byShare.push_back(counts);
+    std::sort(byShare.begin(), byShare.end(), [](const auto& a, const auto& b) { return failureShare(a) < failureShare(b); });
+    byShare.resize((byShare.size() + 1) / 2);
+    CallCounts sum;
+    for (const auto& it : byShare)
+        sum += it;
+    return (sum.failures + priorShare * priorCalls) / (sum.calls() + priorCalls);
+}
+
+} // namespace
+
+void FleetEjection::update(const std::map<BackendId, CallCounts>& servers, std::uint32_t instances, TimePoint now)
+{
+    std::erase_if(m_ejections, [&](const auto& it) { return now - it.second.until > forgetAfter || !servers.contains(it.first); });
+    if (servers.empty())
+        return;
+    const auto usualShare = usualFailureShare(servers);
+    std::vector<std::pair<std::uint32_t, BackendId>> outliers; // By number of failures.
+    std::size_t ejected = 0;
+    for (const auto& [id, counts] : servers) {
+        const auto it = m_ejections.find(id);
+        if (it != m_ejections.end() && now < it->second.until) {
+            ++ejected;
+            continue;
+        }
+        const auto usual = usualShare * counts.calls();
+        const auto isProven = counts.failures >= minFailures + usual + chanceFactor * std::sqrt(usual);
+        if (isProven && failureShare(counts) >= minFailureShare && counts.witnesses >= std::min(minWitnesses, instances))
+            outliers.emplace_back(counts.failures, id);
+    }
+    std::sort(outliers.begin(), outliers.end(), std::greater<>());
+    for (const auto& [failures, id] : outliers) {
+        if (++ejected > servers.size() / maxEjectedDivisor)
+            return;
+        eject(id, instances, now);
+    }
+}
+
+void FleetEjection::eject(const BackendId& id, std::uint32_t instances, TimePoint now)
+{
+    auto& ejection = m_ejections[id];
+    ejection.length = std::clamp(ejection.length * 2, minEjectionTime, maxEjectionTime);
+    ejection.until = now + ejection.length;
+    ejection.isProber = m_random.below(std::max(instances, 1U)) < probers;
+}
+
+bool FleetEjection::isEjected(const BackendId& id, TimePoint now) const
+{
+    const auto it = m_ejections.find(id);
+    if (it == m_ejections.end())
+        return false;
+    return now < it->second.until + (it->second.isProber ? Duration::zero() : probationTime);
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/placement/FleetEjection.h
@@ -0,0 +1,56 @@
+/** \file
+ * Outlier ejection of the backend servers of one service by the outcomes that all entry instances saw together. Reads no
+ * clock.
+ *
+ * It answers a server that fails while its health check is good, in a large fleet: an instance that learns alone pays for
+ * several failures at each such server, and again at each return, so the fleet pays that times the number of instances.
+ * With shared counts the fleet pays for the few failures that prove it, once. Errors are part of normal operation for some
+ * services, so a server is compared with the others of its service.
+ */
+#pragma once
+
+#include "base/Ids.h"
+#include "placement/CallWindow.h"
+
+#include <map>
+
+namespace HickoryHollow {
+
+class RandomSource;
+
+class FleetEjection {
+public:
+    /** `random` outlives this object. */
+    explicit FleetEjection(RandomSource& random)
+        : m_random(random)
+    {
+    }
+
+    /**
+     * Judges all serving servers of the service by their recent calls at `instances` entry instances together. A server is
+     * ejected if its failures are at least a quarter of its calls, too many to be chance at the share of failures of the
+     * better half of the servers, and seen by more than one instance. At most a third of the servers is ejected at a time.
+     */
+    void update(const std::map<BackendId, CallCounts>&, std::uint32_t instances, TimePoint now);
+    /**
+     * Returns true if this instance should not use the server. After an ejection, which doubles in length if the server
+     * fails again, a few random instances try the server for a second before the others do.
+     */
+    bool isEjected(const BackendId&, TimePoint now) const;
+    /** Forgets the server. Call when it restarts or serves again. */
+    void reset(const BackendId& id) { m_ejections.erase(id); }
+
+private:
+    struct Ejection {
+        Duration length {}; ///< Length of the last ejection.
+        TimePoint until {}; ///< End of the last ejection.
+        bool isProber = false; ///< This instance is among those that try the server first.
+    };
+
+    void eject(const BackendId&, std::uint32_t instances, TimePoint now);
+
+    RandomSource& m_random;
+    std::map<BackendId, Ejection> m_ejections; // Servers that were ejected lately.
+};
+
+} // namespace HickoryHollow
