--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -422,10 +422,9 @@
 {
     const auto now = monotonicNow();
     m_context.selector.recordActivity(callId, now);
-    if (!m_lastChunkAt) {
-        m_context.selector.recordFirstToken(callId, now);
+    m_context.selector.recordFirstToken(callId, now);
+    if (!m_lastChunkAt)
         m_context.admissionQueue.placeWaiting(now);
-    }
     if (m_lastChunkAt)
         m_longestPause = std::max(m_longestPause, now - *m_lastChunkAt);
     else
--- a/src/links/StateMesh.cpp
+++ b/src/links/StateMesh.cpp
@@ -284,7 +284,7 @@
 
 void StateMesh::sendLatestToEntries(LinkSubject subject, const Wire::LinkMessage& message)
 {
-    const auto frame = makeSharedFrame(message);
+    auto frame = makeSharedFrame(message);
     for (const auto& [number, peer] : m_state->accepted) {
         if (peer.isEntry())
             peer.link->sendLatest(subject, [frame] { return frame; });
--- a/test/correctness/fleet_ejection.cpp
+++ b/test/correctness/fleet_ejection.cpp
@@ -176,7 +176,7 @@
     fleet.run(5s);
     for (std::size_t server = 0; server < failing; ++server) {
         CAPTURE(server);
-        CHECK(fleet.callsAt(server) >= 5 * 500 / 140 / 2);
+        CHECK(fleet.callsAt(server) >= 5UL * 500 / 140 / 2);
     }
 }
 
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -379,3 +379,24 @@
     REQUIRE(bench.upstream.requests.size() == 1);
     CHECK(std::stoi(std::string(bench.upstream.requests[0].fields.find("Deadline-Ms"))) <= 4000 - 30);
 }
+
+TEST_CASE("a resumed stream's prompt counts as waiting for its prefill until the first token of the second server only", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { stream({ event(1) }, broken()), stream({ event(2), event(3) }) };
+    std::vector<std::uint32_t> waitingTokens;
+    bench.writer.written = [&] {
+        std::uint32_t sum = 0;
+        for (const auto& [id, usage] : bench.selector.localUsage())
+            sum += usage.promptTokens;
+        waitingTokens.push_back(sum);
+    };
+    auto http = RoutedBench::request("/draft/1");
+    http.fields.add("Model", "m");
+    http.fields.add("Token-Counts", "900,50");
+    http.fields.add("Prefix-Hash", "5c1e07a2:600,91bd3f06:300");
+    bench.run(http);
+    CHECK(bench.writer.isFinished);
+    CHECK(waitingTokens == std::vector<std::uint32_t>(waitingTokens.size(), 0));
+    CHECK(waitingTokens.size() == 3);
+}
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -121,6 +121,7 @@
     bool isFinished = false;
     bool isAbandoned = false;
     bool isDisconnected = false;
+    std::function<void()> written = [] {}; ///< Called after each write of a part of a stream.
 
     Task<std::error_code> send(HttpResponse sent) override
     {
@@ -135,6 +136,7 @@
     Task<std::error_code> write(std::string_view chunk) override
     {
         streamed.append(chunk);
+        written();
         co_return std::error_code();
     }
     Task<std::error_code> finishStream() override
