--- a/test/correctness/fleet_ejection.cpp
+++ b/test/correctness/fleet_ejection.cpp
@@ -166,7 +166,7 @@
     Fleet fleet(options(true));
     fleet.run(11500ms);
     // Alone, each of 77 instances needs three failures at each engine, and again after each ejection.
-    constexpr std::size_t learningAlone = 77 * 3 * failing;
+    constexpr std::size_t learningAlone = 77UL * 3 * failing;
     CAPTURE(alone.failures());
     CHECK(fleet.failures() <= learningAlone / 10);
     CHECK(fleet.failures() < alone.failures());
