--- a/src/forwarding/AsyncAdmissionQueue.h
+++ b/src/forwarding/AsyncAdmissionQueue.h
@@ -29,10 +29,11 @@
     /**
      * Waits until the request is granted a backend server. From `queueUntil` on, the best server is granted regardless
      * of its backlog. The result is empty if no candidate server exists at the time of the call, or none is left at
-     * `queueUntil`, or if the wait was cancelled. A grant that was made just before the cancellation is still returned, and its call must be ended.
+     * `queueUntil`, or if the wait was cancelled. A grant that was made just before the cancellation is still returned, and
+     * its call must be ended.
      */
     Task<std::optional<AdmissionQueue::Grant>> place(const PlacementRequest&, TimePoint queueUntil, SetCancelHandler);
-    /** Resumes the requests that the queue can grant now, or never; see AdmissionQueue. Call every few tens of milliseconds. */
+    /** Resumes the requests that the queue can grant now, or never. Call every few tens of milliseconds. */
     void placeWaiting(TimePoint now);
     /** Number of requests that wait. */
     std::size_t waitingCount() const { return m_queue.size(); }
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -89,7 +89,8 @@
     void clearRemoteUsage();
     /**
      * Sets the recent calls of all `instances` entry instances at the servers where any of them failed, and decides which
-     * servers are ejected for these failures. Call with each update of the remote usage. Returns the servers that were ejected.
+     * servers are ejected for these failures. Call with each update of the remote usage. Returns the servers that were
+     * ejected now.
      */
     std::vector<FleetEjected> setFleetCalls(const std::map<BackendId, CallCounts>&, std::uint32_t instances, TimePoint now);
     /** Returns this instance's recent calls at each server that it had any from. */
