Send whole configurations to entry instances that know no differences

Cause: found in the reading of the change: during a rolling update an entry instance of the earlier program would ignore a difference and keep its version. A poll now always says whether the sender knows differences.

--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -129,8 +129,7 @@
     Wire::FreshnessPoll poll;
     poll.id = toSigned(++lastPoll);
     poll.held = toSigned(held.version.value());
-    if (needsWhole)
-        poll.__set_needsWhole(true);
+    poll.__set_needsWhole(needsWhole);
     pollSentAt[lastPoll] = monotonicNow();
     Wire::LinkMessage message;
     message.__set_freshnessPoll(poll);
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -325,7 +325,9 @@
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
-    m_broadcast.setHeld(from, RoutingVersion(toUnsigned(poll.held)), poll.__isset.needsWhole && poll.needsWhole);
+    const RoutingVersion held(toUnsigned(poll.held));
+    // An entry instance of an earlier version of the program ignores differences, and does not set the field.
+    m_broadcast.setHeld(from, held, poll.__isset.needsWhole ? poll.needsWhole : held < m_routing->version);
     if (m_broadcast.isDue(from))
         sendRoutingWhenFree(from);
     confirmNewest([this, from, poll](const std::optional<Confirmation>& confirmation) {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -117,7 +117,8 @@
 // instances that the sender knows.
 struct LinkHello { 1: string instance, 2: string listen, 3: string failureDomain, 4: i64 incarnation, 5: list<StateAddress> states }
 // Asks which accepted configuration is the newest; `held` is the version that the sender has. `needsWhole` is true after a
-// difference did not fit the text that the sender has; the next configuration is then sent whole.
+// difference did not fit the text that the sender has; the next configuration is then sent whole. A sender that leaves it out
+// knows no differences.
 struct FreshnessPoll { 1: i64 id, 2: i64 held, 3: optional bool needsWhole }
 // `confirmed` is true when `version` was the newest accepted version at some time after the poll was received. `document` is
 // set between state instances when a configuration newer than `held` is known; an entry instance receives a `routing` or a
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -145,6 +145,8 @@
     CHECK(received == std::vector<RoutingDocument> { first, second, third });
     REQUIRE(polls.size() >= 2);
     CHECK(polls.front().held == 0);
+    // Tells the state instance that the feed knows differences.
+    CHECK(polls.front().__isset.needsWhole);
     CHECK(polls.back().held == 5);
     CHECK(polls.back().needsWhole);
 }
