Show that a stream cut inside an event reaches its caller as complete

Two of the new tests hold already: line ends after the last event, and a whole answer on a streaming route, which the fix must not break.

--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -151,6 +151,59 @@
     CHECK(bench.writer.isAbandoned);
 }
 
+// The connection of an answer without a length or chunks may end anywhere.
+TEST_CASE("a stream that ends inside an event does not look complete to its caller", "[routed]")
+{
+    RoutedBench bench;
+    const auto rest = GENERATE(as<std::string>(), "id: 2\ndata: ha", "id: 2\ndata: half\n", "id: 2", ": comm");
+    CAPTURE(rest);
+    bench.upstream.scripts = { stream({ event(1) + rest }) };
+    bench.run(RoutedBench::request("/chat/1"));
+    CHECK(bench.writer.streamed == event(1));
+    CHECK_FALSE(bench.writer.isFinished);
+    CHECK(bench.writer.isAbandoned);
+}
+
+TEST_CASE("a stream that ends inside its first event is answered as failed", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { stream({ "id: 1\ndata: ha" }) };
+    bench.run(RoutedBench::request("/chat/1"));
+    CHECK(bench.writer.streamStatus == 0);
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 502);
+}
+
+TEST_CASE("a resumable stream that ends inside an event is resumed at another server", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { stream({ event(1), event(2) + "id: 3\ndata: ha" }), stream({ event(3), event(4) }) };
+    bench.run(RoutedBench::request("/draft/1"));
+    CHECK(bench.writer.streamed == event(1) + event(2) + event(3) + event(4));
+    CHECK(bench.writer.isFinished);
+    REQUIRE(bench.upstream.requests.size() == 2);
+    CHECK(bench.upstream.requests[1].fields.find("Last-Event-Id") == "2");
+}
+
+TEST_CASE("line ends after the last event are no part of an event", "[routed]")
+{
+    RoutedBench bench;
+    const auto rest = GENERATE(as<std::string>(), "\n", "\r\n");
+    bench.upstream.scripts = { stream({ event(1) + rest }) };
+    bench.run(RoutedBench::request("/chat/1"));
+    CHECK(bench.writer.streamed == event(1) + rest);
+    CHECK(bench.writer.isFinished);
+}
+
+TEST_CASE("a whole answer on a streaming route reaches the caller although it holds no event", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { RoutedBench::answer("{\"text\":\"whole\"}") };
+    bench.run(RoutedBench::request("/chat/1"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "{\"text\":\"whole\"}");
+}
+
 TEST_CASE("the caller's Last-Event-Id is passed on", "[routed]")
 {
     RoutedBench bench;
