Do not pass on a stream that ends inside an event as complete

Cause: relayStream appended the bytes of an incomplete event when the body ended, and finished the caller's answer. The end of the body was taken for the end of the stream. For an answer with neither a length nor chunks the body ends where its connection does, which a crashing server ends too. The class: the end of a transport taken for the end of a message.

Ruled out: a misread chunked body (covered by "a truncated body is incomplete"), and an end that the router chose (the log would name it).

Why this works: an event ends with a blank line, so bytes after the last blank line prove that the server had more to say, whatever the framing says. The attempt then ends as broken, is resumed elsewhere where the route allows it, and otherwise the caller's connection is closed without the last chunk. The log names it as ended-inside-event. A 2xx answer of another content type on a streaming route has no events; it is relayed as a whole answer now.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -318,10 +318,11 @@
         result.cause = "answer-not-signed";
         co_return result;
     }
-    const auto isStream = m_route->isStream() && head.status < firstRedirect;
+    const auto type = head.fields.find("Content-Type");
+    const auto isEventStream = type.starts_with("text/event-stream");
+    const auto isStream = m_route->isStream() && head.status < firstRedirect && (isEventStream || type.empty());
     // Once the caller has received events of the stream, only an event stream can continue them.
-    const auto isEventStream = isStream && head.fields.find("Content-Type").starts_with("text/event-stream");
-    if (m_streamStarted && !isEventStream) {
+    if (m_streamStarted && !(isStream && isEventStream)) {
         result.cause = "no-stream";
         co_return result;
     }
@@ -388,19 +389,20 @@
             result.cause = "event-oversized";
             co_return result;
         }
+        const auto isComplete = chunk.isLast && !m_events.isInsideEvent();
         std::string lastBytes;
-        if (chunk.isLast && !m_events.incompleteEvent().empty()) {
+        if (isComplete && !m_events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(m_events.incompleteEvent());
             bytes = lastBytes;
         }
-        if (!bytes.empty() || chunk.isLast) {
+        if (!bytes.empty() || isComplete) {
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
-            if (chunk.isLast || m_events.progressCount() > progressBefore)
+            if (isComplete || m_events.progressCount() > progressBefore)
                 recordChunk(callId);
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
                 ec = co_await m_writer.write(bytes);
-            if (!ec && chunk.isLast)
+            if (!ec && isComplete)
                 ec = co_await m_writer.finishStream();
             if (ec) {
                 result.end = AttemptEnd::CallerGone;
@@ -409,7 +411,11 @@
                 co_return result;
             }
         }
-        if (chunk.isLast)
+        if (chunk.isLast && !isComplete) {
+            result.cause = "ended-inside-event";
+            co_return result;
+        }
+        if (isComplete)
             break;
     }
     result.end = AttemptEnd::Delivered;
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -35,6 +35,11 @@
     std::optional<std::uint64_t> lastEventId() const { return m_lastId; }
     /** The bytes received of an event that is still incomplete. */
     std::string_view incompleteEvent() const { return m_pending; }
+    /**
+     * True if bytes of an incomplete event were received. A body that ends here was broken off, also if its framing says that
+     * it is complete: the connection of a body without a length or chunks may end anywhere.
+     */
+    bool isInsideEvent() const { return m_pending.find_first_not_of("\r\n") != std::string::npos; }
     /** Number of events with data that feed() returned, not counting the end marker. */
     std::uint32_t eventCount() const { return m_eventCount; }
     /** Number of events that feed() returned and that are more than comments, which a stalled server may send as well. */
