Reset a connection without chunks whose stream breaks off

What callers saw: a caller of HTTP/1.0 gets a stream that ends with its connection. If the router gives such a stream up, the connection ended in an orderly way, as after a complete answer.

Fix: a stream that was started, not finished, and is not in chunks ends with a reset. Before: the test saw end of file; after: connection reset.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -129,6 +129,7 @@
             message.chunked(true);
         else
             m_keepAlive = false;
+        m_isUnfinished = true;
         http::response_serializer<http::empty_body> serializer(message);
         m_state->stream.expires_after(m_options.writeTimeout);
         const auto [ec, n] = co_await http::async_write_header(m_state->stream, serializer, asTuple);
@@ -151,6 +152,7 @@
 
     Task<std::error_code> finishStream() override
     {
+        m_isUnfinished = false;
         if (!m_isChunked)
             co_return std::error_code();
         m_state->stream.expires_after(m_options.writeTimeout);
@@ -161,6 +163,8 @@
     void abandon() override { m_keepAlive = false; }
     bool isCallerDisconnected() const override { return m_state->isDisconnected; }
     bool keepAlive() const { return m_keepAlive; }
+    /** True if an orderly end of the connection would look like the end of a stream that was not finished. */
+    bool mustReset() const { return m_isUnfinished && !m_isChunked; }
 
     void onCallerDisconnect(std::function<void()> callback) override
     {
@@ -198,6 +202,7 @@
     unsigned m_version;
     bool m_keepAlive;
     bool m_isChunked = false;
+    bool m_isUnfinished = false; // A stream was started and not finished.
 };
 
 /** Increments a counter for its lifetime. */
@@ -345,6 +350,13 @@
         co_await shared->handler.handle(request, writer);
         stopWatchingPeer(*state);
         isOpen = writer.keepAlive() && !state->isDisconnected;
+        if (writer.mustReset()) {
+            stopWatchingPeer(*state);
+            // With a linger time of zero, closing the socket resets the connection.
+            state->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            state->stream.close();
+            co_return;
+        }
     }
     stopWatchingPeer(*state);
     state->stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
