Log the parts of a prompt whose answer was broken off

Event 2103 has the parts that other requests may share, eight at most, one line for each broken attempt.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -24,6 +24,7 @@
     AnswerBroken = 2003,
     RoutedEnd = 2101,
     RoutedRetry = 2102,
+    RoutedBroken = 2103,
     BackendJoined = 3001,
     BackendLeaving = 3002,
     BackendLapsed = 3003,
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -271,6 +271,8 @@
         // A disconnecting caller must not count against the server's health.
         result.outcome = CallOutcome::Rejected;
     }
+    if (result.end == AttemptEnd::Failed && result.wasSent && !m_metadata.prompt.isEmpty())
+        logBroken(placement, result.cause, monotonicNow() - now);
     m_context.selector.endCall(callId, result.outcome, monotonicNow());
     m_context.admissionQueue.placeWaiting(monotonicNow());
     co_return result;
@@ -438,6 +440,15 @@
     m_lastChunkAt = now;
 }
 
+void RoutedExchange::logBroken(const Placement& placement, std::string_view cause, Duration sentFor) const
+{
+    constexpr std::size_t maxLoggedParts = 8;
+    std::string parts;
+    for (std::size_t i = 0; i + 1 < m_metadata.prompt.parts.size() && i < maxLoggedParts; ++i)
+        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id);
+    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), parts);
+}
+
 void RoutedExchange::countOutcome(unsigned status, std::string_view outcome, Duration took)
 {
     if (!m_metrics)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -91,6 +91,8 @@
     /** Time until which the request may be queued; retries are not queued. */
     TimePoint queueUntil(TimePoint now) const;
     HttpRequest makeUpstreamRequest(const Placement&) const;
+    /** Logs an answer that was broken off after `sentFor`, with the prompt's parts, which show what such answers have in common. */
+    void logBroken(const Placement&, std::string_view cause, Duration sentFor) const;
     /** Records that a chunk of the stream came from the server. */
     void recordChunk(CallId);
 
