--- a/test/correctness/platform_path.cpp
+++ b/test/correctness/platform_path.cpp
@@ -6,23 +6,15 @@
 #include "http/HttpServer.h"
 #include "http/ResponseWriter.h"
 #include "net/EventLoops.h"
-#include "node/ControlPlane.h"
-#include "node/NodeProcess.h"
-#include "platform/ControlApi.h"
-#include "platform/HeaderCodec.h"
-#include "platform/RoutingJson.h"
+#include "test/fakes/RunningInstance.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <fstream>
-#include <mutex>
 #include <thread>
 #include <unistd.h>
 
 using namespace HickoryHollow;
+using namespace HickoryHollow::Fakes;
 
 namespace {
 
@@ -68,63 +60,6 @@
     }
 };
 
-/** Runs an instance of the router on its own thread and drains it in the destructor. */
-class RunningInstance {
-public:
-    RunningInstance(const std::string& settings, const std::string& name)
-        : m_file(std::filesystem::temp_directory_path() / ("hickory-path-" + std::to_string(::getpid()) + name))
-    {
-        std::ofstream(m_file) << settings;
-        Diagnostics diagnostics;
-        const auto parsed = parseNodeSettings(m_file, settings, diagnostics);
-        INFO(toString(diagnostics));
-        REQUIRE(parsed);
-        m_process = std::make_unique<NodeProcess>(NodeProcess::Options { .settingsFile = m_file, .settings = *parsed, .decoder = m_decoder, .codec = m_codec, .readinessPath = "/readyz", .makeControlApi = [](ControlPlane& plane) { return std::make_unique<Platform::ControlApi>(plane); } });
-        m_thread = std::thread([this] { m_process->run(); });
-    }
-    ~RunningInstance()
-    {
-        m_process->requestDrain();
-        m_thread.join();
-        std::filesystem::remove(m_file);
-    }
-    RunningInstance(const RunningInstance&) = delete;
-    RunningInstance& operator=(const RunningInstance&) = delete;
-
-private:
-    std::filesystem::path m_file;
-    Platform::RoutingJson m_decoder;
-    Platform::HeaderCodec m_codec;
-    std::unique_ptr<NodeProcess> m_process;
-    std::thread m_thread;
-};
-
-struct Answer {
-    unsigned status = 0;
-    std::string body;
-    std::string seal;
-};
-
-Answer call(int port, http::verb method, const std::string& target, const std::string& body, const std::string& key = {})
-{
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::socket socket(io);
-    socket.connect({ boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port) });
-    http::request<http::string_body> request { method, target, 11 };
-    request.set(http::field::host, "h.example");
-    request.set("Attempt-Id", "id-1");
-    if (!key.empty())
-        request.set(http::field::authorization, "Bearer " + key);
-    request.body() = body;
-    request.prepare_payload();
-    http::write(socket, request);
-    boost::beast::flat_buffer buf;
-    http::response<http::string_body> response;
-    boost::system::error_code ec;
-    http::read(socket, buf, response, ec);
-    return { .status = ec ? 0 : response.result_int(), .body = response.body(), .seal = std::string(response["Runner-Seal"]) };
-}
-
 /** Submits a configuration as an operator, and repeats it until it is accepted (200) or refused as invalid (400). */
 Answer submit(const std::string& text)
 {
--- /dev/null
+++ b/test/fakes/RunningInstance.h
@@ -0,0 +1,85 @@
+/** \file
+ * Runs instances of the router with the platform's codecs inside a test, and calls them on loopback.
+ */
+#pragma once
+
+#include "node/ControlPlane.h"
+#include "node/NodeProcess.h"
+#include "platform/ControlApi.h"
+#include "platform/HeaderCodec.h"
+#include "platform/RoutingJson.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace HickoryHollow::Fakes {
+
+/** Runs an instance of the router on its own thread and drains it in the destructor. */
+class RunningInstance {
+public:
+    RunningInstance(const std::string& settings, const std::string& name)
+        : m_file(std::filesystem::temp_directory_path() / ("hickory-path-" + std::to_string(::getpid()) + name))
+    {
+        std::ofstream(m_file) << settings;
+        Diagnostics diagnostics;
+        const auto parsed = parseNodeSettings(m_file, settings, diagnostics);
+        INFO(toString(diagnostics));
+        REQUIRE(parsed);
+        m_process = std::make_unique<NodeProcess>(NodeProcess::Options { .settingsFile = m_file, .settings = *parsed, .decoder = m_decoder, .codec = m_codec, .readinessPath = "/readyz", .makeControlApi = [](ControlPlane& plane) { return std::make_unique<Platform::ControlApi>(plane); } });
+        m_thread = std::thread([this] { m_process->run(); });
+    }
+    ~RunningInstance()
+    {
+        m_process->requestDrain();
+        m_thread.join();
+        std::filesystem::remove(m_file);
+    }
+    RunningInstance(const RunningInstance&) = delete;
+    RunningInstance& operator=(const RunningInstance&) = delete;
+
+private:
+    std::filesystem::path m_file;
+    Platform::RoutingJson m_decoder;
+    Platform::HeaderCodec m_codec;
+    std::unique_ptr<NodeProcess> m_process;
+    std::thread m_thread;
+};
+
+/** What a caller received. */
+struct Answer {
+    unsigned status = 0;
+    std::string body;
+    std::string seal;
+};
+
+/** Sends one request on a connection of its own. The status is 0 if no whole answer comes. */
+inline Answer call(int port, boost::beast::http::verb method, const std::string& target, const std::string& body, const std::string& key = {}, const HttpFields& fields = {})
+{
+    namespace http = boost::beast::http;
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({ boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port) });
+    http::request<http::string_body> request { method, target, 11 };
+    request.set(http::field::host, "h.example");
+    request.set("Attempt-Id", "id-1");
+    if (!key.empty())
+        request.set(http::field::authorization, "Bearer " + key);
+    for (const auto& it : fields.all())
+        request.set(it.name, it.value);
+    request.body() = body;
+    request.prepare_payload();
+    http::write(socket, request);
+    boost::beast::flat_buffer buf;
+    http::response<http::string_body> response;
+    boost::system::error_code ec;
+    http::read(socket, buf, response, ec);
+    return { .status = ec ? 0 : response.result_int(), .body = response.body(), .seal = std::string(response["Runner-Seal"]) };
+}
+
+} // namespace HickoryHollow::Fakes
