--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -34,6 +34,8 @@
     BackendChanged = 3007,
     AnnouncementIgnored = 3008,
     BackendOutlier = 3009,
+    PromptQuarantined = 3010,
+    PromptReleased = 3011,
     LeaderElected = 4001,
     LeaderLost = 4002,
     SettingsApplied = 4003,
--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -17,6 +17,7 @@
 
 class AsyncAdmissionQueue;
 class BackendSelector;
+class PromptGuard;
 class RandomSource;
 class RequestCodec;
 class ActiveRouting;
@@ -28,6 +29,7 @@
     const RequestCodec& codec;
     const ActiveRouting& routing;
     BackendSelector& selector;
+    PromptGuard& promptGuard;
     AsyncAdmissionQueue& admissionQueue;
     UpstreamClient& upstream;
     RandomSource& random;
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -6,6 +6,7 @@
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
+#include "placement/PromptGuard.h"
 #include "routing/ActiveRouting.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
 
+constexpr std::string_view quarantinedCode = "prompt-quarantined"; // The prompt has a part that crashes servers.
 constexpr std::size_t maxWholeAnswerBytes = 16U << 20U;
 // A server that rejects a request has not run it, so a rejected request may be sent more often than the route's maxAttempts.
 constexpr std::uint32_t extraSendsAfterRejection = 2;
@@ -96,6 +98,8 @@
     for (;;) {
         const auto now = monotonicNow();
         co_await awaitCandidate();
+        if (co_await refuseQuarantined())
+            co_return;
         const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { m_writer.onCallerDisconnect(std::move(cancelWait)); });
         if (m_writer.isCallerDisconnected()) {
             if (grant)
@@ -104,13 +108,17 @@
             co_return;
         }
         const auto isOverloaded = grant && shouldShed(m_placementRequest, grant->placement, requestTiming(monotonicNow()));
-        const auto refusal = isOverloaded ? std::optional<std::string_view>("overloaded") : findRefusal(grant.has_value(), window);
+        // The part may have been put in quarantine during the wait.
+        const auto isQuarantined = grant && m_context.promptGuard.isQuarantined(m_metadata.prompt);
+        const auto refusal = isQuarantined ? std::optional(quarantinedCode) : isOverloaded ? std::optional<std::string_view>("overloaded")
+                                                                                           : findRefusal(grant.has_value(), window);
         if (refusal) {
             if (grant) {
                 m_lastPlacement = grant->placement;
                 m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
             }
-            co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, *refusal, isOverloaded ? retryAfterDelay(requestTiming(monotonicNow()), m_context.maxRetryAfter, m_context.random) : shortRetryAfter);
+            co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, *refusal, isOverloaded ? retryAfterDelay(requestTiming(monotonicNow()), m_context.maxRetryAfter, m_context.random) : isQuarantined ? m_context.maxRetryAfter
+                                                                                                                                                                                                                         : shortRetryAfter);
             co_return;
         }
         m_metrics->queueing.add(monotonicNow() - now);
@@ -133,6 +141,14 @@
     }
 }
 
+Task<bool> RoutedExchange::refuseQuarantined()
+{
+    if (!m_context.promptGuard.isQuarantined(m_metadata.prompt))
+        co_return false;
+    co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, quarantinedCode, m_context.maxRetryAfter);
+    co_return true;
+}
+
 RequestTiming RoutedExchange::requestTiming(TimePoint now) const
 {
     return { .firstTokenTarget = m_route->firstTokenTarget, .age = now - m_arrival, .callerTimeout = m_deadline - m_arrival };
@@ -263,6 +279,7 @@
             result.cause = "deadline-passed";
         } else if (!isWhole && silence.hasPassed()) {
             result.cause = "server-silent";
+            result.hasBrokenOff = false;
         }
     }
     m_writer.onCallerDisconnect({});
@@ -271,8 +288,10 @@
         // A disconnecting caller must not count against the server's health.
         result.outcome = CallOutcome::Rejected;
     }
-    if (result.end == AttemptEnd::Failed && result.wasSent && !m_metadata.prompt.isEmpty())
+    if (result.end == AttemptEnd::Failed && result.hasBrokenOff && !m_metadata.prompt.isEmpty()) {
         logBroken(placement, result.cause, monotonicNow() - now);
+        m_context.promptGuard.recordCrash(m_metadata.prompt, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
+    }
     m_context.selector.endCall(callId, result.outcome, monotonicNow());
     m_context.admissionQueue.placeWaiting(monotonicNow());
     co_return result;
@@ -281,12 +300,13 @@
 Task<RoutedExchange::AttemptResult> RoutedExchange::sendAttempt(UpstreamCall& call, const Placement& placement, CallId callId)
 {
     AttemptResult result;
-    // If the process was suspended after the admission, the key may have been revoked since; then nothing is sent.
-    const auto maySend = [this] { return !m_workspace || hasLease(); };
-    const auto forbid = [&result] {
+    // If the process was suspended after the admission, the key may have been revoked since; then nothing is sent. Nor is it
+    // if the prompt was put in quarantine while the request waited for a connection.
+    const auto maySend = [this] { return (!m_workspace || hasLease()) && !m_context.promptGuard.isQuarantined(m_metadata.prompt); };
+    const auto forbid = [this, &result] {
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
-        result.cause = "configuration-unconfirmed";
+        result.cause = m_context.promptGuard.isQuarantined(m_metadata.prompt) ? quarantinedCode : "configuration-unconfirmed";
         return result;
     };
     if (!maySend())
@@ -307,6 +327,7 @@
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
         result.outcome = result.wasSent ? CallOutcome::Broken : CallOutcome::Unreachable;
         result.cause = result.wasSent ? (head.ec == RouterError::UpstreamTimeout ? "server-silent" : "answer-broken") : "unreachable";
+        result.hasBrokenOff = result.wasSent && head.ec == RouterError::UpstreamBroken;
         co_return result;
     }
     const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
@@ -346,6 +367,7 @@
         const auto size = result.answer.body.size() + chunk.bytes.size();
         if (chunk.ec || size > maxWholeAnswerBytes || !held.resize(size)) {
             result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
         result.answer.body.append(chunk.bytes);
@@ -358,6 +380,8 @@
         co_return result;
     }
     result.outcome = CallOutcome::Answered;
+    if (head.status < firstRedirect)
+        m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
@@ -383,6 +407,7 @@
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
         const auto progressBefore = m_events.progressCount();
@@ -415,11 +440,13 @@
         }
         if (chunk.isLast && !isComplete) {
             result.cause = "ended-inside-event";
+            result.hasBrokenOff = true;
             co_return result;
         }
         if (isComplete)
             break;
     }
+    m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
     result.end = AttemptEnd::Delivered;
     result.outcome = CallOutcome::Answered;
     result.cause = "none";
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -52,6 +52,7 @@
         bool wasSent = false; ///< At least one byte of the request may have reached the server.
         CallOutcome outcome = CallOutcome::Broken; ///< Reported to the selector for the server's health.
         std::string_view cause; ///< One-word cause for logs and error codes.
+        bool hasBrokenOff = false; ///< The server ended the connection before its answer was whole, as a crash does.
         HttpResponse answer; ///< The server's answer if `end` is ServerError.
     };
 
@@ -93,6 +94,8 @@
     HttpRequest makeUpstreamRequest(const Placement&) const;
     /** Logs an answer that was broken off after `sentFor`, with the prompt's parts, which show what such answers have in common. */
     void logBroken(const Placement&, std::string_view cause, Duration sentFor) const;
+    /** Ends the exchange if the prompt has a part in quarantine. Returns true if it did. */
+    Task<bool> refuseQuarantined();
     /** Records that a chunk of the stream came from the server. */
     void recordChunk(CallId);
 
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -47,7 +47,7 @@
     , m_selector({ .ownDomain = settings.failureDomain }, *m_random)
     , m_admissionQueue(m_loop, m_selector)
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .maxRetryAfter = settings.bounds.maxRetryAfter }
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
     , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .maxConnections = 3000 })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
@@ -63,6 +63,11 @@
               .localUsage = [this] { return localUsage(); },
               .cachedPrefixes = [this](const auto& prefixes) { applyCachedPrefixes(prefixes); },
               .takeLocalPrefixes = [this] { return takeLocalPrefixes(); },
+              .takePromptEvidence = [this](bool onNewLink) {
+                  if (onNewLink)
+                      m_promptGuard.reportQuarantined();
+                  return m_promptGuard.takeEvidence(monotonicNow()); },
+              .promptVerdicts = [this](const auto& verdicts) { m_promptGuard.apply(verdicts); },
               .entryInstances = [this](auto n) {
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -13,6 +13,7 @@
 #include "node/NodeSettings.h"
 #include "node/StateFeed.h"
 #include "placement/BackendSelector.h"
+#include "placement/PromptGuard.h"
 #include "routing/ActiveRouting.h"
 
 #include <memory>
@@ -60,6 +61,7 @@
     std::unique_ptr<RandomSource> m_random;
     ActiveRouting m_routing;
     BackendSelector m_selector;
+    PromptGuard m_promptGuard;
     AsyncAdmissionQueue m_admissionQueue;
     Metrics m_metrics;
     std::unique_ptr<UpstreamClient> m_upstream;
--- /dev/null
+++ b/src/node/PromptEvidenceCodec.cpp
@@ -0,0 +1,84 @@
+#include "node/PromptEvidenceCodec.h"
+
+#include "wire/Signed.h"
+#include "wire/gen/hickoryhollow_types.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace HickoryHollow {
+
+namespace {
+
+std::int32_t toMilliseconds(Duration time)
+{
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(time / std::chrono::milliseconds(1), 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+Duration fromMilliseconds(std::int32_t time)
+{
+    return std::chrono::milliseconds(std::max(time, 0));
+}
+
+std::vector<std::int64_t> toSignedParts(const std::vector<std::uint64_t>& parts)
+{
+    std::vector<std::int64_t> wire;
+    for (const auto it : parts)
+        wire.push_back(toSigned(it));
+    return wire;
+}
+
+std::vector<std::uint64_t> toUnsignedParts(const std::vector<std::int64_t>& wire)
+{
+    std::vector<std::uint64_t> parts;
+    for (const auto it : wire)
+        parts.push_back(toUnsigned(it));
+    return parts;
+}
+
+} // namespace
+
+Wire::PromptEvidence toWire(const PromptEvidence& evidence)
+{
+    Wire::PromptEvidence wire;
+    for (const auto& it : evidence.crashes) {
+        auto& crash = wire.crashes.emplace_back();
+        crash.server = toSigned(it.server);
+        crash.sentForMs = toMilliseconds(it.sentFor);
+        crash.ageMs = toMilliseconds(it.age);
+        crash.parts = toSignedParts(it.parts);
+    }
+    for (const auto& it : evidence.answered) {
+        auto& answered = wire.answered.emplace_back();
+        answered.part = toSigned(it.part);
+        answered.ageMs = toMilliseconds(it.age);
+    }
+    wire.quarantined = toSignedParts(evidence.quarantined);
+    return wire;
+}
+
+PromptEvidence fromWire(const Wire::PromptEvidence& wire)
+{
+    PromptEvidence evidence;
+    for (const auto& it : wire.crashes)
+        evidence.crashes.push_back({ .server = toUnsigned(it.server), .sentFor = fromMilliseconds(it.sentForMs), .age = fromMilliseconds(it.ageMs), .parts = toUnsignedParts(it.parts) });
+    for (const auto& it : wire.answered)
+        evidence.answered.push_back({ .part = toUnsigned(it.part), .age = fromMilliseconds(it.ageMs) });
+    evidence.quarantined = toUnsignedParts(wire.quarantined);
+    return evidence;
+}
+
+Wire::PromptVerdicts toWire(const PromptVerdicts& verdicts)
+{
+    Wire::PromptVerdicts wire;
+    wire.suspects = toSignedParts(verdicts.suspects);
+    wire.quarantined = toSignedParts(verdicts.quarantined);
+    return wire;
+}
+
+PromptVerdicts fromWire(const Wire::PromptVerdicts& wire)
+{
+    return { .suspects = toUnsignedParts(wire.suspects), .quarantined = toUnsignedParts(wire.quarantined) };
+}
+
+} // namespace HickoryHollow
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "links/StateMesh.h"
+#include "node/PromptEvidenceCodec.h"
 #include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/FleetCodec.h"
@@ -44,6 +45,7 @@
     void poll(Link&);
     void reportUsage(Link&, bool evenIfUnchanged);
     void reportCachedPrefixes(Link&);
+    void reportPromptEvidence(Link&, bool isNewLink);
 
     asio::io_context& loop;
     Options options;
@@ -118,6 +120,7 @@
             poll(*link);
         reportUsage(*link, isPoll);
         reportCachedPrefixes(*link);
+        reportPromptEvidence(*link, interval == 0);
         wake.expires_after(options.usageInterval);
         co_await wake.async_wait(asTuple);
     }
@@ -157,6 +160,16 @@
     link.send(message);
 }
 
+void StateFeed::State::reportPromptEvidence(Link& link, bool isNewLink)
+{
+    const auto evidence = events.takePromptEvidence(isNewLink);
+    if (evidence.isEmpty())
+        return;
+    Wire::LinkMessage message;
+    message.__set_promptEvidence(toWire(evidence));
+    link.send(message);
+}
+
 void StateFeed::State::handleMessage(const Wire::LinkMessage& message)
 {
     if (message.__isset.hello) {
@@ -172,6 +185,8 @@
         events.usage(HickoryHollow::fromWire(message.uses));
     } else if (message.__isset.keptPrompts) {
         events.cachedPrefixes(HickoryHollow::fromWire(message.keptPrompts));
+    } else if (message.__isset.promptVerdicts) {
+        events.promptVerdicts(HickoryHollow::fromWire(message.promptVerdicts));
     } else if (message.__isset.freshnessReply) {
         handleFreshnessReply(message.freshnessReply);
     }
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -10,6 +10,7 @@
 #include "links/StateAddresses.h"
 #include "membership/BackendRecord.h"
 #include "node/UsageAggregator.h"
+#include "placement/PromptEvidence.h"
 
 #include <functional>
 #include <map>
@@ -47,6 +48,10 @@
         std::function<void(const std::vector<CachedPrefixReport>&)> cachedPrefixes;
         /** Returns the prefixes that this instance has to report since the last call. */
         std::function<std::vector<CachedPrefixReport>()> takeLocalPrefixes;
+        /** Returns what this instance observed of prompts since the last call; `onNewLink` at the first call on a link. */
+        std::function<PromptEvidence(bool onNewLink)> takePromptEvidence;
+        /** Receives the conclusions from what all entry instances observed; they replace earlier ones. */
+        std::function<void(const PromptVerdicts&)> promptVerdicts;
         /** Receives the number of entry instances in the deployment; at least 1. */
         std::function<void(std::uint32_t)> entryInstances;
     };
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "net/Timer.h"
+#include "node/PromptEvidenceCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/AgreementCodec.h"
 #include "wire/FleetCodec.h"
@@ -59,7 +60,9 @@
               .entryLeft = [this](auto id) {
                   m_usage.remove(sourceOf(id));
                   m_broadcast.remove(id); },
-              .stateJoined = [this](const auto& id) { sendRecordsToState(id); },
+              .stateJoined = [this](const auto& id) {
+                  sendRecordsToState(id);
+                  sendQuarantinedToState(id); },
               .stateLeft = [this](const auto& id) { m_usage.remove(stateSourcePrefix + id.value()); },
           })
     , m_directory({ .self = m_mesh.self(), .lease = settings.bounds.announceInterval * missedAnnouncementsBeforeLapse })
@@ -139,6 +142,7 @@
         m_usage.expire(usageLifetime, now);
         reportUsage(tick % ticksPerUsageReport == 0);
         reportCachedPrefixes();
+        publishPromptVerdicts();
     }
 }
 
@@ -186,6 +190,12 @@
     Wire::LinkMessage message;
     message.__set_fleetNews(toWire(update));
     m_mesh.sendToEntry(id, message);
+    const auto verdicts = m_crashSuspects.verdicts();
+    if (verdicts.isEmpty())
+        return;
+    Wire::LinkMessage prompts;
+    prompts.__set_promptVerdicts(toWire(verdicts));
+    m_mesh.sendToEntry(id, prompts);
 }
 
 void StateInstance::sendRecordsToState(const InstanceId& id)
@@ -285,6 +295,8 @@
         m_usage.set(stateSourcePrefix + from.value(), HickoryHollow::fromWire(message.uses), monotonicNow());
     } else if (isset.keptPrompts) {
         appendBounded(m_prefixesForEntries, HickoryHollow::fromWire(message.keptPrompts));
+    } else if (isset.promptEvidence) {
+        handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
     } else if (isset.freshnessPoll) {
         answerStatePoll(from, toUnsigned(message.freshnessPoll.id), RoutingVersion(toUnsigned(message.freshnessPoll.held)));
     } else if (isset.freshnessReply) {
@@ -322,6 +334,11 @@
         appendBounded(m_prefixesForEntries, prefixes);
         return;
     }
+    if (message.__isset.promptEvidence) {
+        handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
+        m_mesh.sendToStates(message);
+        return;
+    }
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -10,6 +10,7 @@
 #include "node/NodeSettings.h"
 #include "node/RoutingBroadcast.h"
 #include "node/UsageAggregator.h"
+#include "placement/CrashSuspects.h"
 #include "state/StateNode.h"
 
 #include <functional>
@@ -62,6 +63,12 @@
     void reportUsage(bool evenIfUnchanged);
     void reportCachedPrefixes();
     void storeRouting(RoutingDocument);
+    /** Takes observations about prompts of an entry instance, or as another state instance passed them on. */
+    void handlePromptEvidence(const PromptEvidence&);
+    /** Sends the conclusions about prompts to the entry instances, and new quarantines to the state instances. */
+    void publishPromptVerdicts();
+    /** Tells a state instance which parts of prompts are in quarantine. */
+    void sendQuarantinedToState(const InstanceId&);
 
     /** Asks the leader for the newest accepted version, in this round or the next one. */
     void confirmNewest(ConfirmationCallback);
@@ -86,6 +93,8 @@
     // Prefixes to send at the next tick; at most maxPendingPrefixes each.
     std::vector<CachedPrefixReport> m_prefixesForStates; // Reported by the entry instances attached here.
     std::vector<CachedPrefixReport> m_prefixesForEntries; // Reported by all entry instances.
+    CrashSuspects m_crashSuspects;
+    PromptVerdicts m_lastVerdicts; // As sent last to the entry instances.
 
     // Newest committed document known here; never null. The version only grows.
     std::shared_ptr<const RoutingDocument> m_routing;
--- /dev/null
+++ b/src/node/StateInstancePrompts.cpp
@@ -0,0 +1,54 @@
+#include "base/LogEvent.h"
+#include "node/PromptEvidenceCodec.h"
+#include "node/StateInstance.h"
+#include "wire/gen/hickoryhollow_types.h"
+
+namespace HickoryHollow {
+
+void StateInstance::handlePromptEvidence(const PromptEvidence& evidence)
+{
+    const auto now = monotonicNow();
+    for (const auto part : evidence.quarantined)
+        m_crashSuspects.addQuarantined(part, now);
+    for (const auto& it : evidence.crashes)
+        m_crashSuspects.recordCrash(it, now);
+    for (const auto& it : evidence.answered) {
+        if (m_crashSuspects.recordAnswered(it.part, now - it.age, now))
+            logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part, it.age / std::chrono::milliseconds(1));
+    }
+    if (!evidence.quarantined.empty())
+        publishPromptVerdicts();
+}
+
+void StateInstance::publishPromptVerdicts()
+{
+    PromptEvidence found;
+    for (const auto& it : m_crashSuspects.update(monotonicNow())) {
+        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part, it.crashes, it.rounds, it.wasAnswered);
+        found.quarantined.push_back(it.part);
+    }
+    if (!found.isEmpty()) {
+        Wire::LinkMessage message;
+        message.__set_promptEvidence(toWire(found));
+        m_mesh.sendToStates(message);
+    }
+    auto verdicts = m_crashSuspects.verdicts();
+    if (verdicts == m_lastVerdicts)
+        return;
+    Wire::LinkMessage message;
+    message.__set_promptVerdicts(toWire(verdicts));
+    m_mesh.sendLatestToEntries(LinkSubject::PromptVerdicts, message);
+    m_lastVerdicts = std::move(verdicts);
+}
+
+void StateInstance::sendQuarantinedToState(const InstanceId& id)
+{
+    const PromptEvidence evidence { .crashes = {}, .answered = {}, .quarantined = m_crashSuspects.verdicts().quarantined };
+    if (evidence.isEmpty())
+        return;
+    Wire::LinkMessage message;
+    message.__set_promptEvidence(toWire(evidence));
+    m_mesh.sendToState(id, message);
+}
+
+} // namespace HickoryHollow
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -318,6 +318,7 @@
     const auto tokensAhead = best->prefillTokens + best->remoteUsage.promptTokens;
     return Placement {
         .backend = best->record.id,
+        .incarnation = best->record.incarnation,
         .serverName = best->record.serverName,
         .expectedTime = toDuration(bestEstimate.time),
         .loadAdjustedTime = toDuration(loadAdjustedTime(bestEstimate, request.service)),
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -43,6 +43,7 @@
 /** The backend server selected for a request, with the estimates that led to it. */
 struct Placement {
     BackendId backend;
+    Incarnation incarnation; ///< See BackendRecord::incarnation.
     std::string serverName; ///< See BackendRecord::serverName.
     Duration expectedTime {}; ///< Estimated time from the start of the call to the first token.
     /** `expectedTime` plus the delay that a repeated prefill causes to others, times the service's recent slowness. */
--- /dev/null
+++ b/src/placement/CrashSuspects.cpp
@@ -0,0 +1,136 @@
+#include "placement/CrashSuspects.h"
+
+#include <algorithm>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr std::size_t crashesToSuspect = 2; // One crash happens to every part that is in use.
+// A part that was never answered. In a wave of crashes for another reason all requests were sent before the first crash.
+constexpr std::uint32_t roundsToProve = 3;
+constexpr std::size_t crashesToProve = 5; // Many requests at once can end all servers in one round.
+constexpr std::uint32_t roundsToProveAnswered = 8; // A shared part is in many requests beside the guilty one.
+constexpr Duration replyTime = std::chrono::milliseconds(600); // Entry instances report whole answers within this time.
+constexpr Duration suspicionTime = std::chrono::minutes(1); // Without a crash for longer, the part is no suspect any more.
+constexpr Duration firstQuarantineTime = std::chrono::minutes(5);
+constexpr Duration maxQuarantineTime = std::chrono::hours(1);
+constexpr Duration clearedTime = std::chrono::seconds(30); // Other instances learn of the answer sooner.
+constexpr std::size_t maxSuspects = 2048; // The prompts of a few crashes at engines with a hundred requests each.
+
+} // namespace
+
+void CrashSuspects::recordCrash(const PromptCrash& crash, TimePoint now)
+{
+    const auto isExplained = std::any_of(crash.parts.begin(), crash.parts.end(), [this](auto part) {
+        const auto it = m_suspects.find(part);
+        return it != m_suspects.end() && it->second.quarantinedUntil;
+    });
+    if (isExplained)
+        return;
+    const auto endedAt = now - crash.age;
+    for (const auto part : crash.parts) {
+        auto& suspect = m_suspects[part];
+        if (!suspect.servers.insert(crash.server).second)
+            continue;
+        suspect.rounds += endedAt - crash.sentFor >= suspect.lastCrashAt ? 1 : 0;
+        suspect.lastCrashAt = std::max(suspect.lastCrashAt, endedAt);
+        if (suspect.servers.size() == crashesToSuspect)
+            suspect.suspectSince = now;
+    }
+    while (m_suspects.size() > maxSuspects)
+        dropOldest();
+}
+
+void CrashSuspects::dropOldest()
+{
+    // A part in quarantine goes last.
+    const auto rank = [](const auto& it) { return std::make_pair(it.second.quarantinedUntil.has_value(), it.second.lastCrashAt); };
+    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); }));
+}
+
+bool CrashSuspects::recordAnswered(std::uint64_t part, TimePoint answeredAt, TimePoint now)
+{
+    const auto it = m_suspects.find(part);
+    if (it == m_suspects.end())
+        return false;
+    if (answeredAt <= it->second.lastCrashAt) {
+        it->second.wasAnswered = true;
+        return false;
+    }
+    const auto wasQuarantined = it->second.quarantinedUntil.has_value();
+    if (wasQuarantined)
+        m_cleared[part] = now;
+    m_suspects.erase(it);
+    return wasQuarantined;
+}
+
+void CrashSuspects::addQuarantined(std::uint64_t part, TimePoint now)
+{
+    if (m_cleared.contains(part))
+        return;
+    auto& suspect = m_suspects[part];
+    if (suspect.quarantinedUntil)
+        return;
+    quarantine(suspect, now);
+    suspect.lastCrashAt = now;
+}
+
+void CrashSuspects::quarantine(Suspect& suspect, TimePoint now)
+{
+    suspect.quarantineTime = std::clamp(suspect.quarantineTime * 2, firstQuarantineTime, maxQuarantineTime);
+    suspect.quarantinedUntil = now + suspect.quarantineTime;
+}
+
+bool CrashSuspects::isSuspected(const Suspect& suspect)
+{
+    return suspect.servers.size() >= crashesToSuspect || suspect.quarantineTime > Duration::zero();
+}
+
+bool CrashSuspects::isProven(const Suspect& suspect, TimePoint now)
+{
+    if (suspect.quarantineTime > Duration::zero())
+        return !suspect.servers.empty();
+    if (suspect.servers.size() < crashesToSuspect || now - suspect.suspectSince < replyTime)
+        return false;
+    if (suspect.wasAnswered)
+        return suspect.rounds >= roundsToProveAnswered;
+    return suspect.rounds >= roundsToProve || suspect.servers.size() >= crashesToProve;
+}
+
+std::vector<CrashSuspects::Found> CrashSuspects::update(TimePoint now)
+{
+    std::vector<Found> found;
+    std::erase_if(m_cleared, [now](const auto& it) { return now - it.second > clearedTime; });
+    std::erase_if(m_suspects, [now](const auto& it) {
+        return !it.second.quarantinedUntil && now - it.second.lastCrashAt > suspicionTime + it.second.quarantineTime * 2;
+    });
+    for (auto& [part, suspect] : m_suspects) {
+        if (suspect.quarantinedUntil && now >= *suspect.quarantinedUntil) {
+            suspect.quarantinedUntil.reset();
+            suspect.servers.clear();
+            suspect.rounds = 0;
+        }
+        if (suspect.quarantinedUntil || !isProven(suspect, now))
+            continue;
+        quarantine(suspect, now);
+        found.push_back({ .part = part, .crashes = suspect.servers.size(), .rounds = suspect.rounds, .wasAnswered = suspect.wasAnswered });
+    }
+    return found;
+}
+
+PromptVerdicts CrashSuspects::verdicts() const
+{
+    PromptVerdicts verdicts;
+    for (const auto& [part, suspect] : m_suspects) {
+        if (suspect.quarantinedUntil)
+            verdicts.quarantined.push_back(part);
+        else if (isSuspected(suspect))
+            verdicts.suspects.push_back(part);
+    }
+    std::sort(verdicts.suspects.begin(), verdicts.suspects.end());
+    std::sort(verdicts.quarantined.begin(), verdicts.quarantined.end());
+    return verdicts;
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/placement/CrashSuspects.h
@@ -0,0 +1,63 @@
+/** \file
+ * Finds the parts of prompts that crash every engine that answers them, from the observations of all entry instances.
+ * Reads no clock.
+ *
+ * It answers requests that share nothing but one such part, come through every instance, and end one engine after the
+ * other. A crash ends all answers of its engine, so the parts of innocent prompts are seen in crashes too. What sets the
+ * guilty part apart is that no engine ever answers it: a part that was answered after its last crash is cleared, and one
+ * that was answered at any time needs more crashes as proof. After a quarantine the part is tried again, and the first crash
+ * leads to another one of twice the length.
+ */
+#pragma once
+
+#include "placement/PromptEvidence.h"
+
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace HickoryHollow {
+
+class CrashSuspects {
+public:
+    /** A part that was put in quarantine, and the crashes that led to it. */
+    struct Found {
+        std::uint64_t part = 0;
+        std::size_t crashes = 0; ///< Servers that ended.
+        std::uint32_t rounds = 0; ///< Crashes of requests that were sent after the crash before.
+        bool wasAnswered = false; ///< Some server had answered the part before.
+    };
+
+    /** Counts the crash for each part, unless a part in quarantine explains it. */
+    void recordCrash(const PromptCrash&, TimePoint now);
+    /** Clears the part, also from quarantine, if `answeredAt` is after its last crash. Returns true if it ended a quarantine. */
+    bool recordAnswered(std::uint64_t part, TimePoint answeredAt, TimePoint now);
+    /** Takes over a quarantine that another instance knows of, unless the part was cleared a short time ago. */
+    void addQuarantined(std::uint64_t part, TimePoint now);
+    /** Puts parts in quarantine, and drops what is too old. Call several times per second. Returns the new quarantines. */
+    std::vector<Found> update(TimePoint now);
+    /** Returns the present conclusions; the parts are sorted. */
+    PromptVerdicts verdicts() const;
+
+private:
+    struct Suspect {
+        std::set<std::uint64_t> servers {}; ///< Servers that ended; see PromptCrash::server.
+        std::uint32_t rounds = 0; ///< See Found::rounds.
+        TimePoint lastCrashAt {};
+        TimePoint suspectSince {}; ///< When the part became one to ask for; TimePoint() before.
+        bool wasAnswered = false; ///< See Found::wasAnswered.
+        std::optional<TimePoint> quarantinedUntil {};
+        Duration quarantineTime {}; ///< Length of the last quarantine; zero before the first.
+    };
+
+    static bool isProven(const Suspect&, TimePoint now);
+    /** Whole answers to a part that these hold for are to be reported. */
+    static bool isSuspected(const Suspect&);
+    static void quarantine(Suspect&, TimePoint now);
+    void dropOldest();
+
+    std::unordered_map<std::uint64_t, Suspect> m_suspects; // By part; at most maxSuspects.
+    std::unordered_map<std::uint64_t, TimePoint> m_cleared; // End of a quarantine by an answer, lately; by part.
+};
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/placement/PromptGuard.cpp
@@ -0,0 +1,82 @@
+#include "placement/PromptGuard.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace HickoryHollow {
+
+namespace {
+
+constexpr std::size_t maxCrashes = 256; // The requests of one entry instance at a few servers that crash together.
+constexpr std::size_t maxAnsweredParts = 4096;
+
+/** Ids of the parts that other requests may share: all but the last one, each once. */
+std::vector<std::uint64_t> sharedParts(const Prompt& prompt)
+{
+    std::vector<std::uint64_t> parts;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+        parts.push_back(prompt.parts[i].id);
+    std::sort(parts.begin(), parts.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+    return parts;
+}
+
+} // namespace
+
+void PromptGuard::recordCrash(const Prompt& prompt, const BackendId& backend, Incarnation incarnation, Duration sentFor, TimePoint now)
+{
+    auto parts = sharedParts(prompt);
+    if (parts.empty() || m_crashes.size() >= maxCrashes)
+        return;
+    const auto server = XXH64(backend.value().data(), backend.value().size(), incarnation.value());
+    m_crashes.push_back({ .report = { .server = server, .sentFor = sentFor, .age = {}, .parts = std::move(parts) }, .endedAt = now });
+}
+
+void PromptGuard::recordAnswered(const Prompt& prompt, TimePoint now)
+{
+    for (const auto part : sharedParts(prompt)) {
+        if (m_answered.size() >= maxAnsweredParts)
+            m_answeredEarlier = std::exchange(m_answered, {});
+        m_answered[part] = now;
+        if (m_suspects.contains(part) || m_quarantined.contains(part))
+            m_dueAnswered.insert(part);
+    }
+}
+
+void PromptGuard::apply(const PromptVerdicts& verdicts)
+{
+    const auto previous = std::exchange(m_suspects, { verdicts.suspects.begin(), verdicts.suspects.end() });
+    m_quarantined = { verdicts.quarantined.begin(), verdicts.quarantined.end() };
+    for (const auto part : m_suspects) {
+        if (!previous.contains(part) && (m_answered.contains(part) || m_answeredEarlier.contains(part)))
+            m_dueAnswered.insert(part);
+    }
+}
+
+bool PromptGuard::isQuarantined(const Prompt& prompt) const
+{
+    // The last part is this request's own and is never in quarantine.
+    return !m_quarantined.empty() && std::any_of(prompt.parts.begin(), prompt.parts.end(), [this](const auto& it) { return m_quarantined.contains(it.id); });
+}
+
+PromptEvidence PromptGuard::takeEvidence(TimePoint now)
+{
+    PromptEvidence evidence;
+    for (auto& it : std::exchange(m_crashes, {})) {
+        it.report.age = now - it.endedAt;
+        evidence.crashes.push_back(std::move(it.report));
+    }
+    for (const auto part : std::exchange(m_dueAnswered, {})) {
+        const auto it = m_answered.find(part);
+        const auto earlier = m_answeredEarlier.find(part);
+        if (it != m_answered.end())
+            evidence.answered.push_back({ .part = part, .age = now - it->second });
+        else if (earlier != m_answeredEarlier.end())
+            evidence.answered.push_back({ .part = part, .age = now - earlier->second });
+    }
+    if (std::exchange(m_mustReportQuarantined, false))
+        evidence.quarantined.assign(m_quarantined.begin(), m_quarantined.end());
+    return evidence;
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/placement/PromptGuard.h
@@ -0,0 +1,49 @@
+/** \file
+ * One entry instance's part in finding prompts that crash the engines: it reports crashes and whole answers, and refuses
+ * prompts with a part in quarantine. See CrashSuspects. Reads no clock.
+ */
+#pragma once
+
+#include "base/Ids.h"
+#include "placement/Prompt.h"
+#include "placement/PromptEvidence.h"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace HickoryHollow {
+
+class PromptGuard {
+public:
+    /** The server, which got the prompt `sentFor` before, ended the connection before its answer was whole. */
+    void recordCrash(const Prompt&, const BackendId&, Incarnation, Duration sentFor, TimePoint now);
+    /** A server answered the prompt to the end. */
+    void recordAnswered(const Prompt&, TimePoint now);
+    /** Takes over the conclusions of the state instances, which replace earlier ones. */
+    void apply(const PromptVerdicts&);
+    /** Returns true if the prompt has a part in quarantine. */
+    bool isQuarantined(const Prompt&) const;
+    /** Returns, and removes, the observations to report. */
+    PromptEvidence takeEvidence(TimePoint now);
+    /** Makes the next report include the parts in quarantine, for a state instance that may not know them. */
+    void reportQuarantined() { m_mustReportQuarantined = true; }
+
+private:
+    using AnswerTimes = std::unordered_map<std::uint64_t, TimePoint>;
+
+    struct Crash {
+        PromptCrash report;
+        TimePoint endedAt;
+    };
+
+    std::vector<Crash> m_crashes; // Waits for takeEvidence(); at most maxCrashes.
+    std::unordered_set<std::uint64_t> m_dueAnswered; // Suspects that were answered and not reported since.
+    // End of the last answer to each part. Both are bounded: the younger one replaces the older one when it is full.
+    AnswerTimes m_answered;
+    AnswerTimes m_answeredEarlier;
+    std::unordered_set<std::uint64_t> m_suspects;
+    std::unordered_set<std::uint64_t> m_quarantined;
+    bool m_mustReportQuarantined = false;
+};
+
+} // namespace HickoryHollow
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -9620,6 +9620,634 @@
 }
 
 
+PromptCrash::~PromptCrash() noexcept {
+}
+
+
+void PromptCrash::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void PromptCrash::__set_sentForMs(const int32_t val) {
+  this->sentForMs = val;
+}
+
+void PromptCrash::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+
+void PromptCrash::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sentForMs);
+          this->__isset.sentForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->parts.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
+            {
+              xfer += iprot->readI64(this->parts[_i254]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptCrash");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentForMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->sentForMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter255;
+    for (_iter255 = this->parts.begin(); _iter255 != this->parts.end(); ++_iter255)
+    {
+      xfer += oprot->writeI64((*_iter255));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptCrash &a, PromptCrash &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.sentForMs, b.sentForMs);
+  swap(a.ageMs, b.ageMs);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+PromptCrash::PromptCrash(const PromptCrash& other256) {
+  server = other256.server;
+  sentForMs = other256.sentForMs;
+  ageMs = other256.ageMs;
+  parts = other256.parts;
+  __isset = other256.__isset;
+}
+PromptCrash& PromptCrash::operator=(const PromptCrash& other257) {
+  server = other257.server;
+  sentForMs = other257.sentForMs;
+  ageMs = other257.ageMs;
+  parts = other257.parts;
+  __isset = other257.__isset;
+  return *this;
+}
+void PromptCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptCrash(";
+  out << "server=" << to_string(server);
+  out << ", " << "sentForMs=" << to_string(sentForMs);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+PartAnswered::~PartAnswered() noexcept {
+}
+
+
+void PartAnswered::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void PartAnswered::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartAnswered& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartAnswered::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartAnswered::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartAnswered");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartAnswered &a, PartAnswered &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+PartAnswered::PartAnswered(const PartAnswered& other258) noexcept {
+  part = other258.part;
+  ageMs = other258.ageMs;
+  __isset = other258.__isset;
+}
+PartAnswered& PartAnswered::operator=(const PartAnswered& other259) noexcept {
+  part = other259.part;
+  ageMs = other259.ageMs;
+  __isset = other259.__isset;
+  return *this;
+}
+void PartAnswered::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartAnswered(";
+  out << "part=" << to_string(part);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
+PromptEvidence::~PromptEvidence() noexcept {
+}
+
+
+void PromptEvidence::__set_crashes(const std::vector<PromptCrash> & val) {
+  this->crashes = val;
+}
+
+void PromptEvidence::__set_answered(const std::vector<PartAnswered> & val) {
+  this->answered = val;
+}
+
+void PromptEvidence::__set_quarantined(const std::vector<int64_t> & val) {
+  this->quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->crashes.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
+            {
+              xfer += this->crashes[_i264].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->answered.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
+            {
+              xfer += this->answered[_i269].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->quarantined.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
+            {
+              xfer += iprot->readI64(this->quarantined[_i274]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptEvidence");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<PromptCrash> ::const_iterator _iter275;
+    for (_iter275 = this->crashes.begin(); _iter275 != this->crashes.end(); ++_iter275)
+    {
+      xfer += (*_iter275).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered.size()));
+    std::vector<PartAnswered> ::const_iterator _iter276;
+    for (_iter276 = this->answered.begin(); _iter276 != this->answered.end(); ++_iter276)
+    {
+      xfer += (*_iter276).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<int64_t> ::const_iterator _iter277;
+    for (_iter277 = this->quarantined.begin(); _iter277 != this->quarantined.end(); ++_iter277)
+    {
+      xfer += oprot->writeI64((*_iter277));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptEvidence &a, PromptEvidence &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.answered, b.answered);
+  swap(a.quarantined, b.quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+PromptEvidence::PromptEvidence(const PromptEvidence& other278) {
+  crashes = other278.crashes;
+  answered = other278.answered;
+  quarantined = other278.quarantined;
+  __isset = other278.__isset;
+}
+PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other279) {
+  crashes = other279.crashes;
+  answered = other279.answered;
+  quarantined = other279.quarantined;
+  __isset = other279.__isset;
+  return *this;
+}
+void PromptEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptEvidence(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ")";
+}
+
+
+PromptVerdicts::~PromptVerdicts() noexcept {
+}
+
+
+void PromptVerdicts::__set_suspects(const std::vector<int64_t> & val) {
+  this->suspects = val;
+}
+
+void PromptVerdicts::__set_quarantined(const std::vector<int64_t> & val) {
+  this->quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptVerdicts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptVerdicts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->suspects.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
+            {
+              xfer += iprot->readI64(this->suspects[_i284]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->quarantined.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
+            {
+              xfer += iprot->readI64(this->quarantined[_i289]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptVerdicts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptVerdicts");
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<int64_t> ::const_iterator _iter290;
+    for (_iter290 = this->suspects.begin(); _iter290 != this->suspects.end(); ++_iter290)
+    {
+      xfer += oprot->writeI64((*_iter290));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<int64_t> ::const_iterator _iter291;
+    for (_iter291 = this->quarantined.begin(); _iter291 != this->quarantined.end(); ++_iter291)
+    {
+      xfer += oprot->writeI64((*_iter291));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptVerdicts &a, PromptVerdicts &b) {
+  using ::std::swap;
+  swap(a.suspects, b.suspects);
+  swap(a.quarantined, b.quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+PromptVerdicts::PromptVerdicts(const PromptVerdicts& other292) {
+  suspects = other292.suspects;
+  quarantined = other292.quarantined;
+  __isset = other292.__isset;
+}
+PromptVerdicts& PromptVerdicts::operator=(const PromptVerdicts& other293) {
+  suspects = other293.suspects;
+  quarantined = other293.quarantined;
+  __isset = other293.__isset;
+  return *this;
+}
+void PromptVerdicts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptVerdicts(";
+  out << "suspects=" << to_string(suspects);
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -9678,6 +10306,16 @@
   this->routingDelta = val;
 __isset.routingDelta = true;
 }
+
+void LinkMessage::__set_promptEvidence(const PromptEvidence& val) {
+  this->promptEvidence = val;
+__isset.promptEvidence = true;
+}
+
+void LinkMessage::__set_promptVerdicts(const PromptVerdicts& val) {
+  this->promptVerdicts = val;
+__isset.promptVerdicts = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -9794,6 +10432,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promptEvidence.read(iprot);
+          this->__isset.promptEvidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promptVerdicts.read(iprot);
+          this->__isset.promptVerdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9866,6 +10520,16 @@
     xfer += this->routingDelta.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.promptEvidence) {
+    xfer += oprot->writeFieldBegin("promptEvidence", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->promptEvidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.promptVerdicts) {
+    xfer += oprot->writeFieldBegin("promptVerdicts", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->promptVerdicts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9884,36 +10548,42 @@
   swap(a.uses, b.uses);
   swap(a.keptPrompts, b.keptPrompts);
   swap(a.routingDelta, b.routingDelta);
+  swap(a.promptEvidence, b.promptEvidence);
+  swap(a.promptVerdicts, b.promptVerdicts);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other250) {
-  hello = other250.hello;
-  agreement = other250.agreement;
-  fleetNews = other250.fleetNews;
-  freshnessPoll = other250.freshnessPoll;
-  freshnessReply = other250.freshnessReply;
-  routingSubmit = other250.routingSubmit;
-  routingSubmitReply = other250.routingSubmitReply;
-  routing = other250.routing;
-  uses = other250.uses;
-  keptPrompts = other250.keptPrompts;
-  routingDelta = other250.routingDelta;
-  __isset = other250.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other251) {
-  hello = other251.hello;
-  agreement = other251.agreement;
-  fleetNews = other251.fleetNews;
-  freshnessPoll = other251.freshnessPoll;
-  freshnessReply = other251.freshnessReply;
-  routingSubmit = other251.routingSubmit;
-  routingSubmitReply = other251.routingSubmitReply;
-  routing = other251.routing;
-  uses = other251.uses;
-  keptPrompts = other251.keptPrompts;
-  routingDelta = other251.routingDelta;
-  __isset = other251.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other294) {
+  hello = other294.hello;
+  agreement = other294.agreement;
+  fleetNews = other294.fleetNews;
+  freshnessPoll = other294.freshnessPoll;
+  freshnessReply = other294.freshnessReply;
+  routingSubmit = other294.routingSubmit;
+  routingSubmitReply = other294.routingSubmitReply;
+  routing = other294.routing;
+  uses = other294.uses;
+  keptPrompts = other294.keptPrompts;
+  routingDelta = other294.routingDelta;
+  promptEvidence = other294.promptEvidence;
+  promptVerdicts = other294.promptVerdicts;
+  __isset = other294.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other295) {
+  hello = other295.hello;
+  agreement = other295.agreement;
+  fleetNews = other295.fleetNews;
+  freshnessPoll = other295.freshnessPoll;
+  freshnessReply = other295.freshnessReply;
+  routingSubmit = other295.routingSubmit;
+  routingSubmitReply = other295.routingSubmitReply;
+  routing = other295.routing;
+  uses = other295.uses;
+  keptPrompts = other295.keptPrompts;
+  routingDelta = other295.routingDelta;
+  promptEvidence = other295.promptEvidence;
+  promptVerdicts = other295.promptVerdicts;
+  __isset = other295.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -9930,6 +10600,8 @@
   out << ", " << "uses="; (__isset.uses ? (out << to_string(uses)) : (out << "<null>"));
   out << ", " << "keptPrompts="; (__isset.keptPrompts ? (out << to_string(keptPrompts)) : (out << "<null>"));
   out << ", " << "routingDelta="; (__isset.routingDelta ? (out << to_string(routingDelta)) : (out << "<null>"));
+  out << ", " << "promptEvidence="; (__isset.promptEvidence ? (out << to_string(promptEvidence)) : (out << "<null>"));
+  out << ", " << "promptVerdicts="; (__isset.promptVerdicts ? (out << to_string(promptVerdicts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -157,6 +157,14 @@
 
 class KeptPrompts;
 
+class PromptCrash;
+
+class PartAnswered;
+
+class PromptEvidence;
+
+class PromptVerdicts;
+
 class LinkMessage;
 
 typedef struct _Member__isset {
@@ -4091,8 +4099,223 @@
 
 std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj);
 
+typedef struct _PromptCrash__isset {
+  _PromptCrash__isset() : server(false), sentForMs(false), ageMs(false), parts(false) {}
+  bool server :1;
+  bool sentForMs :1;
+  bool ageMs :1;
+  bool parts :1;
+} _PromptCrash__isset;
+
+class PromptCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptCrash(const PromptCrash&);
+  PromptCrash& operator=(const PromptCrash&);
+  PromptCrash() noexcept
+              : server(0),
+                sentForMs(0),
+                ageMs(0) {
+  }
+
+  virtual ~PromptCrash() noexcept;
+  int64_t server;
+  int32_t sentForMs;
+  int32_t ageMs;
+  std::vector<int64_t>  parts;
+
+  _PromptCrash__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_sentForMs(const int32_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptCrash & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(sentForMs == rhs.sentForMs))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptCrash &a, PromptCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj);
+
+typedef struct _PartAnswered__isset {
+  _PartAnswered__isset() : part(false), ageMs(false) {}
+  bool part :1;
+  bool ageMs :1;
+} _PartAnswered__isset;
+
+class PartAnswered : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartAnswered(const PartAnswered&) noexcept;
+  PartAnswered& operator=(const PartAnswered&) noexcept;
+  PartAnswered() noexcept
+               : part(0),
+                 ageMs(0) {
+  }
+
+  virtual ~PartAnswered() noexcept;
+  int64_t part;
+  int32_t ageMs;
+
+  _PartAnswered__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const PartAnswered & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PartAnswered &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartAnswered & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartAnswered &a, PartAnswered &b);
+
+std::ostream& operator<<(std::ostream& out, const PartAnswered& obj);
+
+typedef struct _PromptEvidence__isset {
+  _PromptEvidence__isset() : crashes(false), answered(false), quarantined(false) {}
+  bool crashes :1;
+  bool answered :1;
+  bool quarantined :1;
+} _PromptEvidence__isset;
+
+class PromptEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptEvidence(const PromptEvidence&);
+  PromptEvidence& operator=(const PromptEvidence&);
+  PromptEvidence() noexcept {
+  }
+
+  virtual ~PromptEvidence() noexcept;
+  std::vector<PromptCrash>  crashes;
+  std::vector<PartAnswered>  answered;
+  std::vector<int64_t>  quarantined;
+
+  _PromptEvidence__isset __isset;
+
+  void __set_crashes(const std::vector<PromptCrash> & val);
+
+  void __set_answered(const std::vector<PartAnswered> & val);
+
+  void __set_quarantined(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptEvidence & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptEvidence &a, PromptEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj);
+
+typedef struct _PromptVerdicts__isset {
+  _PromptVerdicts__isset() : suspects(false), quarantined(false) {}
+  bool suspects :1;
+  bool quarantined :1;
+} _PromptVerdicts__isset;
+
+class PromptVerdicts : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptVerdicts(const PromptVerdicts&);
+  PromptVerdicts& operator=(const PromptVerdicts&);
+  PromptVerdicts() noexcept {
+  }
+
+  virtual ~PromptVerdicts() noexcept;
+  std::vector<int64_t>  suspects;
+  std::vector<int64_t>  quarantined;
+
+  _PromptVerdicts__isset __isset;
+
+  void __set_suspects(const std::vector<int64_t> & val);
+
+  void __set_quarantined(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptVerdicts & rhs) const
+  {
+    if (!(suspects == rhs.suspects))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptVerdicts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptVerdicts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptVerdicts &a, PromptVerdicts &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptVerdicts& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptVerdicts(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -4104,6 +4327,8 @@
   bool uses :1;
   bool keptPrompts :1;
   bool routingDelta :1;
+  bool promptEvidence :1;
+  bool promptVerdicts :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4126,6 +4351,8 @@
   UseReport uses;
   KeptPrompts keptPrompts;
   RoutingDelta routingDelta;
+  PromptEvidence promptEvidence;
+  PromptVerdicts promptVerdicts;
 
   _LinkMessage__isset __isset;
 
@@ -4151,6 +4378,10 @@
 
   void __set_routingDelta(const RoutingDelta& val);
 
+  void __set_promptEvidence(const PromptEvidence& val);
+
+  void __set_promptVerdicts(const PromptVerdicts& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4197,6 +4428,14 @@
       return false;
     else if (__isset.routingDelta && !(routingDelta == rhs.routingDelta))
       return false;
+    if (__isset.promptEvidence != rhs.__isset.promptEvidence)
+      return false;
+    else if (__isset.promptEvidence && !(promptEvidence == rhs.promptEvidence))
+      return false;
+    if (__isset.promptVerdicts != rhs.__isset.promptVerdicts)
+      return false;
+    else if (__isset.promptVerdicts && !(promptVerdicts == rhs.promptVerdicts))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -454,3 +454,96 @@
     CHECK(waitingTokens == std::vector<std::uint32_t>(waitingTokens.size(), 0));
     CHECK(waitingTokens.size() == 3);
 }
+
+namespace {
+
+HttpRequest promptRequest(const std::string& path)
+{
+    auto http = RoutedBench::request(path);
+    http.fields.add("Model", "m");
+    http.fields.add("Token-Counts", "900,50");
+    http.fields.add("Prefix-Hash", "5c1e07a2:500,bad:100,91bd3f06:300");
+    return http;
+}
+
+} // namespace
+
+TEST_CASE("a prompt with a part in quarantine is refused as not run, and others are served", "[routed]")
+{
+    RoutedBench bench;
+    bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } });
+    bench.upstream.scripts = { RoutedBench::answer("served") };
+    bench.run(promptRequest("/chat/1"));
+    CHECK(bench.upstream.requests.empty());
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+    CHECK_FALSE(bench.writer.response->fields.find("Retry-After").empty());
+    RoutedBench other;
+    other.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad1 } });
+    other.upstream.scripts = { stream({ event(1) }) };
+    other.run(promptRequest("/chat/1"));
+    CHECK(other.writer.streamed == event(1));
+}
+
+TEST_CASE("a prompt that is put in quarantine while it waits for a connection is not sent", "[routed]")
+{
+    RoutedBench bench;
+    auto slow = RoutedBench::answer("too late");
+    slow.beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } }); };
+    bench.upstream.scripts = { slow, slow };
+    bench.run(promptRequest("/draft/1"));
+    CHECK(bench.upstream.requests.empty());
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+}
+
+TEST_CASE("a prompt that crashed a server before its part was put in quarantine is not answered as not run", "[routed]")
+{
+    RoutedBench bench;
+    auto crashing = stream({}, broken());
+    bench.upstream.scripts = { crashing, stream({ event(1) }) };
+    bench.upstream.scripts[1].beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } }); };
+    bench.run(promptRequest("/draft/1"));
+    CHECK(bench.upstream.requests.size() == 1);
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 502);
+}
+
+TEST_CASE("only answers that the server broke off are reported as crashes, and whole ones as answered", "[routed]")
+{
+    RoutedBench bench;
+    bench.promptGuard.apply({ .suspects = { 0xbad }, .quarantined = {} });
+    SECTION("a connection that ends")
+    {
+        bench.upstream.scripts = { stream({ event(1) }, broken()) };
+        bench.run(promptRequest("/chat/1"));
+        CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.size() == 1);
+    }
+    SECTION("a stream that ends inside an event")
+    {
+        bench.upstream.scripts = { stream({ event(1) + "id: 2" }) };
+        bench.run(promptRequest("/chat/1"));
+        CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.size() == 1);
+    }
+    SECTION("a silent server")
+    {
+        bench.upstream.scripts = { RoutedBench::failure(RouterError::UpstreamTimeout, Verdict::MayHaveRun) };
+        bench.run(promptRequest("/chat/1"));
+        CHECK(bench.promptGuard.takeEvidence(monotonicNow()).isEmpty());
+    }
+    SECTION("an unreachable server")
+    {
+        bench.upstream.scripts = { RoutedBench::failure(RouterError::UpstreamConnectFailed, Verdict::NotRun), stream({ event(1) }) };
+        bench.run(promptRequest("/chat/1"));
+        const auto evidence = bench.promptGuard.takeEvidence(monotonicNow());
+        CHECK(evidence.crashes.empty());
+        CHECK(evidence.answered.size() == 1);
+    }
+    SECTION("a caller that disconnects")
+    {
+        bench.writer.written = [&bench] { bench.writer.isDisconnected = true; };
+        bench.upstream.scripts = { stream({ event(1), event(2) }, broken()) };
+        bench.run(promptRequest("/chat/1"));
+        CHECK(bench.promptGuard.takeEvidence(monotonicNow()).isEmpty());
+    }
+}
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -78,6 +78,8 @@
         .localUsage = [] { return UsageReport {}; },
         .cachedPrefixes = [](const auto&) {},
         .takeLocalPrefixes = [] { return std::vector<CachedPrefixReport> {}; },
+        .takePromptEvidence = [](bool) { return PromptEvidence {}; },
+        .promptVerdicts = [](const auto&) {},
         .entryInstances = [](auto) {},
     };
 }
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -9,6 +9,7 @@
 #include "forwarding/ForwardingContext.h"
 #include "forwarding/RoutedHandler.h"
 #include "placement/BackendSelector.h"
+#include "placement/PromptGuard.h"
 #include "platform/HeaderCodec.h"
 #include "routing/ActiveRouting.h"
 #include "test/fakes/FakeUpstream.h"
@@ -26,7 +27,7 @@
         : random(1)
         , selector({ .ownDomain = FailureDomainId("a") }, random)
         , admissionQueue(loop, selector)
-        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .admissionQueue = admissionQueue, .upstream = upstream, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
+        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .upstream = upstream, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
         , handler(context)
     {
         routing.apply(configuration());
@@ -130,6 +131,7 @@
     Platform::HeaderCodec codec;
     ActiveRouting routing;
     BackendSelector selector;
+    PromptGuard promptGuard;
     AsyncAdmissionQueue admissionQueue;
     FakeUpstream upstream;
     Metrics metrics;
