Send nothing more to a server that says in its answers that it leaves

Cause of the gap: only announcements were read, which an instance that is cut off from the state instances does not get.

The codec reads the field, the exchange passes it to the selector for answers and rejections of the addressed server, and the selector marks this start of the server as leaving: a later announcement of the same start does not bring it back, a new start does. The selection is checked again right before the first byte, since a request may wait for a connection, or the process may be suspended there.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -36,6 +36,7 @@
     BackendOutlier = 3009,
     PromptQuarantined = 3010,
     PromptReleased = 3011,
+    BackendWithdrew = 3012,
     LeaderElected = 4001,
     LeaderLost = 4002,
     SettingsApplied = 4003,
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -303,16 +303,17 @@
     // If the process was suspended after the admission, the key may have been revoked since; then nothing is sent. Nor is it
     // if the prompt was put in quarantine while the request waited for a connection.
     const auto maySend = [this] { return (!m_workspace || hasLease()) && !m_context.promptGuard.isQuarantined(m_metadata.prompt); };
-    const auto forbid = [this, &result] {
+    const auto forbid = [this, maySend, &result] {
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
-        result.cause = m_context.promptGuard.isQuarantined(m_metadata.prompt) ? quarantinedCode : "configuration-unconfirmed";
+        result.cause = m_context.promptGuard.isQuarantined(m_metadata.prompt) ? quarantinedCode : maySend() ? "server-withdrawn"
+                                                                                                            : "configuration-unconfirmed";
         return result;
     };
     if (!maySend())
         co_return forbid();
     call.checkBeforeSending([this, maySend, &placement](HttpRequest& request) {
-        if (!maySend())
+        if (!maySend() || !m_context.selector.mayReceive(placement))
             return false;
         request = makeUpstreamRequest(placement); // With the time that is left now.
         return true;
@@ -331,6 +332,8 @@
         co_return result;
     }
     const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
+    if (kind == ResponseKind::NotRun || kind == ResponseKind::Authentic)
+        applyNotice(placement, head);
     if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer) {
         result.end = AttemptEnd::NotRun;
         result.outcome = kind == ResponseKind::NotRun ? CallOutcome::Rejected : CallOutcome::Unreachable;
@@ -357,6 +360,15 @@
     co_return result;
 }
 
+void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head)
+{
+    const auto notice = m_context.codec.parseNotice(head.fields);
+    if (!notice.isLeaving || !m_context.selector.mayReceive(placement))
+        return;
+    logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving=true id={}", placement.backend.value(), placement.serverName, m_metadata.id);
+    m_context.selector.recordLeaving(placement.backend, placement.incarnation);
+}
+
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayWholeAnswer(UpstreamCall& call, const UpstreamHead& head)
 {
     AttemptResult result;
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -78,6 +78,8 @@
     /** Runs one attempt and reports its outcome to the selector. */
     Task<AttemptResult> runAttempt(const Placement&, CallId);
     Task<AttemptResult> sendAttempt(UpstreamCall&, const Placement&, CallId);
+    /** Takes over what the server says of itself in the header of its answer. */
+    void applyNotice(const Placement&, const UpstreamHead&);
     Task<AttemptResult> relayWholeAnswer(UpstreamCall&, const UpstreamHead&);
     Task<AttemptResult> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -89,6 +89,19 @@
     return true;
 }
 
+void BackendSelector::recordLeaving(const BackendId& id, Incarnation incarnation)
+{
+    const auto it = m_servers.find(id);
+    if (it != m_servers.end() && it->second.record.incarnation == incarnation)
+        it->second.record.state = BackendState::Leaving;
+}
+
+bool BackendSelector::mayReceive(const Placement& placement) const
+{
+    const auto it = m_servers.find(placement.backend);
+    return it != m_servers.end() && it->second.record.incarnation == placement.incarnation && it->second.record.state != BackendState::Leaving;
+}
+
 void BackendSelector::setEngineLimits(const ServiceId& service, std::uint32_t slots, std::uint64_t tokenCapacity)
 {
     m_engines[service] = { .slots = slots, .tokenCapacity = tokenCapacity };
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -81,6 +81,10 @@
 
     /** Takes over a newer record of a backend server. Returns false and changes nothing if the known record is as new. */
     bool merge(const BackendRecord&);
+    /** Records that this start of the server shuts down; only a later start of it is selected again. */
+    void recordLeaving(const BackendId&, Incarnation);
+    /** Returns false if a selected server must not receive the request any more: it leaves, or has started anew since. */
+    bool mayReceive(const Placement&) const;
     /** Sets the limits of each engine of the service: requests that run at once, and tokens that fit into its memory. */
     void setEngineLimits(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
     /** Reserves engines for interactive requests in exactly these services, and does so before their first request. */
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -119,6 +119,20 @@
         return script;
     }
 
+    /** The script with one more header field. */
+    static Script withField(Script script, const std::string& name, const std::string& value)
+    {
+        script.fields.push_back({ .name = name, .value = value });
+        return script;
+    }
+
+    /** Serves one more request after run(). */
+    void runAgain(const HttpRequest& http)
+    {
+        loop.restart();
+        run(http);
+    }
+
     /** Serves the request and returns once the exchange has ended. */
     void run(const HttpRequest& http)
     {
