Send nothing to a server for the time that it asks for with a rejection

Cause of the gap: the field was not read; the next request went to the server that had just refused, as it looked idle.

The selector skips such a server until then, for this instance and this start of the server only; a request that was selected before is checked again right before its first byte. If all servers want none, a request waits as long as it may for the first one, and is then refused as not run, with the time until one takes requests. Numbers are bounded at ten minutes; dates and malformed values are ignored.

The refusals of an exchange become one type with code and Retry-After, instead of an expression over three flags.

--- a/src/forwarding/AsyncAdmissionQueue.cpp
+++ b/src/forwarding/AsyncAdmissionQueue.cpp
@@ -6,7 +6,7 @@
 {
     const auto now = monotonicNow();
     auto grant = m_queue.tryPlace(request, now);
-    if (grant || !m_queue.hasCandidate(request))
+    if (grant || !m_queue.hasCandidate(request) || (now >= queueUntil && !m_queue.isAnyAvailable(request, now)))
         co_return grant;
     const auto id = m_queue.enqueue(request, queueUntil, now);
     const auto waiter = std::make_shared<Waiter>(m_loop);
--- a/src/forwarding/AsyncAdmissionQueue.h
+++ b/src/forwarding/AsyncAdmissionQueue.h
@@ -28,7 +28,7 @@
 
     /**
      * Waits until the request is granted a backend server. From `queueUntil` on, the best server is granted regardless
-     * of its backlog. The result is empty if no candidate server exists at the time of the call, or none is left at
+     * of its backlog. The result is empty if no candidate server exists at the time of the call, or none takes requests at
      * `queueUntil`, or if the wait was cancelled. A grant that was made just before the cancellation is still returned, and
      * its call must be ended.
      */
--- a/src/forwarding/RequestCodec.h
+++ b/src/forwarding/RequestCodec.h
@@ -46,6 +46,7 @@
 /** What the header of a response says about the server's readiness for further requests. */
 struct ServerNotice {
     bool isLeaving = false; ///< The server shuts down; it must receive no further request.
+    Duration retryAfter {}; ///< Time for which this instance must send it nothing; zero if it does not say so.
 };
 
 class RequestCodec {
@@ -62,7 +63,7 @@
     /** Classifies a response to the request with id `requestId`. */
     virtual ResponseKind classifyResponse(unsigned status, const HttpFields&, std::string_view requestId) const = 0;
     /** Reads what the server says of itself. Call for responses of the addressed server only. */
-    virtual ServerNotice parseNotice(const HttpFields&) const = 0;
+    virtual ServerNotice parseNotice(unsigned status, const HttpFields&) const = 0;
     /** Header fields for the caller: the server's fields without those of its connection. */
     virtual HttpFields fieldsForCaller(const HttpFields&) const = 0;
     /** The router's own error response. `code` is for programs, `detail` for people; a `retryAfter` of zero is not sent. */
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -98,8 +98,10 @@
     for (;;) {
         const auto now = monotonicNow();
         co_await awaitCandidate();
-        if (co_await refuseQuarantined())
+        if (const auto quarantine = findQuarantine()) {
+            co_await refuse(*quarantine);
             co_return;
+        }
         const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { m_writer.onCallerDisconnect(std::move(cancelWait)); });
         if (m_writer.isCallerDisconnected()) {
             if (grant)
@@ -107,18 +109,12 @@
             logEnd(0, "caller-gone");
             co_return;
         }
-        const auto isOverloaded = grant && shouldShed(m_placementRequest, grant->placement, requestTiming(monotonicNow()));
-        // The part may have been put in quarantine during the wait.
-        const auto isQuarantined = grant && m_context.promptGuard.isQuarantined(m_metadata.prompt);
-        const auto refusal = isQuarantined ? std::optional(quarantinedCode) : isOverloaded ? std::optional<std::string_view>("overloaded")
-                                                                                           : findRefusal(grant.has_value(), window);
-        if (refusal) {
+        if (const auto refusal = findRefusal(grant ? &grant->placement : nullptr, window)) {
             if (grant) {
                 m_lastPlacement = grant->placement;
                 m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
             }
-            co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, *refusal, isOverloaded ? retryAfterDelay(requestTiming(monotonicNow()), m_context.maxRetryAfter, m_context.random) : isQuarantined ? m_context.maxRetryAfter
-                                                                                                                                                                                                                         : shortRetryAfter);
+            co_await refuse(*refusal);
             co_return;
         }
         m_metrics->queueing.add(monotonicNow() - now);
@@ -141,12 +137,16 @@
     }
 }
 
-Task<bool> RoutedExchange::refuseQuarantined()
+std::optional<RoutedExchange::NotSent> RoutedExchange::findQuarantine() const
 {
     if (!m_context.promptGuard.isQuarantined(m_metadata.prompt))
-        co_return false;
-    co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, quarantinedCode, m_context.maxRetryAfter);
-    co_return true;
+        return std::nullopt;
+    return NotSent { .code = quarantinedCode, .retryAfter = m_context.maxRetryAfter };
+}
+
+Task<void> RoutedExchange::refuse(const NotSent& refusal)
+{
+    co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, refusal.code, refusal.retryAfter);
 }
 
 RequestTiming RoutedExchange::requestTiming(TimePoint now) const
@@ -154,18 +154,32 @@
     return { .firstTokenTarget = m_route->firstTokenTarget, .age = now - m_arrival, .callerTimeout = m_deadline - m_arrival };
 }
 
-std::optional<std::string_view> RoutedExchange::findRefusal(bool hasServer, RetryWindow& window)
+std::optional<RoutedExchange::NotSent> RoutedExchange::findRefusal(const Placement* placement, RetryWindow& window)
 {
     const auto now = monotonicNow();
-    if (!hasServer)
-        return m_placementRequest.excluded.empty() ? "no-server" : "no-other-server";
+    if (const auto quarantine = findQuarantine())
+        return quarantine;
+    if (!placement)
+        return NotSent { .code = m_placementRequest.excluded.empty() ? "no-server" : "no-other-server", .retryAfter = timeToServer() };
+    if (shouldShed(m_placementRequest, *placement, requestTiming(now)))
+        return NotSent { .code = "overloaded", .retryAfter = retryAfterDelay(requestTiming(now), m_context.maxRetryAfter, m_context.random) };
     if (m_deadline - now < minTimeLeftToSend)
-        return "out-of-time";
+        return NotSent { .code = "out-of-time", .retryAfter = shortRetryAfter };
     if (m_sends > 0 && !window.tryRetry(m_context.entryInstances, now))
-        return "retry-budget-spent";
+        return NotSent { .code = "retry-budget-spent", .retryAfter = shortRetryAfter };
     return std::nullopt;
 }
 
+// The servers that this request was sent to may take it when its caller comes back.
+Duration RoutedExchange::timeToServer() const
+{
+    auto request = m_placementRequest;
+    request.excluded.clear();
+    const auto now = monotonicNow();
+    const auto wait = m_context.selector.availableAt(request, now).value_or(now) - now;
+    return std::clamp<Duration>(wait, shortRetryAfter, std::max<Duration>(shortRetryAfter, m_context.maxRetryAfter));
+}
+
 TimePoint RoutedExchange::queueUntil(TimePoint now) const
 {
     return m_placements > 0 ? now : m_arrival + maxQueueTime(requestTiming(now));
@@ -203,7 +217,7 @@
         co_await respondWithError(badGateway, result.cause, {});
         co_return;
     case AttemptEnd::NotRun:
-        co_await respondWithError(m_possibleRuns == 0 ? unavailable : badGateway, result.cause, shortRetryAfter);
+        co_await refuse({ .code = result.cause, .retryAfter = timeToServer() });
         co_return;
     case AttemptEnd::DeadlinePassed:
         co_await respondWithError(m_possibleRuns == 0 ? unavailable : gatewayTimeout, result.cause, shortRetryAfter);
@@ -313,7 +327,7 @@
     if (!maySend())
         co_return forbid();
     call.checkBeforeSending([this, maySend, &placement](HttpRequest& request) {
-        if (!maySend() || !m_context.selector.mayReceive(placement))
+        if (!maySend() || !m_context.selector.mayReceive(placement, monotonicNow()))
             return false;
         request = makeUpstreamRequest(placement); // With the time that is left now.
         return true;
@@ -362,11 +376,14 @@
 
 void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head)
 {
-    const auto notice = m_context.codec.parseNotice(head.fields);
-    if (!notice.isLeaving || !m_context.selector.mayReceive(placement))
+    const auto now = monotonicNow();
+    const auto notice = m_context.codec.parseNotice(head.status, head.fields);
+    if ((!notice.isLeaving && notice.retryAfter == Duration::zero()) || !m_context.selector.mayReceive(placement, now))
         return;
-    logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving=true id={}", placement.backend.value(), placement.serverName, m_metadata.id);
-    m_context.selector.recordLeaving(placement.backend, placement.incarnation);
+    logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving={} retry_after_ms={} id={}", placement.backend.value(), placement.serverName, notice.isLeaving, notice.retryAfter / std::chrono::milliseconds(1), m_metadata.id);
+    if (notice.isLeaving)
+        m_context.selector.recordLeaving(placement.backend, placement.incarnation);
+    m_context.selector.recordBackoff(placement.backend, placement.incarnation, now + notice.retryAfter);
 }
 
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayWholeAnswer(UpstreamCall& call, const UpstreamHead& head)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -56,6 +56,12 @@
         HttpResponse answer; ///< The server's answer if `end` is ServerError.
     };
 
+    /** Why the request is not sent (again). */
+    struct NotSent {
+        std::string_view code; ///< Error code for the caller and the log.
+        Duration retryAfter {}; ///< Time after which the caller may come back.
+    };
+
     // Admission.
     /** Finds route and workspace and sets the deadline. Returns the error response if the request is refused. */
     std::optional<HttpResponse> admit();
@@ -88,16 +94,23 @@
     bool mayRetry(const AttemptResult&);
     /** Time at which a silent attempt is ended, or nothing if it is to end now. */
     std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&) const;
-    /** Error code if the request must not be sent (again); otherwise empty, and a retry is taken from the budget. */
-    std::optional<std::string_view> findRefusal(bool hasServer, RetryWindow&);
+    /** The refusal of a prompt with a part in quarantine. */
+    std::optional<NotSent> findQuarantine() const;
+    /**
+     * Returns the refusal if the request must not be sent (again), or a retry taken from the budget and nothing. `placement`
+     * is null if no server takes the request.
+     */
+    std::optional<NotSent> findRefusal(const Placement* placement, RetryWindow&);
+    /** Ends the exchange without a further attempt. */
+    Task<void> refuse(const NotSent&);
+    /** Time after which the caller may come back: when some server of the service takes requests, within bounds. */
+    Duration timeToServer() const;
     RequestTiming requestTiming(TimePoint now) const;
     /** Time until which the request may be queued; retries are not queued. */
     TimePoint queueUntil(TimePoint now) const;
     HttpRequest makeUpstreamRequest(const Placement&) const;
     /** Logs an answer that was broken off after `sentFor`, with the prompt's parts, which show what such answers have in common. */
     void logBroken(const Placement&, std::string_view cause, Duration sentFor) const;
-    /** Ends the exchange if the prompt has a part in quarantine. Returns true if it did. */
-    Task<bool> refuseQuarantined();
     /** Records that a chunk of the stream came from the server. */
     void recordChunk(CallId);
 
--- a/src/placement/AdmissionQueue.cpp
+++ b/src/placement/AdmissionQueue.cpp
@@ -69,7 +69,7 @@
 {
     std::vector<WaiterId> ids;
     std::erase_if(m_waiters, [&](const auto& it) {
-        const auto isUnplaceable = now >= it.second.queueUntil && !m_selector.hasCandidate(it.second.request);
+        const auto isUnplaceable = now >= it.second.queueUntil && !isAnyAvailable(it.second.request, now);
         if (isUnplaceable)
             ids.push_back(std::get<WaiterId>(it.first));
         return isUnplaceable;
--- a/src/placement/AdmissionQueue.h
+++ b/src/placement/AdmissionQueue.h
@@ -53,7 +53,9 @@
      * tens of milliseconds.
      */
     std::vector<std::pair<WaiterId, Grant>> placeWaiting(TimePoint now);
-    /** Removes and returns the requests that may not wait any longer although their service has no server left. */
+    /** Returns true if some server takes requests at present. */
+    bool isAnyAvailable(const PlacementRequest& request, TimePoint now) const { return m_selector.availableAt(request, now) == now; }
+    /** Removes and returns the requests that may not wait any longer although no server of their service takes any. */
     std::vector<WaiterId> takeUnplaceable(TimePoint now);
     /** Number of waiting requests. */
     std::size_t size() const { return m_waiters.size(); }
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -75,6 +75,7 @@
     }
     if (isNewStart) {
         server.recentCalls = {};
+        server.backoffUntil = {};
         server.fleetFailures = 0;
         server.cache.clear();
         server.slowness = 1;
@@ -96,10 +97,29 @@
         it->second.record.state = BackendState::Leaving;
 }
 
-bool BackendSelector::mayReceive(const Placement& placement) const
+void BackendSelector::recordBackoff(const BackendId& id, Incarnation incarnation, TimePoint until)
+{
+    const auto it = m_servers.find(id);
+    if (it != m_servers.end() && it->second.record.incarnation == incarnation)
+        it->second.backoffUntil = std::max(it->second.backoffUntil, until);
+}
+
+bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     const auto it = m_servers.find(placement.backend);
-    return it != m_servers.end() && it->second.record.incarnation == placement.incarnation && it->second.record.state != BackendState::Leaving;
+    if (it == m_servers.end() || it->second.record.incarnation != placement.incarnation)
+        return false;
+    return it->second.record.state != BackendState::Leaving && now >= it->second.backoffUntil;
+}
+
+std::optional<TimePoint> BackendSelector::availableAt(const PlacementRequest& request, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const auto& [id, server] : m_servers) {
+        if (isCandidate(server, request))
+            first = std::min(first.value_or(TimePoint::max()), std::max(now, server.backoffUntil));
+    }
+    return first;
 }
 
 void BackendSelector::setEngineLimits(const ServiceId& service, std::uint32_t slots, std::uint64_t tokenCapacity)
@@ -311,7 +331,7 @@
     Estimate bestEstimate;
     std::uint64_t ties = 0;
     for (const auto& [id, server] : m_servers) {
-        if (!isCandidate(server, request))
+        if (!isCandidate(server, request) || now < server.backoffUntil)
             continue;
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
         const auto healthRank = (isEjected(server, now) ? 1 : 0) + (isLapsed ? 2 : 0);
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -83,8 +83,12 @@
     bool merge(const BackendRecord&);
     /** Records that this start of the server shuts down; only a later start of it is selected again. */
     void recordLeaving(const BackendId&, Incarnation);
-    /** Returns false if a selected server must not receive the request any more: it leaves, or has started anew since. */
-    bool mayReceive(const Placement&) const;
+    /** Records that this start of the server wants no request of this instance until then. */
+    void recordBackoff(const BackendId&, Incarnation, TimePoint until);
+    /** Returns false if a selected server must not receive the request any more: it leaves, wants none, or has started anew. */
+    bool mayReceive(const Placement&, TimePoint now) const;
+    /** Returns the first time at which a server may take the request; nothing if none ever will. */
+    std::optional<TimePoint> availableAt(const PlacementRequest&, TimePoint now) const;
     /** Sets the limits of each engine of the service: requests that run at once, and tokens that fit into its memory. */
     void setEngineLimits(const ServiceId&, std::uint32_t slots, std::uint64_t tokenCapacity);
     /** Reserves engines for interactive requests in exactly these services, and does so before their first request. */
@@ -106,7 +110,7 @@
      */
     void updateReservations(TimePoint now);
 
-    /** Returns true if some server might take the request now or later; it may be ejected or lapsed at present. */
+    /** Returns true if some server might take the request now or later; it may be ejected, lapsed or backing off at present. */
     bool hasCandidate(const PlacementRequest&) const;
     /** Returns true if the server sent any data to this instance at or after `since`, on any call. */
     bool wasActiveSince(const BackendId&, TimePoint since) const;
@@ -114,7 +118,7 @@
     void recordActivity(CallId, TimePoint now);
     /**
      * Returns the server with the lowest cost for the request, at random if several have it; nothing if there is no
-     * candidate. Ejected servers are selected only if no other is left, and lapsed ones after those. A lapsed server that
+     * candidate, or all candidates want no request at present. Ejected servers are selected only if no other is left, and lapsed ones after those. A lapsed server that
      * answered within the last 3 s is treated as serving.
      */
     std::optional<Placement> select(const PlacementRequest&, TimePoint now);
@@ -141,6 +145,7 @@
         BackendRecord record;
         BackendHealth health;
         CallWindow recentCalls; ///< Calls of this instance.
+        TimePoint backoffUntil {}; ///< The server wants no request of this instance before.
         std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of the last setFleetCalls().
         EnginePrefixCache cache { 0 };
         ServerUsage remoteUsage; ///< Usage of all other instances together.
--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -180,3 +180,21 @@
     CHECK(codec.classifyResponse(503, { { .name = "Not-Executed", .value = "1" } }, "id1") == ResponseKind::NotRun);
     CHECK(codec.classifyResponse(421, { { .name = "Instance-Id", .value = "i-2" } }, "id1") == ResponseKind::OtherServer);
 }
+
+TEST_CASE("a server's notices are read from the header of its answer", "[platform]")
+{
+    const Platform::HeaderCodec codec;
+    const auto notice = [&codec](unsigned status, const std::string& name, const std::string& value) { return codec.parseNotice(status, { { .name = name, .value = value } }); };
+    CHECK(notice(200, "Server-Leaving", "1").isLeaving);
+    CHECK_FALSE(notice(200, "Server-Leaving", "0").isLeaving);
+    CHECK_FALSE(notice(200, "Connection", "close").isLeaving);
+    CHECK(notice(503, "Retry-After", "2").retryAfter == std::chrono::seconds(2));
+    CHECK(notice(503, "Retry-After", "0.25").retryAfter == std::chrono::milliseconds(250));
+    CHECK(notice(503, "Retry-After", "1e30").retryAfter == std::chrono::minutes(10));
+    for (const auto* value : { "", "-1", "0", "soon", "2s", "nan", "inf", "Fri, 04 Dec 2026 12:00:00 GMT" }) {
+        CAPTURE(value);
+        CHECK(notice(503, "Retry-After", value).retryAfter == Duration::zero());
+    }
+    // With another status, the field is a message to the caller.
+    CHECK(notice(429, "Retry-After", "2").retryAfter == Duration::zero());
+}
