--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -445,7 +445,9 @@
             result.cause = "event-oversized";
             co_return result;
         }
-        const auto isComplete = chunk.isLast && !m_events.isInsideEvent();
+        // Only a resumed stream may have no event left.
+        const auto isEmpty = m_events.progressCount() == 0 && !last && !m_metadata.lastEventId;
+        const auto isComplete = chunk.isLast && !m_events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
         std::string lastBytes;
         if (isComplete && !m_events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(m_events.incompleteEvent());
@@ -468,7 +470,7 @@
             }
         }
         if (chunk.isLast && !isComplete) {
-            result.cause = "ended-inside-event";
+            result.cause = m_events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
             result.hasBrokenOff = true;
             co_return result;
         }
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -152,7 +152,8 @@
             co_return head;
         copyHead(head);
         // A complete close-delimited body differs from a truncated one only in how the connection ends: by FIN or reset.
-        if (m_parser->need_eof() && !m_pool->options().acceptsCloseDelimited)
+        head.isCloseDelimited = m_parser->need_eof();
+        if (head.isCloseDelimited && !m_pool->options().acceptsCloseDelimited)
             head.ec = make_error_code(RouterError::UpstreamMalformed);
         co_return head;
     }
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -41,6 +41,7 @@
     Verdict verdict = Verdict::NotRun; ///< `MayHaveRun` from the moment that the request may have been sent in part.
     unsigned status = 0;
     HttpFields fields;
+    bool isCloseDelimited = false; ///< The body has neither a length nor chunks, and ends with the connection.
 };
 
 /** One chunk of a response body, as received; it need not match a chunk of the transfer encoding. */
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -185,6 +185,34 @@
     CHECK(bench.upstream.requests[1].fields.find("Last-Event-Id") == "2");
 }
 
+TEST_CASE("a stream without an event that ends with its connection is not complete", "[routed]")
+{
+    RoutedBench bench;
+    auto empty = stream({ "" });
+    empty.isCloseDelimited = true;
+    bench.upstream.scripts = { empty, stream({ event(1) }) };
+    SECTION("it may not run again")
+    {
+        bench.run(RoutedBench::request("/chat/1"));
+        CHECK_FALSE(bench.writer.isFinished);
+        REQUIRE(bench.writer.response);
+        CHECK(bench.writer.response->status == 502);
+    }
+    SECTION("it may run again")
+    {
+        bench.run(RoutedBench::request("/draft/1"));
+        CHECK(bench.writer.streamed == event(1));
+        CHECK(bench.writer.isFinished);
+    }
+    SECTION("it was resumed after its last event")
+    {
+        auto request = RoutedBench::request("/chat/1");
+        request.fields.add("Last-Event-Id", "5");
+        bench.run(request);
+        CHECK(bench.writer.isFinished);
+    }
+}
+
 TEST_CASE("line ends after the last event are no part of an event", "[routed]")
 {
     RoutedBench bench;
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -30,6 +30,7 @@
     std::function<void()> beforeSending; ///< Runs once a connection is open, before the check that precedes the request.
     bool isStalled = false; ///< No header is received until the call is cancelled.
     std::vector<HttpField> fields; ///< Additional header fields.
+    bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
     std::vector<std::string> chunks;
     std::error_code bodyError; ///< Error after the last chunk; if unset, the body is complete.
 };
@@ -76,6 +77,7 @@
             head.ec = m_script.beginError;
             head.verdict = m_script.beginVerdict;
             head.status = m_script.status;
+            head.isCloseDelimited = m_script.isCloseDelimited;
             head.fields.add("Content-Type", m_script.contentType);
             head.fields.add("X-Hickory-Attempt-Id", m_script.echoedAttemptId.value_or(std::string(checked.fields.find("X-Hickory-Attempt-Id"))));
             for (const auto& it : m_script.fields)
