--- a/src/base/RouterError.cpp
+++ b/src/base/RouterError.cpp
@@ -43,6 +43,7 @@
     ErrorRow { RouterError::InvalidSettings, "invalid_settings", 400, "the settings are invalid" },
     ErrorRow { RouterError::AnswerNotKept, "answer_not_kept", 409, "the request ran, but its response was too large to record" },
     ErrorRow { RouterError::SendForbidden, "send_forbidden", 503, "the request must not be sent any more" },
+    ErrorRow { RouterError::RequestQuarantined, "request_quarantined", 503, "requests like this one crashed several backend servers" },
 };
 
 const ErrorRow& rowOf(RouterError error)
--- a/src/base/RouterError.h
+++ b/src/base/RouterError.h
@@ -38,6 +38,7 @@
     InvalidSettings,
     AnswerNotKept,
     SendForbidden,
+    RequestQuarantined,
 };
 
 /** Category of RouterError. */
--- a/src/cluster/Cluster.cpp
+++ b/src/cluster/Cluster.cpp
@@ -7,6 +7,7 @@
 #include "peer/PeerMesh.h"
 #include "state/StateNode.h"
 #include "wire/FleetCodec.h"
+#include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
 
@@ -150,6 +151,8 @@
         for (const auto& it : m_options.fleet.all())
             knownBackends.push_back(it.id);
         m_options.dispatcher.setPeerLoad(from, fromWire(message.peerLoad, knownBackends));
+    } else if (message.__isset.promptEvidence) {
+        m_options.dispatcher.receivePromptEvidence(fromWire(message.promptEvidence));
     }
 }
 
@@ -233,6 +236,8 @@
             m_options.fleet.setPeers(m_mesh->reachable());
         if (isFleetUpdateDue)
             sendFleetUpdate(turn % (turnsPerFleetUpdate * fleetUpdatesPerLoadReport) == 0);
+        if (isFleetUpdateDue)
+            broadcastPromptEvidence();
         if (isFleetUpdateDue || m_options.dispatcher.hasBacklog())
             broadcastLocalLoad();
     }
@@ -278,9 +283,25 @@
     m_lastSentLoadAt = now;
 }
 
-// A new connection may follow a partition, so each side sends every record that it has.
+void Cluster::broadcastPromptEvidence()
+{
+    const auto evidence = m_options.dispatcher.takePromptEvidence();
+    if (evidence.isEmpty() || !m_mesh)
+        return;
+    Wire::PeerMessage message;
+    message.__set_promptEvidence(toWire(evidence));
+    broadcast(message);
+}
+
+// A new connection may follow a partition, so each side sends every record and every quarantine that it has.
 void Cluster::sendAllRecords(const InstanceId& peer)
 {
+    const auto quarantined = m_options.dispatcher.quarantinedParts();
+    if (!quarantined.isEmpty()) {
+        Wire::PeerMessage message;
+        message.__set_promptEvidence(toWire(quarantined));
+        m_mesh->send(peer, message);
+    }
     const FleetUpdate update { .records = m_options.fleet.all(), .renewals = {}, .loads = {} };
     if (update.isEmpty())
         return;
--- a/src/cluster/Cluster.h
+++ b/src/cluster/Cluster.h
@@ -66,6 +66,8 @@
     Task<void> refreshSettings();
     void sendFleetUpdate(bool withLoads);
     void broadcastLocalLoad();
+    /** Sends what this instance observed of requests that crash servers to the other instances. */
+    void broadcastPromptEvidence();
     void sendAllRecords(const InstanceId&);
     void broadcast(const Wire::PeerMessage&);
 
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -113,6 +113,7 @@
     const std::lock_guard lock(m_mutex);
     Decisions decisions;
     m_scheduler.setBackends(backends, monotonicNow(), decisions);
+    m_quarantine.setBackends(backends);
     deliver(decisions);
 }
 
@@ -150,6 +151,8 @@
     deliver(decisions);
     for (const auto& it : m_scheduler.takeEjectionChanges())
         logEvent(it.isEjected ? LogEvent::BackendEjected : LogEvent::BackendRestored, "backend={} pool={} slowness={:.1f}", it.backend.value(), it.pool.value(), it.slowness);
+    for (const auto& it : m_quarantine.update(monotonicNow()))
+        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part, it.crashes, it.rounds, it.wasAnswered);
 }
 
 std::optional<Duration> Dispatcher::enterWorkspace(const Workspace& workspace)
@@ -184,6 +187,37 @@
 {
     const std::lock_guard lock(m_mutex);
     m_repeats.forget(request.fingerprint);
+    m_quarantine.recordAnswered(request, monotonicNow());
+}
+
+void Dispatcher::recordBroken(const CallerRequest& request, const BackendId& backend, Duration sentFor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.recordBroken(request, backend, sentFor, monotonicNow());
+}
+
+bool Dispatcher::isQuarantined(const CallerRequest& request) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.contains(request);
+}
+
+void Dispatcher::receivePromptEvidence(const PromptEvidence& evidence)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.receive(evidence, monotonicNow());
+}
+
+PromptEvidence Dispatcher::takePromptEvidence()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.takeEvidence(monotonicNow());
+}
+
+PromptEvidence Dispatcher::quarantinedParts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.quarantined();
 }
 
 bool Dispatcher::tryRetry(const RequestClass& requestClass)
--- a/src/entry/Dispatcher.h
+++ b/src/entry/Dispatcher.h
@@ -6,6 +6,7 @@
 
 #include "base/Ids.h"
 #include "base/SeededRandom.h"
+#include "entry/RequestQuarantine.h"
 #include "net/Task.h"
 #include "scheduling/BackendChoice.h"
 #include "scheduling/RepeatDetector.h"
@@ -76,6 +77,16 @@
     bool recordRequest(const CallerRequest&);
     /** Records that a request was answered, so that an equal one after it does not count as a repeat. */
     void recordAnswered(const CallerRequest&);
+    /** Records that a server broke off its answer, as a crash does, `sentFor` after it got the request. */
+    void recordBroken(const CallerRequest&, const BackendId&, Duration sentFor);
+    /** Returns true if requests like this one crash servers, so that it must not be sent; see RequestQuarantine. */
+    bool isQuarantined(const CallerRequest&) const;
+    /** Takes over what another instance observed of crashes and answers. */
+    void receivePromptEvidence(const PromptEvidence&);
+    /** Returns what this instance observed since the last call, to report to the other instances. Call several times per second. */
+    PromptEvidence takePromptEvidence();
+    /** Returns the present quarantines, for an instance that joins. */
+    PromptEvidence quarantinedParts() const;
     /** Takes one retry from the budget of the class; false if there is none left. */
     bool tryRetry(const RequestClass&);
 
@@ -101,6 +112,7 @@
     Scheduler m_scheduler;
     WorkspaceLimiter m_limiter;
     RepeatDetector m_repeats;
+    RequestQuarantine m_quarantine;
     std::map<ClassId, RetryBudget> m_budgets;
     std::unordered_map<RequestId, std::shared_ptr<Waiter>> m_waiters; // One for each job without a delivered decision.
 };
--- /dev/null
+++ b/src/entry/RequestQuarantine.cpp
@@ -0,0 +1,76 @@
+#include "entry/RequestQuarantine.h"
+
+#include "entry/CallerRequest.h"
+
+namespace HickoryHollow {
+
+namespace {
+
+/** What a request may share with others, as the parts of a prompt. The last part is not shared and has no meaning. */
+Prompt partsOf(const CallerRequest& request)
+{
+    Prompt prompt;
+    if (request.prefix.value() != 0)
+        prompt.parts.push_back({ .id = request.prefix.value(), .tokens = 0 });
+    prompt.parts.push_back({ .id = request.fingerprint, .tokens = 0 });
+    prompt.parts.push_back({});
+    return prompt;
+}
+
+} // namespace
+
+void RequestQuarantine::setBackends(const std::vector<BackendInfo>& backends)
+{
+    m_incarnations.clear();
+    for (const auto& it : backends)
+        m_incarnations[it.id] = it.incarnation;
+}
+
+void RequestQuarantine::recordBroken(const CallerRequest& request, const BackendId& backend, Duration sentFor, TimePoint now)
+{
+    const auto it = m_incarnations.find(backend);
+    m_guard.recordCrash(partsOf(request), backend, it == m_incarnations.end() ? Incarnation(0) : it->second, sentFor, now);
+}
+
+void RequestQuarantine::recordAnswered(const CallerRequest& request, TimePoint now)
+{
+    m_guard.recordAnswered(partsOf(request), now);
+}
+
+bool RequestQuarantine::contains(const CallerRequest& request) const
+{
+    return m_guard.isQuarantined(partsOf(request));
+}
+
+void RequestQuarantine::receive(const PromptEvidence& evidence, TimePoint now)
+{
+    for (const auto part : evidence.quarantined)
+        m_suspects.addQuarantined(part, now);
+    for (const auto& it : evidence.crashes)
+        m_suspects.recordCrash(it, now);
+    for (const auto& it : evidence.answered)
+        m_suspects.recordAnswered(it.part, now - it.age, now);
+    m_guard.apply(m_suspects.verdicts());
+}
+
+PromptEvidence RequestQuarantine::takeEvidence(TimePoint now)
+{
+    auto evidence = m_guard.takeEvidence(now);
+    if (!evidence.isEmpty())
+        receive(evidence, now);
+    return evidence;
+}
+
+PromptEvidence RequestQuarantine::quarantined() const
+{
+    return { .crashes = {}, .answered = {}, .quarantined = m_suspects.verdicts().quarantined };
+}
+
+std::vector<CrashSuspects::Found> RequestQuarantine::update(TimePoint now)
+{
+    auto found = m_suspects.update(now);
+    m_guard.apply(m_suspects.verdicts());
+    return found;
+}
+
+} // namespace HickoryHollow
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -26,6 +26,7 @@
 constexpr int firstTokenTimeoutFactor = 10;
 constexpr int interTokenTimeoutFactor = 100;
 constexpr int wholeAnswerTimeoutFactor = 4;
+constexpr std::chrono::seconds quarantineRetryAfter { 60 }; // The quarantine lasts minutes.
 constexpr std::size_t maxAnswerBytes = 32U << 20U; // Limit for an answer that is not streamed, which is held in memory.
 constexpr std::string_view attemptIdField = "X-Hickory-Attempt-Id";
 
@@ -140,6 +141,11 @@
     std::set<BackendId> triedBackends;
     auto verdict = Verdict::NotRun;
     AttemptResult result;
+    if (m_context.dispatcher.isQuarantined(m_request)) {
+        result.failure = failure(RouterError::RequestQuarantined, verdict, {});
+        result.failure->retryAfter = quarantineRetryAfter;
+        co_return result;
+    }
     for (;;) {
         result = co_await runOneAttempt(triedBackends);
         if (!result.failure)
@@ -159,7 +165,7 @@
     const auto& failed = *result.failure;
     const auto isUpstreamFailure = failed.error == RouterError::UpstreamConnectFailed || failed.error == RouterError::UpstreamBroken
         || failed.error == RouterError::UpstreamMalformed || failed.error == RouterError::UpstreamTimeout;
-    if (!isUpstreamFailure || result.reachedCaller || m_writer.isCallerDisconnected() || m_attempts >= maxAttempts)
+    if (!isUpstreamFailure || result.reachedCaller || m_writer.isCallerDisconnected() || m_attempts >= maxAttempts || m_context.dispatcher.isQuarantined(m_request))
         return false;
     const auto isSafe = m_request.mayRunMoreThanOnce || (failed.verdict == Verdict::NotRun && m_request.key);
     return isSafe && monotonicNow() < m_request.deadline && m_context.dispatcher.tryRetry(*m_request.requestClass);
@@ -252,11 +258,13 @@
 {
     const auto call = m_context.upstream.open(backend.value(), makeTimeouts());
     m_writer.onCallerDisconnect([&call = *call] { call.cancel(); });
+    const auto sentAt = monotonicNow();
     const auto executor = co_await asio::this_coro::executor;
     const DeadlineWatch watch(executor, m_request.hasCallerDeadline ? std::optional(m_request.deadline) : std::nullopt, *call);
     const auto head = co_await call->begin(makeUpstreamRequest(id));
     AttemptResult result;
     result.failure = classifyHead(id, head);
+    result.hasBrokenOff = head.ec == RouterError::UpstreamBroken && head.verdict != Verdict::NotRun;
     if (!result.failure) {
         const auto isEventStream = head.fields.find("Content-Type").starts_with("text/event-stream");
         if (isEventStream)
@@ -270,6 +278,9 @@
         result.failure->error = RouterError::DeadlinePassed;
     if (result.failure && m_writer.isCallerDisconnected())
         result.failure->error = RouterError::CallerGone;
+    const auto isCrash = result.hasBrokenOff && !watch.hasPassed() && !m_writer.isCallerDisconnected();
+    if (isCrash)
+        m_context.dispatcher.recordBroken(m_request, backend, monotonicNow() - sentAt);
     co_return result;
 }
 
@@ -305,6 +316,7 @@
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
             result.failure = failure(routerErrorOf(chunk.ec), Verdict::MayHaveRun, "the body of the answer is incomplete");
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
         body.append(chunk.bytes);
@@ -340,6 +352,7 @@
         if (isBroken) {
             const auto error = chunk.ec ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
             result.failure = failure(error, Verdict::MayHaveRun, "the stream broke off before its end marker");
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken || (!chunk.ec && !scanner.isOversized());
             break;
         }
         if (events.empty())
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -47,6 +47,7 @@
         bool reachedCaller = false; ///< Part of the answer was sent to the caller, so that a retry is no longer possible.
         std::uint32_t tokens = 0; ///< Number of data events of a streamed answer; 0 for other answers.
         HttpResponse answer; ///< The complete answer, if it was not streamed.
+        bool hasBrokenOff = false; ///< The server ended the connection before its answer was complete, as a crash does.
     };
 
     Task<void> runUnclaimed();
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -2,11 +2,11 @@
 
 #include "base/LogEvent.h"
 #include "links/StateMesh.h"
-#include "node/PromptEvidenceCodec.h"
 #include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/FleetCodec.h"
 #include "wire/LedgerCodec.h"
+#include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
 
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -2,11 +2,11 @@
 
 #include "base/LogEvent.h"
 #include "net/Timer.h"
-#include "node/PromptEvidenceCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/AgreementCodec.h"
 #include "wire/FleetCodec.h"
 #include "wire/LedgerCodec.h"
+#include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/ThriftCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
--- a/src/node/StateInstancePrompts.cpp
+++ b/src/node/StateInstancePrompts.cpp
@@ -1,6 +1,6 @@
 #include "base/LogEvent.h"
-#include "node/PromptEvidenceCodec.h"
 #include "node/StateInstance.h"
+#include "wire/PromptEvidenceCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 namespace HickoryHollow {
--- a/src/node/PromptEvidenceCodec.cpp
+++ b/src/wire/PromptEvidenceCodec.cpp
@@ -1,4 +1,4 @@
-#include "node/PromptEvidenceCodec.h"
+#include "wire/PromptEvidenceCodec.h"
 
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -7556,42 +7556,33 @@
 }
 
 
-PeerMessage::~PeerMessage() noexcept {
+PromptCrash::~PromptCrash() noexcept {
 }
 
 
-void PeerMessage::__set_agreement(const AgreementMessage& val) {
-  this->agreement = val;
-__isset.agreement = true;
-}
-
-void PeerMessage::__set_request(const Request& val) {
-  this->request = val;
-__isset.request = true;
+void PromptCrash::__set_server(const int64_t val) {
+  this->server = val;
 }
 
-void PeerMessage::__set_reply(const Reply& val) {
-  this->reply = val;
-__isset.reply = true;
+void PromptCrash::__set_sentForMs(const int32_t val) {
+  this->sentForMs = val;
 }
 
-void PeerMessage::__set_fleetNews(const FleetNews& val) {
-  this->fleetNews = val;
-__isset.fleetNews = true;
+void PromptCrash::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
 }
 
-void PeerMessage::__set_peerLoad(const PeerLoad& val) {
-  this->peerLoad = val;
-__isset.peerLoad = true;
+void PromptCrash::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
 }
-std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PeerMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PromptCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7613,41 +7604,45 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->agreement.read(iprot);
-          this->__isset.agreement = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->request.read(iprot);
-          this->__isset.request = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sentForMs);
+          this->__isset.sentForMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->reply.read(iprot);
-          this->__isset.reply = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->fleetNews.read(iprot);
-          this->__isset.fleetNews = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->peerLoad.read(iprot);
-          this->__isset.peerLoad = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->parts.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
+            {
+              xfer += iprot->readI64(this->parts[_i196]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7664,99 +7659,94 @@
   return xfer;
 }
 
-uint32_t PeerMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PromptCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PeerMessage");
+  xfer += oprot->writeStructBegin("PromptCrash");
 
-  if (this->__isset.agreement) {
-    xfer += oprot->writeFieldBegin("agreement", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->agreement.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.request) {
-    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->request.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.reply) {
-    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.fleetNews) {
-    xfer += oprot->writeFieldBegin("fleetNews", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->fleetNews.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.peerLoad) {
-    xfer += oprot->writeFieldBegin("peerLoad", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->peerLoad.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentForMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->sentForMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter197;
+    for (_iter197 = this->parts.begin(); _iter197 != this->parts.end(); ++_iter197)
+    {
+      xfer += oprot->writeI64((*_iter197));
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(PeerMessage &a, PeerMessage &b) {
+void swap(PromptCrash &a, PromptCrash &b) {
   using ::std::swap;
-  swap(a.agreement, b.agreement);
-  swap(a.request, b.request);
-  swap(a.reply, b.reply);
-  swap(a.fleetNews, b.fleetNews);
-  swap(a.peerLoad, b.peerLoad);
+  swap(a.server, b.server);
+  swap(a.sentForMs, b.sentForMs);
+  swap(a.ageMs, b.ageMs);
+  swap(a.parts, b.parts);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other192) {
-  agreement = other192.agreement;
-  request = other192.request;
-  reply = other192.reply;
-  fleetNews = other192.fleetNews;
-  peerLoad = other192.peerLoad;
-  __isset = other192.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other193) {
-  agreement = other193.agreement;
-  request = other193.request;
-  reply = other193.reply;
-  fleetNews = other193.fleetNews;
-  peerLoad = other193.peerLoad;
-  __isset = other193.__isset;
+PromptCrash::PromptCrash(const PromptCrash& other198) {
+  server = other198.server;
+  sentForMs = other198.sentForMs;
+  ageMs = other198.ageMs;
+  parts = other198.parts;
+  __isset = other198.__isset;
+}
+PromptCrash& PromptCrash::operator=(const PromptCrash& other199) {
+  server = other199.server;
+  sentForMs = other199.sentForMs;
+  ageMs = other199.ageMs;
+  parts = other199.parts;
+  __isset = other199.__isset;
   return *this;
 }
-void PeerMessage::printTo(std::ostream& out) const {
+void PromptCrash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PeerMessage(";
-  out << "agreement="; (__isset.agreement ? (out << to_string(agreement)) : (out << "<null>"));
-  out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
-  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
-  out << ", " << "fleetNews="; (__isset.fleetNews ? (out << to_string(fleetNews)) : (out << "<null>"));
-  out << ", " << "peerLoad="; (__isset.peerLoad ? (out << to_string(peerLoad)) : (out << "<null>"));
+  out << "PromptCrash(";
+  out << "server=" << to_string(server);
+  out << ", " << "sentForMs=" << to_string(sentForMs);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "parts=" << to_string(parts);
   out << ")";
 }
 
 
-StateAddress::~StateAddress() noexcept {
+PartAnswered::~PartAnswered() noexcept {
 }
 
 
-void StateAddress::__set_listen(const std::string& val) {
-  this->listen = val;
+void PartAnswered::__set_part(const int64_t val) {
+  this->part = val;
 }
 
-void StateAddress::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
+void PartAnswered::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
 }
-std::ostream& operator<<(std::ostream& out, const StateAddress& obj)
+std::ostream& operator<<(std::ostream& out, const PartAnswered& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StateAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PartAnswered::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7778,17 +7768,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->listen);
-          this->__isset.listen = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7805,17 +7795,17 @@
   return xfer;
 }
 
-uint32_t StateAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PartAnswered::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StateAddress");
+  xfer += oprot->writeStructBegin("PartAnswered");
 
-  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->listen);
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7823,64 +7813,56 @@
   return xfer;
 }
 
-void swap(StateAddress &a, StateAddress &b) {
+void swap(PartAnswered &a, PartAnswered &b) {
   using ::std::swap;
-  swap(a.listen, b.listen);
-  swap(a.failureDomain, b.failureDomain);
+  swap(a.part, b.part);
+  swap(a.ageMs, b.ageMs);
   swap(a.__isset, b.__isset);
 }
 
-StateAddress::StateAddress(const StateAddress& other194) {
-  listen = other194.listen;
-  failureDomain = other194.failureDomain;
-  __isset = other194.__isset;
+PartAnswered::PartAnswered(const PartAnswered& other200) noexcept {
+  part = other200.part;
+  ageMs = other200.ageMs;
+  __isset = other200.__isset;
 }
-StateAddress& StateAddress::operator=(const StateAddress& other195) {
-  listen = other195.listen;
-  failureDomain = other195.failureDomain;
-  __isset = other195.__isset;
+PartAnswered& PartAnswered::operator=(const PartAnswered& other201) noexcept {
+  part = other201.part;
+  ageMs = other201.ageMs;
+  __isset = other201.__isset;
   return *this;
 }
-void StateAddress::printTo(std::ostream& out) const {
+void PartAnswered::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StateAddress(";
-  out << "listen=" << to_string(listen);
-  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << "PartAnswered(";
+  out << "part=" << to_string(part);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
 
-LinkHello::~LinkHello() noexcept {
-}
-
-
-void LinkHello::__set_instance(const std::string& val) {
-  this->instance = val;
+PromptEvidence::~PromptEvidence() noexcept {
 }
 
-void LinkHello::__set_listen(const std::string& val) {
-  this->listen = val;
-}
 
-void LinkHello::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
+void PromptEvidence::__set_crashes(const std::vector<PromptCrash> & val) {
+  this->crashes = val;
 }
 
-void LinkHello::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
+void PromptEvidence::__set_answered(const std::vector<PartAnswered> & val) {
+  this->answered = val;
 }
 
-void LinkHello::__set_states(const std::vector<StateAddress> & val) {
-  this->states = val;
+void PromptEvidence::__set_quarantined(const std::vector<int64_t> & val) {
+  this->quarantined = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
+std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkHello::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PromptEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7902,53 +7884,61 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->instance);
-          this->__isset.instance = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->crashes.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
+            {
+              xfer += this->crashes[_i206].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->listen);
-          this->__isset.listen = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->answered.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
+            {
+              xfer += this->answered[_i211].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->states.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->states.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
-            {
-              xfer += this->states[_i200].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.states = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->quarantined.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
+            {
+              xfer += iprot->readI64(this->quarantined[_i216]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7965,34 +7955,42 @@
   return xfer;
 }
 
-uint32_t LinkHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PromptEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkHello");
-
-  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->instance);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->listen);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("PromptEvidence");
 
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<PromptCrash> ::const_iterator _iter217;
+    for (_iter217 = this->crashes.begin(); _iter217 != this->crashes.end(); ++_iter217)
+    {
+      xfer += (*_iter217).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered.size()));
+    std::vector<PartAnswered> ::const_iterator _iter218;
+    for (_iter218 = this->answered.begin(); _iter218 != this->answered.end(); ++_iter218)
+    {
+      xfer += (*_iter218).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<StateAddress> ::const_iterator _iter201;
-    for (_iter201 = this->states.begin(); _iter201 != this->states.end(); ++_iter201)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<int64_t> ::const_iterator _iter219;
+    for (_iter219 = this->quarantined.begin(); _iter219 != this->quarantined.end(); ++_iter219)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += oprot->writeI64((*_iter219));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8003,69 +8001,78 @@
   return xfer;
 }
 
-void swap(LinkHello &a, LinkHello &b) {
+void swap(PromptEvidence &a, PromptEvidence &b) {
   using ::std::swap;
-  swap(a.instance, b.instance);
-  swap(a.listen, b.listen);
-  swap(a.failureDomain, b.failureDomain);
-  swap(a.incarnation, b.incarnation);
-  swap(a.states, b.states);
+  swap(a.crashes, b.crashes);
+  swap(a.answered, b.answered);
+  swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-LinkHello::LinkHello(const LinkHello& other202) {
-  instance = other202.instance;
-  listen = other202.listen;
-  failureDomain = other202.failureDomain;
-  incarnation = other202.incarnation;
-  states = other202.states;
-  __isset = other202.__isset;
-}
-LinkHello& LinkHello::operator=(const LinkHello& other203) {
-  instance = other203.instance;
-  listen = other203.listen;
-  failureDomain = other203.failureDomain;
-  incarnation = other203.incarnation;
-  states = other203.states;
-  __isset = other203.__isset;
+PromptEvidence::PromptEvidence(const PromptEvidence& other220) {
+  crashes = other220.crashes;
+  answered = other220.answered;
+  quarantined = other220.quarantined;
+  __isset = other220.__isset;
+}
+PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other221) {
+  crashes = other221.crashes;
+  answered = other221.answered;
+  quarantined = other221.quarantined;
+  __isset = other221.__isset;
   return *this;
 }
-void LinkHello::printTo(std::ostream& out) const {
+void PromptEvidence::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkHello(";
-  out << "instance=" << to_string(instance);
-  out << ", " << "listen=" << to_string(listen);
-  out << ", " << "failureDomain=" << to_string(failureDomain);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "states=" << to_string(states);
+  out << "PromptEvidence(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "quarantined=" << to_string(quarantined);
   out << ")";
 }
 
 
-FreshnessPoll::~FreshnessPoll() noexcept {
+PeerMessage::~PeerMessage() noexcept {
 }
 
 
-void FreshnessPoll::__set_id(const int64_t val) {
-  this->id = val;
+void PeerMessage::__set_agreement(const AgreementMessage& val) {
+  this->agreement = val;
+__isset.agreement = true;
 }
 
-void FreshnessPoll::__set_held(const int64_t val) {
-  this->held = val;
+void PeerMessage::__set_request(const Request& val) {
+  this->request = val;
+__isset.request = true;
 }
 
-void FreshnessPoll::__set_needsWhole(const bool val) {
-  this->needsWhole = val;
-__isset.needsWhole = true;
+void PeerMessage::__set_reply(const Reply& val) {
+  this->reply = val;
+__isset.reply = true;
 }
-std::ostream& operator<<(std::ostream& out, const FreshnessPoll& obj)
+
+void PeerMessage::__set_fleetNews(const FleetNews& val) {
+  this->fleetNews = val;
+__isset.fleetNews = true;
+}
+
+void PeerMessage::__set_peerLoad(const PeerLoad& val) {
+  this->peerLoad = val;
+__isset.peerLoad = true;
+}
+
+void PeerMessage::__set_promptEvidence(const PromptEvidence& val) {
+  this->promptEvidence = val;
+__isset.promptEvidence = true;
+}
+std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FreshnessPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PeerMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8087,25 +8094,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->agreement.read(iprot);
+          this->__isset.agreement = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->held);
-          this->__isset.held = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->needsWhole);
-          this->__isset.needsWhole = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reply.read(iprot);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleetNews.read(iprot);
+          this->__isset.fleetNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->peerLoad.read(iprot);
+          this->__isset.peerLoad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promptEvidence.read(iprot);
+          this->__isset.promptEvidence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8122,22 +8153,39 @@
   return xfer;
 }
 
-uint32_t FreshnessPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PeerMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FreshnessPoll");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->held);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("PeerMessage");
 
-  if (this->__isset.needsWhole) {
-    xfer += oprot->writeFieldBegin("needsWhole", ::apache::thrift::protocol::T_BOOL, 3);
-    xfer += oprot->writeBool(this->needsWhole);
+  if (this->__isset.agreement) {
+    xfer += oprot->writeFieldBegin("agreement", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->agreement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.request) {
+    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reply) {
+    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.fleetNews) {
+    xfer += oprot->writeFieldBegin("fleetNews", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->fleetNews.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peerLoad) {
+    xfer += oprot->writeFieldBegin("peerLoad", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->peerLoad.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.promptEvidence) {
+    xfer += oprot->writeFieldBegin("promptEvidence", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->promptEvidence.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -8145,73 +8193,68 @@
   return xfer;
 }
 
-void swap(FreshnessPoll &a, FreshnessPoll &b) {
+void swap(PeerMessage &a, PeerMessage &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.held, b.held);
-  swap(a.needsWhole, b.needsWhole);
+  swap(a.agreement, b.agreement);
+  swap(a.request, b.request);
+  swap(a.reply, b.reply);
+  swap(a.fleetNews, b.fleetNews);
+  swap(a.peerLoad, b.peerLoad);
+  swap(a.promptEvidence, b.promptEvidence);
   swap(a.__isset, b.__isset);
 }
 
-FreshnessPoll::FreshnessPoll(const FreshnessPoll& other204) noexcept {
-  id = other204.id;
-  held = other204.held;
-  needsWhole = other204.needsWhole;
-  __isset = other204.__isset;
-}
-FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other205) noexcept {
-  id = other205.id;
-  held = other205.held;
-  needsWhole = other205.needsWhole;
-  __isset = other205.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other222) {
+  agreement = other222.agreement;
+  request = other222.request;
+  reply = other222.reply;
+  fleetNews = other222.fleetNews;
+  peerLoad = other222.peerLoad;
+  promptEvidence = other222.promptEvidence;
+  __isset = other222.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other223) {
+  agreement = other223.agreement;
+  request = other223.request;
+  reply = other223.reply;
+  fleetNews = other223.fleetNews;
+  peerLoad = other223.peerLoad;
+  promptEvidence = other223.promptEvidence;
+  __isset = other223.__isset;
   return *this;
 }
-void FreshnessPoll::printTo(std::ostream& out) const {
+void PeerMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "FreshnessPoll(";
-  out << "id=" << to_string(id);
-  out << ", " << "held=" << to_string(held);
-  out << ", " << "needsWhole="; (__isset.needsWhole ? (out << to_string(needsWhole)) : (out << "<null>"));
+  out << "PeerMessage(";
+  out << "agreement="; (__isset.agreement ? (out << to_string(agreement)) : (out << "<null>"));
+  out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
+  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
+  out << ", " << "fleetNews="; (__isset.fleetNews ? (out << to_string(fleetNews)) : (out << "<null>"));
+  out << ", " << "peerLoad="; (__isset.peerLoad ? (out << to_string(peerLoad)) : (out << "<null>"));
+  out << ", " << "promptEvidence="; (__isset.promptEvidence ? (out << to_string(promptEvidence)) : (out << "<null>"));
   out << ")";
 }
 
 
-FreshnessReply::~FreshnessReply() noexcept {
-}
-
-
-void FreshnessReply::__set_id(const int64_t val) {
-  this->id = val;
-}
-
-void FreshnessReply::__set_confirmed(const bool val) {
-  this->confirmed = val;
-}
-
-void FreshnessReply::__set_version(const int64_t val) {
-  this->version = val;
+StateAddress::~StateAddress() noexcept {
 }
 
-void FreshnessReply::__set_document(const RoutingDocument& val) {
-  this->document = val;
-__isset.document = true;
-}
 
-void FreshnessReply::__set_entryInstances(const int32_t val) {
-  this->entryInstances = val;
+void StateAddress::__set_listen(const std::string& val) {
+  this->listen = val;
 }
 
-void FreshnessReply::__set_states(const std::vector<StateAddress> & val) {
-  this->states = val;
+void StateAddress::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
 }
-std::ostream& operator<<(std::ostream& out, const FreshnessReply& obj)
+std::ostream& operator<<(std::ostream& out, const StateAddress& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FreshnessReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8233,61 +8276,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->listen);
+          this->__isset.listen = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->confirmed);
-          this->__isset.confirmed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->entryInstances);
-          this->__isset.entryInstances = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->states.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->states.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
-            {
-              xfer += this->states[_i210].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.states = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8304,42 +8303,17 @@
   return xfer;
 }
 
-uint32_t FreshnessReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FreshnessReply");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->confirmed);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("StateAddress");
 
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->entryInstances);
+  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->listen);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<StateAddress> ::const_iterator _iter211;
-    for (_iter211 = this->states.begin(); _iter211 != this->states.end(); ++_iter211)
-    {
-      xfer += (*_iter211).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8347,68 +8321,64 @@
   return xfer;
 }
 
-void swap(FreshnessReply &a, FreshnessReply &b) {
+void swap(StateAddress &a, StateAddress &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.confirmed, b.confirmed);
-  swap(a.version, b.version);
-  swap(a.document, b.document);
-  swap(a.entryInstances, b.entryInstances);
-  swap(a.states, b.states);
+  swap(a.listen, b.listen);
+  swap(a.failureDomain, b.failureDomain);
   swap(a.__isset, b.__isset);
 }
 
-FreshnessReply::FreshnessReply(const FreshnessReply& other212) {
-  id = other212.id;
-  confirmed = other212.confirmed;
-  version = other212.version;
-  document = other212.document;
-  entryInstances = other212.entryInstances;
-  states = other212.states;
-  __isset = other212.__isset;
-}
-FreshnessReply& FreshnessReply::operator=(const FreshnessReply& other213) {
-  id = other213.id;
-  confirmed = other213.confirmed;
-  version = other213.version;
-  document = other213.document;
-  entryInstances = other213.entryInstances;
-  states = other213.states;
-  __isset = other213.__isset;
+StateAddress::StateAddress(const StateAddress& other224) {
+  listen = other224.listen;
+  failureDomain = other224.failureDomain;
+  __isset = other224.__isset;
+}
+StateAddress& StateAddress::operator=(const StateAddress& other225) {
+  listen = other225.listen;
+  failureDomain = other225.failureDomain;
+  __isset = other225.__isset;
   return *this;
 }
-void FreshnessReply::printTo(std::ostream& out) const {
+void StateAddress::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "FreshnessReply(";
-  out << "id=" << to_string(id);
-  out << ", " << "confirmed=" << to_string(confirmed);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "entryInstances=" << to_string(entryInstances);
-  out << ", " << "states=" << to_string(states);
+  out << "StateAddress(";
+  out << "listen=" << to_string(listen);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ")";
 }
 
 
-RoutingSubmit::~RoutingSubmit() noexcept {
+LinkHello::~LinkHello() noexcept {
 }
 
 
-void RoutingSubmit::__set_id(const int64_t val) {
-  this->id = val;
+void LinkHello::__set_instance(const std::string& val) {
+  this->instance = val;
 }
 
-void RoutingSubmit::__set_document(const RoutingDocument& val) {
-  this->document = val;
+void LinkHello::__set_listen(const std::string& val) {
+  this->listen = val;
 }
-std::ostream& operator<<(std::ostream& out, const RoutingSubmit& obj)
+
+void LinkHello::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void LinkHello::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LinkHello::__set_states(const std::vector<StateAddress> & val) {
+  this->states = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RoutingSubmit::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LinkHello::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8430,17 +8400,53 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->listen);
+          this->__isset.listen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->states.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->states.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += this->states[_i230].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.states = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8457,17 +8463,37 @@
   return xfer;
 }
 
-uint32_t RoutingSubmit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LinkHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RoutingSubmit");
+  xfer += oprot->writeStructBegin("LinkHello");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->document.write(oprot);
+  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->listen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
+    std::vector<StateAddress> ::const_iterator _iter231;
+    for (_iter231 = this->states.begin(); _iter231 != this->states.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8475,56 +8501,69 @@
   return xfer;
 }
 
-void swap(RoutingSubmit &a, RoutingSubmit &b) {
+void swap(LinkHello &a, LinkHello &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.document, b.document);
+  swap(a.instance, b.instance);
+  swap(a.listen, b.listen);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.incarnation, b.incarnation);
+  swap(a.states, b.states);
   swap(a.__isset, b.__isset);
 }
 
-RoutingSubmit::RoutingSubmit(const RoutingSubmit& other214) {
-  id = other214.id;
-  document = other214.document;
-  __isset = other214.__isset;
-}
-RoutingSubmit& RoutingSubmit::operator=(const RoutingSubmit& other215) {
-  id = other215.id;
-  document = other215.document;
-  __isset = other215.__isset;
+LinkHello::LinkHello(const LinkHello& other232) {
+  instance = other232.instance;
+  listen = other232.listen;
+  failureDomain = other232.failureDomain;
+  incarnation = other232.incarnation;
+  states = other232.states;
+  __isset = other232.__isset;
+}
+LinkHello& LinkHello::operator=(const LinkHello& other233) {
+  instance = other233.instance;
+  listen = other233.listen;
+  failureDomain = other233.failureDomain;
+  incarnation = other233.incarnation;
+  states = other233.states;
+  __isset = other233.__isset;
   return *this;
 }
-void RoutingSubmit::printTo(std::ostream& out) const {
+void LinkHello::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RoutingSubmit(";
-  out << "id=" << to_string(id);
-  out << ", " << "document=" << to_string(document);
+  out << "LinkHello(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "listen=" << to_string(listen);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "states=" << to_string(states);
   out << ")";
 }
 
 
-RoutingSubmitReply::~RoutingSubmitReply() noexcept {
+FreshnessPoll::~FreshnessPoll() noexcept {
 }
 
 
-void RoutingSubmitReply::__set_id(const int64_t val) {
+void FreshnessPoll::__set_id(const int64_t val) {
   this->id = val;
 }
 
-void RoutingSubmitReply::__set_result(const int32_t val) {
-  this->result = val;
+void FreshnessPoll::__set_held(const int64_t val) {
+  this->held = val;
 }
 
-void RoutingSubmitReply::__set_version(const int64_t val) {
-  this->version = val;
+void FreshnessPoll::__set_needsWhole(const bool val) {
+  this->needsWhole = val;
+__isset.needsWhole = true;
 }
-std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj)
+std::ostream& operator<<(std::ostream& out, const FreshnessPoll& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RoutingSubmitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8553,18 +8592,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->result);
-          this->__isset.result = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held);
+          this->__isset.held = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsWhole);
+          this->__isset.needsWhole = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8581,82 +8620,96 @@
   return xfer;
 }
 
-uint32_t RoutingSubmitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FreshnessPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RoutingSubmitReply");
+  xfer += oprot->writeStructBegin("FreshnessPoll");
 
   xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->result);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->held);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.needsWhole) {
+    xfer += oprot->writeFieldBegin("needsWhole", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->needsWhole);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RoutingSubmitReply &a, RoutingSubmitReply &b) {
+void swap(FreshnessPoll &a, FreshnessPoll &b) {
   using ::std::swap;
   swap(a.id, b.id);
-  swap(a.result, b.result);
-  swap(a.version, b.version);
+  swap(a.held, b.held);
+  swap(a.needsWhole, b.needsWhole);
   swap(a.__isset, b.__isset);
 }
 
-RoutingSubmitReply::RoutingSubmitReply(const RoutingSubmitReply& other216) noexcept {
-  id = other216.id;
-  result = other216.result;
-  version = other216.version;
-  __isset = other216.__isset;
+FreshnessPoll::FreshnessPoll(const FreshnessPoll& other234) noexcept {
+  id = other234.id;
+  held = other234.held;
+  needsWhole = other234.needsWhole;
+  __isset = other234.__isset;
 }
-RoutingSubmitReply& RoutingSubmitReply::operator=(const RoutingSubmitReply& other217) noexcept {
-  id = other217.id;
-  result = other217.result;
-  version = other217.version;
-  __isset = other217.__isset;
+FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other235) noexcept {
+  id = other235.id;
+  held = other235.held;
+  needsWhole = other235.needsWhole;
+  __isset = other235.__isset;
   return *this;
 }
-void RoutingSubmitReply::printTo(std::ostream& out) const {
+void FreshnessPoll::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RoutingSubmitReply(";
+  out << "FreshnessPoll(";
   out << "id=" << to_string(id);
-  out << ", " << "result=" << to_string(result);
-  out << ", " << "version=" << to_string(version);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "needsWhole="; (__isset.needsWhole ? (out << to_string(needsWhole)) : (out << "<null>"));
   out << ")";
 }
 
 
-DeltaPart::~DeltaPart() noexcept {
+FreshnessReply::~FreshnessReply() noexcept {
 }
 
 
-void DeltaPart::__set_start(const int32_t val) {
-  this->start = val;
+void FreshnessReply::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void DeltaPart::__set_length(const int32_t val) {
-  this->length = val;
+void FreshnessReply::__set_confirmed(const bool val) {
+  this->confirmed = val;
 }
 
-void DeltaPart::__set_text(const std::string& val) {
-  this->text = val;
+void FreshnessReply::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const DeltaPart& obj)
+
+void FreshnessReply::__set_document(const RoutingDocument& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void FreshnessReply::__set_entryInstances(const int32_t val) {
+  this->entryInstances = val;
+}
+
+void FreshnessReply::__set_states(const std::vector<StateAddress> & val) {
+  this->states = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t DeltaPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8678,25 +8731,61 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->start);
-          this->__isset.start = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->length);
-          this->__isset.length = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->text);
-          this->__isset.text = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryInstances);
+          this->__isset.entryInstances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->states.clear();
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->states.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
+            {
+              xfer += this->states[_i240].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.states = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8713,21 +8802,42 @@
   return xfer;
 }
 
-uint32_t DeltaPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FreshnessReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DeltaPart");
+  xfer += oprot->writeStructBegin("FreshnessReply");
 
-  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->start);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->length);
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->confirmed);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->entryInstances);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
+    std::vector<StateAddress> ::const_iterator _iter241;
+    for (_iter241 = this->states.begin(); _iter241 != this->states.end(); ++_iter241)
+    {
+      xfer += (*_iter241).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8735,64 +8845,68 @@
   return xfer;
 }
 
-void swap(DeltaPart &a, DeltaPart &b) {
+void swap(FreshnessReply &a, FreshnessReply &b) {
   using ::std::swap;
-  swap(a.start, b.start);
-  swap(a.length, b.length);
-  swap(a.text, b.text);
+  swap(a.id, b.id);
+  swap(a.confirmed, b.confirmed);
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.entryInstances, b.entryInstances);
+  swap(a.states, b.states);
   swap(a.__isset, b.__isset);
 }
 
-DeltaPart::DeltaPart(const DeltaPart& other218) {
-  start = other218.start;
-  length = other218.length;
-  text = other218.text;
-  __isset = other218.__isset;
-}
-DeltaPart& DeltaPart::operator=(const DeltaPart& other219) {
-  start = other219.start;
-  length = other219.length;
-  text = other219.text;
-  __isset = other219.__isset;
+FreshnessReply::FreshnessReply(const FreshnessReply& other242) {
+  id = other242.id;
+  confirmed = other242.confirmed;
+  version = other242.version;
+  document = other242.document;
+  entryInstances = other242.entryInstances;
+  states = other242.states;
+  __isset = other242.__isset;
+}
+FreshnessReply& FreshnessReply::operator=(const FreshnessReply& other243) {
+  id = other243.id;
+  confirmed = other243.confirmed;
+  version = other243.version;
+  document = other243.document;
+  entryInstances = other243.entryInstances;
+  states = other243.states;
+  __isset = other243.__isset;
   return *this;
 }
-void DeltaPart::printTo(std::ostream& out) const {
+void FreshnessReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "DeltaPart(";
-  out << "start=" << to_string(start);
-  out << ", " << "length=" << to_string(length);
-  out << ", " << "text=" << to_string(text);
+  out << "FreshnessReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "confirmed=" << to_string(confirmed);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "entryInstances=" << to_string(entryInstances);
+  out << ", " << "states=" << to_string(states);
   out << ")";
 }
 
 
-RoutingDelta::~RoutingDelta() noexcept {
-}
-
-
-void RoutingDelta::__set_base(const int64_t val) {
-  this->base = val;
+RoutingSubmit::~RoutingSubmit() noexcept {
 }
 
-void RoutingDelta::__set_version(const int64_t val) {
-  this->version = val;
-}
 
-void RoutingDelta::__set_digest(const int64_t val) {
-  this->digest = val;
+void RoutingSubmit::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void RoutingDelta::__set_parts(const std::vector<DeltaPart> & val) {
-  this->parts = val;
+void RoutingSubmit::__set_document(const RoutingDocument& val) {
+  this->document = val;
 }
-std::ostream& operator<<(std::ostream& out, const RoutingDelta& obj)
+std::ostream& operator<<(std::ostream& out, const RoutingSubmit& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RoutingDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RoutingSubmit::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8815,44 +8929,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->base);
-          this->__isset.base = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->digest);
-          this->__isset.digest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->parts.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->parts.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
-            {
-              xfer += this->parts[_i224].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.parts = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8869,33 +8955,17 @@
   return xfer;
 }
 
-uint32_t RoutingDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RoutingSubmit::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RoutingDelta");
-
-  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->base);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->digest);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RoutingSubmit");
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<DeltaPart> ::const_iterator _iter225;
-    for (_iter225 = this->parts.begin(); _iter225 != this->parts.end(); ++_iter225)
-    {
-      xfer += (*_iter225).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->document.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8903,64 +8973,56 @@
   return xfer;
 }
 
-void swap(RoutingDelta &a, RoutingDelta &b) {
+void swap(RoutingSubmit &a, RoutingSubmit &b) {
   using ::std::swap;
-  swap(a.base, b.base);
-  swap(a.version, b.version);
-  swap(a.digest, b.digest);
-  swap(a.parts, b.parts);
+  swap(a.id, b.id);
+  swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
-RoutingDelta::RoutingDelta(const RoutingDelta& other226) {
-  base = other226.base;
-  version = other226.version;
-  digest = other226.digest;
-  parts = other226.parts;
-  __isset = other226.__isset;
+RoutingSubmit::RoutingSubmit(const RoutingSubmit& other244) {
+  id = other244.id;
+  document = other244.document;
+  __isset = other244.__isset;
 }
-RoutingDelta& RoutingDelta::operator=(const RoutingDelta& other227) {
-  base = other227.base;
-  version = other227.version;
-  digest = other227.digest;
-  parts = other227.parts;
-  __isset = other227.__isset;
+RoutingSubmit& RoutingSubmit::operator=(const RoutingSubmit& other245) {
+  id = other245.id;
+  document = other245.document;
+  __isset = other245.__isset;
   return *this;
 }
-void RoutingDelta::printTo(std::ostream& out) const {
+void RoutingSubmit::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RoutingDelta(";
-  out << "base=" << to_string(base);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "digest=" << to_string(digest);
-  out << ", " << "parts=" << to_string(parts);
+  out << "RoutingSubmit(";
+  out << "id=" << to_string(id);
+  out << ", " << "document=" << to_string(document);
   out << ")";
 }
 
 
-BackendCalls::~BackendCalls() noexcept {
+RoutingSubmitReply::~RoutingSubmitReply() noexcept {
 }
 
 
-void BackendCalls::__set_answers(const int32_t val) {
-  this->answers = val;
+void RoutingSubmitReply::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void BackendCalls::__set_failures(const int32_t val) {
-  this->failures = val;
+void RoutingSubmitReply::__set_result(const int32_t val) {
+  this->result = val;
 }
 
-void BackendCalls::__set_witnesses(const int32_t val) {
-  this->witnesses = val;
+void RoutingSubmitReply::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const BackendCalls& obj)
+std::ostream& operator<<(std::ostream& out, const RoutingSubmitReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BackendCalls::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RoutingSubmitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8982,25 +9044,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->answers);
-          this->__isset.answers = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->failures);
-          this->__isset.failures = true;
+          xfer += iprot->readI32(this->result);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->witnesses);
-          this->__isset.witnesses = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9017,21 +9079,21 @@
   return xfer;
 }
 
-uint32_t BackendCalls::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RoutingSubmitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BackendCalls");
+  xfer += oprot->writeStructBegin("RoutingSubmitReply");
 
-  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->answers);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->result);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("witnesses", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->witnesses);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9039,69 +9101,60 @@
   return xfer;
 }
 
-void swap(BackendCalls &a, BackendCalls &b) {
+void swap(RoutingSubmitReply &a, RoutingSubmitReply &b) {
   using ::std::swap;
-  swap(a.answers, b.answers);
-  swap(a.failures, b.failures);
-  swap(a.witnesses, b.witnesses);
+  swap(a.id, b.id);
+  swap(a.result, b.result);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-BackendCalls::BackendCalls(const BackendCalls& other228) noexcept {
-  answers = other228.answers;
-  failures = other228.failures;
-  witnesses = other228.witnesses;
-  __isset = other228.__isset;
+RoutingSubmitReply::RoutingSubmitReply(const RoutingSubmitReply& other246) noexcept {
+  id = other246.id;
+  result = other246.result;
+  version = other246.version;
+  __isset = other246.__isset;
 }
-BackendCalls& BackendCalls::operator=(const BackendCalls& other229) noexcept {
-  answers = other229.answers;
-  failures = other229.failures;
-  witnesses = other229.witnesses;
-  __isset = other229.__isset;
+RoutingSubmitReply& RoutingSubmitReply::operator=(const RoutingSubmitReply& other247) noexcept {
+  id = other247.id;
+  result = other247.result;
+  version = other247.version;
+  __isset = other247.__isset;
   return *this;
 }
-void BackendCalls::printTo(std::ostream& out) const {
+void RoutingSubmitReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BackendCalls(";
-  out << "answers=" << to_string(answers);
-  out << ", " << "failures=" << to_string(failures);
-  out << ", " << "witnesses=" << to_string(witnesses);
+  out << "RoutingSubmitReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "result=" << to_string(result);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
 
-BackendUse::~BackendUse() noexcept {
-}
-
-
-void BackendUse::__set_backend(const int32_t val) {
-  this->backend = val;
+DeltaPart::~DeltaPart() noexcept {
 }
 
-void BackendUse::__set_requests(const int32_t val) {
-  this->requests = val;
-}
 
-void BackendUse::__set_promptTokens(const int32_t val) {
-  this->promptTokens = val;
+void DeltaPart::__set_start(const int32_t val) {
+  this->start = val;
 }
 
-void BackendUse::__set_interactive(const int32_t val) {
-  this->interactive = val;
+void DeltaPart::__set_length(const int32_t val) {
+  this->length = val;
 }
 
-void BackendUse::__set_calls(const BackendCalls& val) {
-  this->calls = val;
-__isset.calls = true;
+void DeltaPart::__set_text(const std::string& val) {
+  this->text = val;
 }
-std::ostream& operator<<(std::ostream& out, const BackendUse& obj)
+std::ostream& operator<<(std::ostream& out, const DeltaPart& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BackendUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t DeltaPart::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9124,40 +9177,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->backend);
-          this->__isset.backend = true;
+          xfer += iprot->readI32(this->start);
+          this->__isset.start = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->requests);
-          this->__isset.requests = true;
+          xfer += iprot->readI32(this->length);
+          this->__isset.length = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->promptTokens);
-          this->__isset.promptTokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->interactive);
-          this->__isset.interactive = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->calls.read(iprot);
-          this->__isset.calls = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9174,95 +9211,86 @@
   return xfer;
 }
 
-uint32_t BackendUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DeltaPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BackendUse");
-
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->backend);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("DeltaPart");
 
-  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->start);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->promptTokens);
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->length);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("interactive", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->interactive);
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.calls) {
-    xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->calls.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(BackendUse &a, BackendUse &b) {
+void swap(DeltaPart &a, DeltaPart &b) {
   using ::std::swap;
-  swap(a.backend, b.backend);
-  swap(a.requests, b.requests);
-  swap(a.promptTokens, b.promptTokens);
-  swap(a.interactive, b.interactive);
-  swap(a.calls, b.calls);
+  swap(a.start, b.start);
+  swap(a.length, b.length);
+  swap(a.text, b.text);
   swap(a.__isset, b.__isset);
 }
 
-BackendUse::BackendUse(const BackendUse& other230) noexcept {
-  backend = other230.backend;
-  requests = other230.requests;
-  promptTokens = other230.promptTokens;
-  interactive = other230.interactive;
-  calls = other230.calls;
-  __isset = other230.__isset;
-}
-BackendUse& BackendUse::operator=(const BackendUse& other231) noexcept {
-  backend = other231.backend;
-  requests = other231.requests;
-  promptTokens = other231.promptTokens;
-  interactive = other231.interactive;
-  calls = other231.calls;
-  __isset = other231.__isset;
+DeltaPart::DeltaPart(const DeltaPart& other248) {
+  start = other248.start;
+  length = other248.length;
+  text = other248.text;
+  __isset = other248.__isset;
+}
+DeltaPart& DeltaPart::operator=(const DeltaPart& other249) {
+  start = other249.start;
+  length = other249.length;
+  text = other249.text;
+  __isset = other249.__isset;
   return *this;
 }
-void BackendUse::printTo(std::ostream& out) const {
+void DeltaPart::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BackendUse(";
-  out << "backend=" << to_string(backend);
-  out << ", " << "requests=" << to_string(requests);
-  out << ", " << "promptTokens=" << to_string(promptTokens);
-  out << ", " << "interactive=" << to_string(interactive);
-  out << ", " << "calls="; (__isset.calls ? (out << to_string(calls)) : (out << "<null>"));
+  out << "DeltaPart(";
+  out << "start=" << to_string(start);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "text=" << to_string(text);
   out << ")";
 }
 
 
-UseReport::~UseReport() noexcept {
+RoutingDelta::~RoutingDelta() noexcept {
 }
 
 
-void UseReport::__set_uses(const std::vector<BackendUse> & val) {
-  this->uses = val;
+void RoutingDelta::__set_base(const int64_t val) {
+  this->base = val;
 }
 
-void UseReport::__set_entryInstances(const int32_t val) {
-  this->entryInstances = val;
+void RoutingDelta::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const UseReport& obj)
+
+void RoutingDelta::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void RoutingDelta::__set_parts(const std::vector<DeltaPart> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoutingDelta& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t UseReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RoutingDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9284,29 +9312,45 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->uses.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->uses.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
-            {
-              xfer += this->uses[_i236].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.uses = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->entryInstances);
-          this->__isset.entryInstances = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->parts.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
+            {
+              xfer += this->parts[_i254].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9323,82 +9367,98 @@
   return xfer;
 }
 
-uint32_t UseReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RoutingDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("UseReport");
+  xfer += oprot->writeStructBegin("RoutingDelta");
 
-  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<BackendUse> ::const_iterator _iter237;
-    for (_iter237 = this->uses.begin(); _iter237 != this->uses.end(); ++_iter237)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<DeltaPart> ::const_iterator _iter255;
+    for (_iter255 = this->parts.begin(); _iter255 != this->parts.end(); ++_iter255)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->entryInstances);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(UseReport &a, UseReport &b) {
+void swap(RoutingDelta &a, RoutingDelta &b) {
   using ::std::swap;
-  swap(a.uses, b.uses);
-  swap(a.entryInstances, b.entryInstances);
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.parts, b.parts);
   swap(a.__isset, b.__isset);
 }
 
-UseReport::UseReport(const UseReport& other238) {
-  uses = other238.uses;
-  entryInstances = other238.entryInstances;
-  __isset = other238.__isset;
+RoutingDelta::RoutingDelta(const RoutingDelta& other256) {
+  base = other256.base;
+  version = other256.version;
+  digest = other256.digest;
+  parts = other256.parts;
+  __isset = other256.__isset;
 }
-UseReport& UseReport::operator=(const UseReport& other239) {
-  uses = other239.uses;
-  entryInstances = other239.entryInstances;
-  __isset = other239.__isset;
+RoutingDelta& RoutingDelta::operator=(const RoutingDelta& other257) {
+  base = other257.base;
+  version = other257.version;
+  digest = other257.digest;
+  parts = other257.parts;
+  __isset = other257.__isset;
   return *this;
 }
-void UseReport::printTo(std::ostream& out) const {
+void RoutingDelta::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "UseReport(";
-  out << "uses=" << to_string(uses);
-  out << ", " << "entryInstances=" << to_string(entryInstances);
+  out << "RoutingDelta(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "parts=" << to_string(parts);
   out << ")";
 }
 
 
-KeptPrompt::~KeptPrompt() noexcept {
+BackendCalls::~BackendCalls() noexcept {
 }
 
 
-void KeptPrompt::__set_parts(const int64_t val) {
-  this->parts = val;
+void BackendCalls::__set_answers(const int32_t val) {
+  this->answers = val;
 }
 
-void KeptPrompt::__set_backend(const int32_t val) {
-  this->backend = val;
+void BackendCalls::__set_failures(const int32_t val) {
+  this->failures = val;
 }
 
-void KeptPrompt::__set_tokens(const int32_t val) {
-  this->tokens = val;
+void BackendCalls::__set_witnesses(const int32_t val) {
+  this->witnesses = val;
 }
-std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj)
+std::ostream& operator<<(std::ostream& out, const BackendCalls& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t KeptPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t BackendCalls::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9420,25 +9480,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->parts);
-          this->__isset.parts = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answers);
+          this->__isset.answers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->backend);
-          this->__isset.backend = true;
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tokens);
-          this->__isset.tokens = true;
+          xfer += iprot->readI32(this->witnesses);
+          this->__isset.witnesses = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9455,21 +9515,21 @@
   return xfer;
 }
 
-uint32_t KeptPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t BackendCalls::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("KeptPrompt");
+  xfer += oprot->writeStructBegin("BackendCalls");
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->parts);
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->answers);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->backend);
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->failures);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldBegin("witnesses", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->witnesses);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9477,52 +9537,69 @@
   return xfer;
 }
 
-void swap(KeptPrompt &a, KeptPrompt &b) {
+void swap(BackendCalls &a, BackendCalls &b) {
   using ::std::swap;
-  swap(a.parts, b.parts);
-  swap(a.backend, b.backend);
-  swap(a.tokens, b.tokens);
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.witnesses, b.witnesses);
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompt::KeptPrompt(const KeptPrompt& other240) noexcept {
-  parts = other240.parts;
-  backend = other240.backend;
-  tokens = other240.tokens;
-  __isset = other240.__isset;
+BackendCalls::BackendCalls(const BackendCalls& other258) noexcept {
+  answers = other258.answers;
+  failures = other258.failures;
+  witnesses = other258.witnesses;
+  __isset = other258.__isset;
 }
-KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other241) noexcept {
-  parts = other241.parts;
-  backend = other241.backend;
-  tokens = other241.tokens;
-  __isset = other241.__isset;
+BackendCalls& BackendCalls::operator=(const BackendCalls& other259) noexcept {
+  answers = other259.answers;
+  failures = other259.failures;
+  witnesses = other259.witnesses;
+  __isset = other259.__isset;
   return *this;
 }
-void KeptPrompt::printTo(std::ostream& out) const {
+void BackendCalls::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeptPrompt(";
-  out << "parts=" << to_string(parts);
-  out << ", " << "backend=" << to_string(backend);
-  out << ", " << "tokens=" << to_string(tokens);
+  out << "BackendCalls(";
+  out << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "witnesses=" << to_string(witnesses);
   out << ")";
 }
 
 
-KeptPrompts::~KeptPrompts() noexcept {
+BackendUse::~BackendUse() noexcept {
 }
 
 
-void KeptPrompts::__set_prompts(const std::vector<KeptPrompt> & val) {
-  this->prompts = val;
+void BackendUse::__set_backend(const int32_t val) {
+  this->backend = val;
 }
-std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj)
+
+void BackendUse::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void BackendUse::__set_promptTokens(const int32_t val) {
+  this->promptTokens = val;
+}
+
+void BackendUse::__set_interactive(const int32_t val) {
+  this->interactive = val;
+}
+
+void BackendUse::__set_calls(const BackendCalls& val) {
+  this->calls = val;
+__isset.calls = true;
+}
+std::ostream& operator<<(std::ostream& out, const BackendUse& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t KeptPrompts::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t BackendUse::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9544,21 +9621,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->prompts.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->prompts.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
-            {
-              xfer += this->prompts[_i246].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.prompts = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->promptTokens);
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interactive);
+          this->__isset.interactive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->calls.read(iprot);
+          this->__isset.calls = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9575,78 +9672,95 @@
   return xfer;
 }
 
-uint32_t KeptPrompts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t BackendUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("KeptPrompts");
+  xfer += oprot->writeStructBegin("BackendUse");
 
-  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter247;
-    for (_iter247 = this->prompts.begin(); _iter247 != this->prompts.end(); ++_iter247)
-    {
-      xfer += (*_iter247).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("interactive", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->interactive);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.calls) {
+    xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->calls.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(KeptPrompts &a, KeptPrompts &b) {
+void swap(BackendUse &a, BackendUse &b) {
   using ::std::swap;
-  swap(a.prompts, b.prompts);
+  swap(a.backend, b.backend);
+  swap(a.requests, b.requests);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.interactive, b.interactive);
+  swap(a.calls, b.calls);
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompts::KeptPrompts(const KeptPrompts& other248) {
-  prompts = other248.prompts;
-  __isset = other248.__isset;
-}
-KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other249) {
-  prompts = other249.prompts;
-  __isset = other249.__isset;
+BackendUse::BackendUse(const BackendUse& other260) noexcept {
+  backend = other260.backend;
+  requests = other260.requests;
+  promptTokens = other260.promptTokens;
+  interactive = other260.interactive;
+  calls = other260.calls;
+  __isset = other260.__isset;
+}
+BackendUse& BackendUse::operator=(const BackendUse& other261) noexcept {
+  backend = other261.backend;
+  requests = other261.requests;
+  promptTokens = other261.promptTokens;
+  interactive = other261.interactive;
+  calls = other261.calls;
+  __isset = other261.__isset;
   return *this;
 }
-void KeptPrompts::printTo(std::ostream& out) const {
+void BackendUse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeptPrompts(";
-  out << "prompts=" << to_string(prompts);
+  out << "BackendUse(";
+  out << "backend=" << to_string(backend);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "interactive=" << to_string(interactive);
+  out << ", " << "calls="; (__isset.calls ? (out << to_string(calls)) : (out << "<null>"));
   out << ")";
 }
 
 
-PromptCrash::~PromptCrash() noexcept {
-}
-
-
-void PromptCrash::__set_server(const int64_t val) {
-  this->server = val;
-}
-
-void PromptCrash::__set_sentForMs(const int32_t val) {
-  this->sentForMs = val;
+UseReport::~UseReport() noexcept {
 }
 
-void PromptCrash::__set_ageMs(const int32_t val) {
-  this->ageMs = val;
+
+void UseReport::__set_uses(const std::vector<BackendUse> & val) {
+  this->uses = val;
 }
 
-void PromptCrash::__set_parts(const std::vector<int64_t> & val) {
-  this->parts = val;
+void UseReport::__set_entryInstances(const int32_t val) {
+  this->entryInstances = val;
 }
-std::ostream& operator<<(std::ostream& out, const PromptCrash& obj)
+std::ostream& operator<<(std::ostream& out, const UseReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PromptCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t UseReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9668,45 +9782,29 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->server);
-          this->__isset.server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->sentForMs);
-          this->__isset.sentForMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->ageMs);
-          this->__isset.ageMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->parts.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->parts.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            this->uses.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->uses.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += iprot->readI64(this->parts[_i254]);
+              xfer += this->uses[_i266].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.parts = true;
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entryInstances);
+          this->__isset.entryInstances = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9723,94 +9821,82 @@
   return xfer;
 }
 
-uint32_t PromptCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t UseReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PromptCrash");
-
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->server);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sentForMs", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->sentForMs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->ageMs);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("UseReport");
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter255;
-    for (_iter255 = this->parts.begin(); _iter255 != this->parts.end(); ++_iter255)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<BackendUse> ::const_iterator _iter267;
+    for (_iter267 = this->uses.begin(); _iter267 != this->uses.end(); ++_iter267)
     {
-      xfer += oprot->writeI64((*_iter255));
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entryInstances", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->entryInstances);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(PromptCrash &a, PromptCrash &b) {
+void swap(UseReport &a, UseReport &b) {
   using ::std::swap;
-  swap(a.server, b.server);
-  swap(a.sentForMs, b.sentForMs);
-  swap(a.ageMs, b.ageMs);
-  swap(a.parts, b.parts);
+  swap(a.uses, b.uses);
+  swap(a.entryInstances, b.entryInstances);
   swap(a.__isset, b.__isset);
 }
 
-PromptCrash::PromptCrash(const PromptCrash& other256) {
-  server = other256.server;
-  sentForMs = other256.sentForMs;
-  ageMs = other256.ageMs;
-  parts = other256.parts;
-  __isset = other256.__isset;
+UseReport::UseReport(const UseReport& other268) {
+  uses = other268.uses;
+  entryInstances = other268.entryInstances;
+  __isset = other268.__isset;
 }
-PromptCrash& PromptCrash::operator=(const PromptCrash& other257) {
-  server = other257.server;
-  sentForMs = other257.sentForMs;
-  ageMs = other257.ageMs;
-  parts = other257.parts;
-  __isset = other257.__isset;
+UseReport& UseReport::operator=(const UseReport& other269) {
+  uses = other269.uses;
+  entryInstances = other269.entryInstances;
+  __isset = other269.__isset;
   return *this;
 }
-void PromptCrash::printTo(std::ostream& out) const {
+void UseReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PromptCrash(";
-  out << "server=" << to_string(server);
-  out << ", " << "sentForMs=" << to_string(sentForMs);
-  out << ", " << "ageMs=" << to_string(ageMs);
-  out << ", " << "parts=" << to_string(parts);
+  out << "UseReport(";
+  out << "uses=" << to_string(uses);
+  out << ", " << "entryInstances=" << to_string(entryInstances);
   out << ")";
 }
 
 
-PartAnswered::~PartAnswered() noexcept {
+KeptPrompt::~KeptPrompt() noexcept {
 }
 
 
-void PartAnswered::__set_part(const int64_t val) {
-  this->part = val;
+void KeptPrompt::__set_parts(const int64_t val) {
+  this->parts = val;
 }
 
-void PartAnswered::__set_ageMs(const int32_t val) {
-  this->ageMs = val;
+void KeptPrompt::__set_backend(const int32_t val) {
+  this->backend = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartAnswered& obj)
+
+void KeptPrompt::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartAnswered::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t KeptPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9833,16 +9919,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->part);
-          this->__isset.part = true;
+          xfer += iprot->readI64(this->parts);
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->ageMs);
-          this->__isset.ageMs = true;
+          xfer += iprot->readI32(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9859,17 +9953,21 @@
   return xfer;
 }
 
-uint32_t PartAnswered::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t KeptPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartAnswered");
+  xfer += oprot->writeStructBegin("KeptPrompt");
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->parts);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9877,56 +9975,52 @@
   return xfer;
 }
 
-void swap(PartAnswered &a, PartAnswered &b) {
+void swap(KeptPrompt &a, KeptPrompt &b) {
   using ::std::swap;
-  swap(a.part, b.part);
-  swap(a.ageMs, b.ageMs);
+  swap(a.parts, b.parts);
+  swap(a.backend, b.backend);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-PartAnswered::PartAnswered(const PartAnswered& other258) noexcept {
-  part = other258.part;
-  ageMs = other258.ageMs;
-  __isset = other258.__isset;
+KeptPrompt::KeptPrompt(const KeptPrompt& other270) noexcept {
+  parts = other270.parts;
+  backend = other270.backend;
+  tokens = other270.tokens;
+  __isset = other270.__isset;
 }
-PartAnswered& PartAnswered::operator=(const PartAnswered& other259) noexcept {
-  part = other259.part;
-  ageMs = other259.ageMs;
-  __isset = other259.__isset;
+KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other271) noexcept {
+  parts = other271.parts;
+  backend = other271.backend;
+  tokens = other271.tokens;
+  __isset = other271.__isset;
   return *this;
 }
-void PartAnswered::printTo(std::ostream& out) const {
+void KeptPrompt::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartAnswered(";
-  out << "part=" << to_string(part);
-  out << ", " << "ageMs=" << to_string(ageMs);
+  out << "KeptPrompt(";
+  out << "parts=" << to_string(parts);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
 
-PromptEvidence::~PromptEvidence() noexcept {
-}
-
-
-void PromptEvidence::__set_crashes(const std::vector<PromptCrash> & val) {
-  this->crashes = val;
+KeptPrompts::~KeptPrompts() noexcept {
 }
 
-void PromptEvidence::__set_answered(const std::vector<PartAnswered> & val) {
-  this->answered = val;
-}
 
-void PromptEvidence::__set_quarantined(const std::vector<int64_t> & val) {
-  this->quarantined = val;
+void KeptPrompts::__set_prompts(const std::vector<KeptPrompt> & val) {
+  this->prompts = val;
 }
-std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj)
+std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PromptEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t KeptPrompts::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9950,59 +10044,19 @@
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->crashes.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->crashes.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
-            {
-              xfer += this->crashes[_i264].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.crashes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->answered.clear();
-            uint32_t _size265;
-            ::apache::thrift::protocol::TType _etype268;
-            xfer += iprot->readListBegin(_etype268, _size265);
-            this->answered.resize(_size265);
-            uint32_t _i269;
-            for (_i269 = 0; _i269 < _size265; ++_i269)
-            {
-              xfer += this->answered[_i269].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.answered = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->quarantined.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->quarantined.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            this->prompts.clear();
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->prompts.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += iprot->readI64(this->quarantined[_i274]);
+              xfer += this->prompts[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.quarantined = true;
+          this->__isset.prompts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10019,42 +10073,18 @@
   return xfer;
 }
 
-uint32_t PromptEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t KeptPrompts::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PromptEvidence");
-
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<PromptCrash> ::const_iterator _iter275;
-    for (_iter275 = this->crashes.begin(); _iter275 != this->crashes.end(); ++_iter275)
-    {
-      xfer += (*_iter275).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered.size()));
-    std::vector<PartAnswered> ::const_iterator _iter276;
-    for (_iter276 = this->answered.begin(); _iter276 != this->answered.end(); ++_iter276)
-    {
-      xfer += (*_iter276).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("KeptPrompts");
 
-  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter277;
-    for (_iter277 = this->quarantined.begin(); _iter277 != this->quarantined.end(); ++_iter277)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
+    std::vector<KeptPrompt> ::const_iterator _iter277;
+    for (_iter277 = this->prompts.begin(); _iter277 != this->prompts.end(); ++_iter277)
     {
-      xfer += oprot->writeI64((*_iter277));
+      xfer += (*_iter277).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10065,33 +10095,25 @@
   return xfer;
 }
 
-void swap(PromptEvidence &a, PromptEvidence &b) {
+void swap(KeptPrompts &a, KeptPrompts &b) {
   using ::std::swap;
-  swap(a.crashes, b.crashes);
-  swap(a.answered, b.answered);
-  swap(a.quarantined, b.quarantined);
+  swap(a.prompts, b.prompts);
   swap(a.__isset, b.__isset);
 }
 
-PromptEvidence::PromptEvidence(const PromptEvidence& other278) {
-  crashes = other278.crashes;
-  answered = other278.answered;
-  quarantined = other278.quarantined;
+KeptPrompts::KeptPrompts(const KeptPrompts& other278) {
+  prompts = other278.prompts;
   __isset = other278.__isset;
 }
-PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other279) {
-  crashes = other279.crashes;
-  answered = other279.answered;
-  quarantined = other279.quarantined;
+KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other279) {
+  prompts = other279.prompts;
   __isset = other279.__isset;
   return *this;
 }
-void PromptEvidence::printTo(std::ostream& out) const {
+void KeptPrompts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PromptEvidence(";
-  out << "crashes=" << to_string(crashes);
-  out << ", " << "answered=" << to_string(answered);
-  out << ", " << "quarantined=" << to_string(quarantined);
+  out << "KeptPrompts(";
+  out << "prompts=" << to_string(prompts);
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -129,6 +129,12 @@
 
 class Hello;
 
+class PromptCrash;
+
+class PartAnswered;
+
+class PromptEvidence;
+
 class PeerMessage;
 
 class StateAddress;
@@ -157,12 +163,6 @@
 
 class KeptPrompts;
 
-class PromptCrash;
-
-class PartAnswered;
-
-class PromptEvidence;
-
 class PromptVerdicts;
 
 class LinkMessage;
@@ -3263,13 +3263,181 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+typedef struct _PromptCrash__isset {
+  _PromptCrash__isset() : server(false), sentForMs(false), ageMs(false), parts(false) {}
+  bool server :1;
+  bool sentForMs :1;
+  bool ageMs :1;
+  bool parts :1;
+} _PromptCrash__isset;
+
+class PromptCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptCrash(const PromptCrash&);
+  PromptCrash& operator=(const PromptCrash&);
+  PromptCrash() noexcept
+              : server(0),
+                sentForMs(0),
+                ageMs(0) {
+  }
+
+  virtual ~PromptCrash() noexcept;
+  int64_t server;
+  int32_t sentForMs;
+  int32_t ageMs;
+  std::vector<int64_t>  parts;
+
+  _PromptCrash__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_sentForMs(const int32_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptCrash & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(sentForMs == rhs.sentForMs))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptCrash &a, PromptCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj);
+
+typedef struct _PartAnswered__isset {
+  _PartAnswered__isset() : part(false), ageMs(false) {}
+  bool part :1;
+  bool ageMs :1;
+} _PartAnswered__isset;
+
+class PartAnswered : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartAnswered(const PartAnswered&) noexcept;
+  PartAnswered& operator=(const PartAnswered&) noexcept;
+  PartAnswered() noexcept
+               : part(0),
+                 ageMs(0) {
+  }
+
+  virtual ~PartAnswered() noexcept;
+  int64_t part;
+  int32_t ageMs;
+
+  _PartAnswered__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const PartAnswered & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PartAnswered &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartAnswered & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartAnswered &a, PartAnswered &b);
+
+std::ostream& operator<<(std::ostream& out, const PartAnswered& obj);
+
+typedef struct _PromptEvidence__isset {
+  _PromptEvidence__isset() : crashes(false), answered(false), quarantined(false) {}
+  bool crashes :1;
+  bool answered :1;
+  bool quarantined :1;
+} _PromptEvidence__isset;
+
+class PromptEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptEvidence(const PromptEvidence&);
+  PromptEvidence& operator=(const PromptEvidence&);
+  PromptEvidence() noexcept {
+  }
+
+  virtual ~PromptEvidence() noexcept;
+  std::vector<PromptCrash>  crashes;
+  std::vector<PartAnswered>  answered;
+  std::vector<int64_t>  quarantined;
+
+  _PromptEvidence__isset __isset;
+
+  void __set_crashes(const std::vector<PromptCrash> & val);
+
+  void __set_answered(const std::vector<PartAnswered> & val);
+
+  void __set_quarantined(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptEvidence & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptEvidence &a, PromptEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : agreement(false), request(false), reply(false), fleetNews(false), peerLoad(false) {}
+  _PeerMessage__isset() : agreement(false), request(false), reply(false), fleetNews(false), peerLoad(false), promptEvidence(false) {}
   bool agreement :1;
   bool request :1;
   bool reply :1;
   bool fleetNews :1;
   bool peerLoad :1;
+  bool promptEvidence :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -3286,6 +3454,7 @@
   Reply reply;
   FleetNews fleetNews;
   PeerLoad peerLoad;
+  PromptEvidence promptEvidence;
 
   _PeerMessage__isset __isset;
 
@@ -3299,6 +3468,8 @@
 
   void __set_peerLoad(const PeerLoad& val);
 
+  void __set_promptEvidence(const PromptEvidence& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.agreement != rhs.__isset.agreement)
@@ -3321,6 +3492,10 @@
       return false;
     else if (__isset.peerLoad && !(peerLoad == rhs.peerLoad))
       return false;
+    if (__isset.promptEvidence != rhs.__isset.promptEvidence)
+      return false;
+    else if (__isset.promptEvidence && !(promptEvidence == rhs.promptEvidence))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
@@ -4099,173 +4274,6 @@
 
 std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj);
 
-typedef struct _PromptCrash__isset {
-  _PromptCrash__isset() : server(false), sentForMs(false), ageMs(false), parts(false) {}
-  bool server :1;
-  bool sentForMs :1;
-  bool ageMs :1;
-  bool parts :1;
-} _PromptCrash__isset;
-
-class PromptCrash : public virtual ::apache::thrift::TBase {
- public:
-
-  PromptCrash(const PromptCrash&);
-  PromptCrash& operator=(const PromptCrash&);
-  PromptCrash() noexcept
-              : server(0),
-                sentForMs(0),
-                ageMs(0) {
-  }
-
-  virtual ~PromptCrash() noexcept;
-  int64_t server;
-  int32_t sentForMs;
-  int32_t ageMs;
-  std::vector<int64_t>  parts;
-
-  _PromptCrash__isset __isset;
-
-  void __set_server(const int64_t val);
-
-  void __set_sentForMs(const int32_t val);
-
-  void __set_ageMs(const int32_t val);
-
-  void __set_parts(const std::vector<int64_t> & val);
-
-  bool operator == (const PromptCrash & rhs) const
-  {
-    if (!(server == rhs.server))
-      return false;
-    if (!(sentForMs == rhs.sentForMs))
-      return false;
-    if (!(ageMs == rhs.ageMs))
-      return false;
-    if (!(parts == rhs.parts))
-      return false;
-    return true;
-  }
-  bool operator != (const PromptCrash &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PromptCrash & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PromptCrash &a, PromptCrash &b);
-
-std::ostream& operator<<(std::ostream& out, const PromptCrash& obj);
-
-typedef struct _PartAnswered__isset {
-  _PartAnswered__isset() : part(false), ageMs(false) {}
-  bool part :1;
-  bool ageMs :1;
-} _PartAnswered__isset;
-
-class PartAnswered : public virtual ::apache::thrift::TBase {
- public:
-
-  PartAnswered(const PartAnswered&) noexcept;
-  PartAnswered& operator=(const PartAnswered&) noexcept;
-  PartAnswered() noexcept
-               : part(0),
-                 ageMs(0) {
-  }
-
-  virtual ~PartAnswered() noexcept;
-  int64_t part;
-  int32_t ageMs;
-
-  _PartAnswered__isset __isset;
-
-  void __set_part(const int64_t val);
-
-  void __set_ageMs(const int32_t val);
-
-  bool operator == (const PartAnswered & rhs) const
-  {
-    if (!(part == rhs.part))
-      return false;
-    if (!(ageMs == rhs.ageMs))
-      return false;
-    return true;
-  }
-  bool operator != (const PartAnswered &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PartAnswered & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PartAnswered &a, PartAnswered &b);
-
-std::ostream& operator<<(std::ostream& out, const PartAnswered& obj);
-
-typedef struct _PromptEvidence__isset {
-  _PromptEvidence__isset() : crashes(false), answered(false), quarantined(false) {}
-  bool crashes :1;
-  bool answered :1;
-  bool quarantined :1;
-} _PromptEvidence__isset;
-
-class PromptEvidence : public virtual ::apache::thrift::TBase {
- public:
-
-  PromptEvidence(const PromptEvidence&);
-  PromptEvidence& operator=(const PromptEvidence&);
-  PromptEvidence() noexcept {
-  }
-
-  virtual ~PromptEvidence() noexcept;
-  std::vector<PromptCrash>  crashes;
-  std::vector<PartAnswered>  answered;
-  std::vector<int64_t>  quarantined;
-
-  _PromptEvidence__isset __isset;
-
-  void __set_crashes(const std::vector<PromptCrash> & val);
-
-  void __set_answered(const std::vector<PartAnswered> & val);
-
-  void __set_quarantined(const std::vector<int64_t> & val);
-
-  bool operator == (const PromptEvidence & rhs) const
-  {
-    if (!(crashes == rhs.crashes))
-      return false;
-    if (!(answered == rhs.answered))
-      return false;
-    if (!(quarantined == rhs.quarantined))
-      return false;
-    return true;
-  }
-  bool operator != (const PromptEvidence &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PromptEvidence & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PromptEvidence &a, PromptEvidence &b);
-
-std::ostream& operator<<(std::ostream& out, const PromptEvidence& obj);
-
 typedef struct _PromptVerdicts__isset {
   _PromptVerdicts__isset() : suspects(false), quarantined(false) {}
   bool suspects :1;
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -101,12 +101,22 @@
 struct Challenge { 1: string instance, 2: binary nonce }
 struct Hello { 1: string instance, 2: i64 incarnation, 3: binary proof }
 
+// A server ended the connection while it answered a prompt. `server` is a hash of its address and incarnation, `parts` are the
+// ids of the parts that other requests may share.
+struct PromptCrash { 1: i64 server, 2: i32 sentForMs, 3: i32 ageMs, 4: list<i64> parts }
+// A server answered a prompt with this part to the end, so many milliseconds ago.
+struct PartAnswered { 1: i64 part, 2: i32 ageMs }
+// New observations about the parts of prompts: from an entry instance, or passed on by a state instance to another. The parts
+// in `quarantined` are those that the sender holds in quarantine when a link opens.
+struct PromptEvidence { 1: list<PromptCrash> crashes, 2: list<PartAnswered> answered, 3: list<i64> quarantined }
+
 union PeerMessage {
   1: AgreementMessage agreement
   2: Request request
   3: Reply reply
   4: FleetNews fleetNews
   5: PeerLoad peerLoad
+  6: PromptEvidence promptEvidence
 }
 
 // Messages of deployments whose instances discover each other through seeds.
@@ -149,14 +159,6 @@
 // Cached prefixes that are new since the sender's previous message of this type.
 struct KeptPrompts { 1: list<KeptPrompt> prompts }
 
-// A server ended the connection while it answered a prompt. `server` is a hash of its address and incarnation, `parts` are the
-// ids of the parts that other requests may share.
-struct PromptCrash { 1: i64 server, 2: i32 sentForMs, 3: i32 ageMs, 4: list<i64> parts }
-// A server answered a prompt with this part to the end, so many milliseconds ago.
-struct PartAnswered { 1: i64 part, 2: i32 ageMs }
-// New observations about the parts of prompts: from an entry instance, or passed on by a state instance to another. The parts
-// in `quarantined` are those that the sender holds in quarantine when a link opens.
-struct PromptEvidence { 1: list<PromptCrash> crashes, 2: list<PartAnswered> answered, 3: list<i64> quarantined }
 // From a state instance to an entry instance: the parts of which whole answers are to be reported, and those that must not be
 // sent. Replaces the sender's previous message of this type.
 struct PromptVerdicts { 1: list<i64> suspects, 2: list<i64> quarantined }
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -38,14 +38,16 @@
 class FakeUpstream final : public UpstreamClient {
 public:
     std::deque<Script> scripts; ///< One for each further attempt.
+    std::optional<Script> otherwise; ///< For the attempts after these.
     std::vector<std::string> addresses; ///< One for each attempt that was made.
     std::vector<HttpRequest> requests;
 
     std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) override
     {
         addresses.push_back(address);
-        auto script = scripts.at(0);
-        scripts.pop_front();
+        auto script = scripts.empty() && otherwise ? *otherwise : scripts.at(0);
+        if (!scripts.empty())
+            scripts.pop_front();
         return std::make_unique<Call>(*this, std::move(script));
     }
 
