--- a/src/wire/PromptEvidenceCodec.cpp
+++ b/src/wire/PromptEvidenceCodec.cpp
@@ -22,17 +22,15 @@
 
 std::vector<std::int64_t> toSignedParts(const std::vector<std::uint64_t>& parts)
 {
-    std::vector<std::int64_t> wire;
-    for (const auto it : parts)
-        wire.push_back(toSigned(it));
+    std::vector<std::int64_t> wire(parts.size());
+    std::transform(parts.begin(), parts.end(), wire.begin(), [](auto it) { return toSigned(it); });
     return wire;
 }
 
 std::vector<std::uint64_t> toUnsignedParts(const std::vector<std::int64_t>& wire)
 {
-    std::vector<std::uint64_t> parts;
-    for (const auto it : wire)
-        parts.push_back(toUnsigned(it));
+    std::vector<std::uint64_t> parts(wire.size());
+    std::transform(wire.begin(), wire.end(), parts.begin(), [](auto it) { return toUnsigned(it); });
     return parts;
 }
 
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -297,7 +297,7 @@
         // Hardly any sound prompts, all with the same first part.
         Fleet::Options { .soundPerSecond = 2, .soundParts = 1 },
         Fleet::Options { .instances = 295, .engines = 60, .guiltyPerSecond = 10, .soundPerSecond = 90, .soundParts = 40 });
-    const std::uint64_t seed = GENERATE(range(1, 21));
+    const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 21 }));
     CAPTURE(seed, options.instances, options.guiltyPerSecond, options.soundPerSecond);
     auto seeded = options;
     seeded.seed = seed;
