Keep the longest of several times that a server asks for

A server may answer several requests in progress with 503 and Retry-After. Only the first answer was read, as the server had withdrawn already: a longer time in a later one was lost. Found by reading the change. The server's notice is always recorded; only the log line depends on whether it is news.

Before: the new test failed; after: [routed] passes.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -378,9 +378,10 @@
 {
     const auto now = monotonicNow();
     const auto notice = m_context.codec.parseNotice(head.status, head.fields);
-    if ((!notice.isLeaving && notice.retryAfter == Duration::zero()) || !m_context.selector.mayReceive(placement, now))
+    if (!notice.isLeaving && notice.retryAfter == Duration::zero())
         return;
-    logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving={} retry_after_ms={} id={}", placement.backend.value(), placement.serverName, notice.isLeaving, notice.retryAfter / std::chrono::milliseconds(1), m_metadata.id);
+    if (m_context.selector.mayReceive(placement, now))
+        logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving={} retry_after_ms={} id={}", placement.backend.value(), placement.serverName, notice.isLeaving, notice.retryAfter / std::chrono::milliseconds(1), m_metadata.id);
     if (notice.isLeaving)
         m_context.selector.recordLeaving(placement.backend, placement.incarnation);
     m_context.selector.recordBackoff(placement.backend, placement.incarnation, now + notice.retryAfter);
--- a/test/error/server_backoff.cpp
+++ b/test/error/server_backoff.cpp
@@ -35,6 +35,18 @@
     CHECK(first <= 3.5);
 }
 
+TEST_CASE("of several times that a server asks for in answers to requests in progress, the longest holds", "[routed]")
+{
+    RoutedBench bench;
+    auto busy = RoutedBench::withField(RoutedBench::rejection(), "Retry-After", "60");
+    busy.afterSending = [&bench] { bench.selector.recordBackoff(BackendId(bench.upstream.addresses.back()), Incarnation(1), monotonicNow() + 1s); };
+    bench.upstream.scripts = { busy, RoutedBench::answer("elsewhere") };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.upstream.addresses.size() == 2);
+    const PlacementRequest request { .service = ServiceId("orders"), .excluded = { BackendId(bench.upstream.addresses[1]) } };
+    CHECK(bench.selector.availableAt(request, monotonicNow()) > monotonicNow() + 30s);
+}
+
 TEST_CASE("a server is selected again at the end of the time for which it wanted no requests, or after a new start", "[placement]")
 {
     SeededRandom random(1);
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -28,6 +28,7 @@
     std::optional<std::string> echoedAttemptId; ///< Attempt id in the response header; the id of the request if unset.
     bool saysNotRun = false; ///< The response header has the verdict `not-run`.
     std::function<void()> beforeSending; ///< Runs once a connection is open, before the check that precedes the request.
+    std::function<void()> afterSending; ///< Runs once the request was sent, before its response.
     bool isStalled = false; ///< No header is received until the call is cancelled.
     std::vector<HttpField> fields; ///< Additional header fields.
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
@@ -71,6 +72,8 @@
                 co_return head;
             }
             m_owner.requests.push_back(checked);
+            if (m_script.afterSending)
+                m_script.afterSending();
             if (m_script.isStalled) {
                 m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, Timer::time_point::max());
                 co_await m_stall->async_wait(asTuple);
