--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -311,23 +311,32 @@
     co_return result;
 }
 
+// A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the key may have been
+// revoked, the prompt put in quarantine, and the server may have said that it takes no requests.
+std::string_view RoutedExchange::findObstacle(const Placement& placement) const
+{
+    if (m_workspace && !hasLease())
+        return "configuration-unconfirmed";
+    if (m_context.promptGuard.isQuarantined(m_metadata.prompt))
+        return quarantinedCode;
+    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
+}
+
 Task<RoutedExchange::AttemptResult> RoutedExchange::sendAttempt(UpstreamCall& call, const Placement& placement, CallId callId)
 {
     AttemptResult result;
-    // If the process was suspended after the admission, the key may have been revoked since; then nothing is sent. Nor is it
-    // if the prompt was put in quarantine while the request waited for a connection.
-    const auto maySend = [this] { return (!m_workspace || hasLease()) && !m_context.promptGuard.isQuarantined(m_metadata.prompt); };
-    const auto forbid = [this, maySend, &result] {
+    std::string_view obstacle = findObstacle(placement);
+    const auto forbid = [&result, &obstacle] {
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
-        result.cause = m_context.promptGuard.isQuarantined(m_metadata.prompt) ? quarantinedCode : maySend() ? "server-withdrawn"
-                                                                                                            : "configuration-unconfirmed";
+        result.cause = obstacle;
         return result;
     };
-    if (!maySend())
+    if (!obstacle.empty())
         co_return forbid();
-    call.checkBeforeSending([this, maySend, &placement](HttpRequest& request) {
-        if (!maySend() || !m_context.selector.mayReceive(placement, monotonicNow()))
+    call.checkBeforeSending([this, &placement, &obstacle](HttpRequest& request) {
+        obstacle = findObstacle(placement);
+        if (!obstacle.empty())
             return false;
         request = makeUpstreamRequest(placement); // With the time that is left now.
         return true;
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -83,6 +83,8 @@
     Task<void> awaitCandidate();
     /** Runs one attempt and reports its outcome to the selector. */
     Task<AttemptResult> runAttempt(const Placement&, CallId);
+    /** Why the selected server must not get the request any more, as an error code; empty if it may be sent. */
+    std::string_view findObstacle(const Placement&) const;
     Task<AttemptResult> sendAttempt(UpstreamCall&, const Placement&, CallId);
     /** Takes over what the server says of itself in the header of its answer. */
     void applyNotice(const Placement&, const UpstreamHead&);
--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds keyLease { 5000 }; // Equals `key-lease-ms` in the instances' settings.
 constexpr std::uint64_t brokenAnswerPercent = 1; // Answers that end early, after the request has run.
 constexpr std::uint64_t refusalPercent = 2; // Requests that are refused as not run.
+constexpr std::uint64_t retryAfterPercent = 30; // Refusals that ask for no further request for half a second.
 constexpr unsigned ok = 200;
 constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned serviceUnavailable = 503;
@@ -76,6 +77,10 @@
         response.status = isOtherIncarnation ? misdirectedRequest : serviceUnavailable;
         response.fields.add("Attempt-Id", id);
         response.fields.add("Not-Executed", "1");
+        if (!isOtherIncarnation && drawChance(retryAfterPercent))
+            response.fields.add("Retry-After", "0.5");
+        if (!isOtherIncarnation && m_isLeaving)
+            response.fields.add("Server-Leaving", "1");
         co_await writer.send(std::move(response));
         co_return;
     }
@@ -90,6 +95,8 @@
     HttpFields fields;
     fields.add("Attempt-Id", id);
     fields.add("Runner-Seal", "seal-" + id);
+    if (m_isLeaving)
+        fields.add("Server-Leaving", "1");
     if (kind == RequestKind::Stream)
         fields.add("Content-Type", "text/event-stream");
     if (kind == RequestKind::Stream)
