--- a/src/entry/RequestQuarantine.cpp
+++ b/src/entry/RequestQuarantine.cpp
@@ -50,7 +50,7 @@
         m_suspects.recordCrash(it, now);
     for (const auto& it : evidence.answered)
         m_suspects.recordAnswered(it.part, now - it.age, now);
-    m_guard.apply(m_suspects.verdicts());
+    m_guard.apply(m_suspects.findings());
 }
 
 PromptEvidence RequestQuarantine::takeEvidence(TimePoint now)
@@ -63,13 +63,13 @@
 
 PromptEvidence RequestQuarantine::quarantined() const
 {
-    return { .crashes = {}, .answered = {}, .quarantined = m_suspects.verdicts().quarantined };
+    return { .crashes = {}, .answered = {}, .quarantined = m_suspects.findings().quarantined };
 }
 
-std::vector<CrashSuspects::Found> RequestQuarantine::update(TimePoint now)
+std::vector<CrashSuspects::NewQuarantine> RequestQuarantine::update(TimePoint now)
 {
     auto found = m_suspects.update(now);
-    m_guard.apply(m_suspects.verdicts());
+    m_guard.apply(m_suspects.findings());
     return found;
 }
 
--- a/src/entry/RequestQuarantine.h
+++ b/src/entry/RequestQuarantine.h
@@ -33,7 +33,7 @@
     /** Returns what an instance that joins has to know. */
     PromptEvidence quarantined() const;
     /** Applies the rules of CrashSuspects. Call several times per second. Returns the new quarantines. */
-    std::vector<CrashSuspects::Found> update(TimePoint now);
+    std::vector<CrashSuspects::NewQuarantine> update(TimePoint now);
 
 private:
     std::map<BackendId, Incarnation> m_incarnations;
--- a/src/links/LinkQueue.h
+++ b/src/links/LinkQueue.h
@@ -25,7 +25,7 @@
 enum class LinkSubject {
     Routing, ///< The routing configuration.
     Usage, ///< Usage of the backend servers.
-    PromptVerdicts, ///< Parts of prompts that are suspected or in quarantine.
+    PromptFindings, ///< Parts of prompts that are suspected or in quarantine.
 };
 
 class LinkQueue {
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -67,7 +67,7 @@
                   if (onNewLink)
                       m_promptGuard.reportQuarantined();
                   return m_promptGuard.takeEvidence(monotonicNow()); },
-              .promptVerdicts = [this](const auto& verdicts) { m_promptGuard.apply(verdicts); },
+              .promptFindings = [this](const auto& findings) { m_promptGuard.apply(findings); },
               .entryInstances = [this](auto n) {
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -185,8 +185,8 @@
         events.usage(HickoryHollow::fromWire(message.uses));
     } else if (message.__isset.keptPrompts) {
         events.cachedPrefixes(HickoryHollow::fromWire(message.keptPrompts));
-    } else if (message.__isset.promptVerdicts) {
-        events.promptVerdicts(HickoryHollow::fromWire(message.promptVerdicts));
+    } else if (message.__isset.promptFindings) {
+        events.promptFindings(HickoryHollow::fromWire(message.promptFindings));
     } else if (message.__isset.freshnessReply) {
         handleFreshnessReply(message.freshnessReply);
     }
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -50,8 +50,8 @@
         std::function<std::vector<CachedPrefixReport>()> takeLocalPrefixes;
         /** Returns what this instance observed of prompts since the last call; `onNewLink` at the first call on a link. */
         std::function<PromptEvidence(bool onNewLink)> takePromptEvidence;
-        /** Receives the conclusions from what all entry instances observed; they replace earlier ones. */
-        std::function<void(const PromptVerdicts&)> promptVerdicts;
+        /** Receives the findings from what all entry instances observed; they replace earlier ones. */
+        std::function<void(const PromptFindings&)> promptFindings;
         /** Receives the number of entry instances in the deployment; at least 1. */
         std::function<void(std::uint32_t)> entryInstances;
     };
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -142,7 +142,7 @@
         m_usage.expire(usageLifetime, now);
         reportUsage(tick % ticksPerUsageReport == 0);
         reportCachedPrefixes();
-        publishPromptVerdicts();
+        publishPromptFindings();
     }
 }
 
@@ -190,11 +190,11 @@
     Wire::LinkMessage message;
     message.__set_fleetNews(toWire(update));
     m_mesh.sendToEntry(id, message);
-    const auto verdicts = m_crashSuspects.verdicts();
-    if (verdicts.isEmpty())
+    const auto findings = m_crashSuspects.findings();
+    if (findings.isEmpty())
         return;
     Wire::LinkMessage prompts;
-    prompts.__set_promptVerdicts(toWire(verdicts));
+    prompts.__set_promptFindings(toWire(findings));
     m_mesh.sendToEntry(id, prompts);
 }
 
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -65,8 +65,8 @@
     void storeRouting(RoutingDocument);
     /** Takes observations about prompts of an entry instance, or as another state instance passed them on. */
     void handlePromptEvidence(const PromptEvidence&);
-    /** Sends the conclusions about prompts to the entry instances, and new quarantines to the state instances. */
-    void publishPromptVerdicts();
+    /** Sends the findings about prompts to the entry instances, and new quarantines to the state instances. */
+    void publishPromptFindings();
     /** Tells a state instance which parts of prompts are in quarantine. */
     void sendQuarantinedToState(const InstanceId&);
 
@@ -94,7 +94,7 @@
     std::vector<CachedPrefixReport> m_prefixesForStates; // Reported by the entry instances attached here.
     std::vector<CachedPrefixReport> m_prefixesForEntries; // Reported by all entry instances.
     CrashSuspects m_crashSuspects;
-    PromptVerdicts m_lastVerdicts; // As sent last to the entry instances.
+    PromptFindings m_lastFindings; // As sent last to the entry instances.
 
     // Newest committed document known here; never null. The version only grows.
     std::shared_ptr<const RoutingDocument> m_routing;
--- a/src/node/StateInstancePrompts.cpp
+++ b/src/node/StateInstancePrompts.cpp
@@ -17,10 +17,10 @@
             logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part, it.age / std::chrono::milliseconds(1));
     }
     if (!evidence.quarantined.empty())
-        publishPromptVerdicts();
+        publishPromptFindings();
 }
 
-void StateInstance::publishPromptVerdicts()
+void StateInstance::publishPromptFindings()
 {
     PromptEvidence found;
     for (const auto& it : m_crashSuspects.update(monotonicNow())) {
@@ -32,18 +32,18 @@
         message.__set_promptEvidence(toWire(found));
         m_mesh.sendToStates(message);
     }
-    auto verdicts = m_crashSuspects.verdicts();
-    if (verdicts == m_lastVerdicts)
+    auto findings = m_crashSuspects.findings();
+    if (findings == m_lastFindings)
         return;
     Wire::LinkMessage message;
-    message.__set_promptVerdicts(toWire(verdicts));
-    m_mesh.sendLatestToEntries(LinkSubject::PromptVerdicts, message);
-    m_lastVerdicts = std::move(verdicts);
+    message.__set_promptFindings(toWire(findings));
+    m_mesh.sendLatestToEntries(LinkSubject::PromptFindings, message);
+    m_lastFindings = std::move(findings);
 }
 
 void StateInstance::sendQuarantinedToState(const InstanceId& id)
 {
-    const PromptEvidence evidence { .crashes = {}, .answered = {}, .quarantined = m_crashSuspects.verdicts().quarantined };
+    const PromptEvidence evidence { .crashes = {}, .answered = {}, .quarantined = m_crashSuspects.findings().quarantined };
     if (evidence.isEmpty())
         return;
     Wire::LinkMessage message;
--- a/src/placement/CrashSuspects.cpp
+++ b/src/placement/CrashSuspects.cpp
@@ -98,9 +98,9 @@
     return suspect.rounds >= roundsToProve || suspect.servers.size() >= crashesToProve;
 }
 
-std::vector<CrashSuspects::Found> CrashSuspects::update(TimePoint now)
+std::vector<CrashSuspects::NewQuarantine> CrashSuspects::update(TimePoint now)
 {
-    std::vector<Found> found;
+    std::vector<NewQuarantine> found;
     std::erase_if(m_cleared, [now](const auto& it) { return now - it.second > clearedTime; });
     std::erase_if(m_suspects, [now](const auto& it) {
         return !it.second.quarantinedUntil && now - it.second.lastCrashAt > suspicionTime + it.second.quarantineTime * 2;
@@ -119,18 +119,18 @@
     return found;
 }
 
-PromptVerdicts CrashSuspects::verdicts() const
+PromptFindings CrashSuspects::findings() const
 {
-    PromptVerdicts verdicts;
+    PromptFindings findings;
     for (const auto& [part, suspect] : m_suspects) {
         if (suspect.quarantinedUntil)
-            verdicts.quarantined.push_back(part);
+            findings.quarantined.push_back(part);
         else if (isSuspected(suspect))
-            verdicts.suspects.push_back(part);
+            findings.suspects.push_back(part);
     }
-    std::sort(verdicts.suspects.begin(), verdicts.suspects.end());
-    std::sort(verdicts.quarantined.begin(), verdicts.quarantined.end());
-    return verdicts;
+    std::sort(findings.suspects.begin(), findings.suspects.end());
+    std::sort(findings.quarantined.begin(), findings.quarantined.end());
+    return findings;
 }
 
 } // namespace HickoryHollow
--- a/src/placement/CrashSuspects.h
+++ b/src/placement/CrashSuspects.h
@@ -21,7 +21,7 @@
 class CrashSuspects {
 public:
     /** A part that was put in quarantine, and the crashes that led to it. */
-    struct Found {
+    struct NewQuarantine {
         std::uint64_t part = 0;
         std::size_t crashes = 0; ///< Servers that ended.
         std::uint32_t rounds = 0; ///< Crashes of requests that were sent after the crash before.
@@ -35,23 +35,23 @@
     /** Takes over a quarantine that another instance knows of, unless the part was cleared a short time ago. */
     void addQuarantined(std::uint64_t part, TimePoint now);
     /** Puts parts in quarantine, and drops what is too old. Call several times per second. Returns the new quarantines. */
-    std::vector<Found> update(TimePoint now);
-    /** Returns the present conclusions; the parts are sorted. */
-    PromptVerdicts verdicts() const;
+    std::vector<NewQuarantine> update(TimePoint now);
+    /** Returns what is found at present; the parts are sorted. */
+    PromptFindings findings() const;
 
 private:
     struct Suspect {
         std::set<std::uint64_t> servers {}; ///< Servers that ended; see PromptCrash::server.
-        std::uint32_t rounds = 0; ///< See Found::rounds.
+        std::uint32_t rounds = 0; ///< See NewQuarantine::rounds.
         TimePoint lastCrashAt {};
         TimePoint suspectSince {}; ///< When the part became one to ask for; TimePoint() before.
-        bool wasAnswered = false; ///< See Found::wasAnswered.
+        bool wasAnswered = false; ///< See NewQuarantine::wasAnswered.
         std::optional<TimePoint> quarantinedUntil {};
         Duration quarantineTime {}; ///< Length of the last quarantine; zero before the first.
     };
 
     static bool isProven(const Suspect&, TimePoint now);
-    /** Whole answers to a part that these hold for are to be reported. */
+    /** Returns true if whole answers to the part are to be reported. */
     static bool isSuspected(const Suspect&);
     static void quarantine(Suspect&, TimePoint now);
     void dropOldest();
--- a/src/placement/PromptEvidence.h
+++ b/src/placement/PromptEvidence.h
@@ -34,13 +34,13 @@
     bool isEmpty() const { return crashes.empty() && answered.empty() && quarantined.empty(); }
 };
 
-/** What state instances conclude, for entry instances. */
-struct PromptVerdicts {
+/** What state instances find, for entry instances. */
+struct PromptFindings {
     std::vector<std::uint64_t> suspects; ///< Parts of which whole answers are to be reported.
     std::vector<std::uint64_t> quarantined; ///< Parts that must not be sent to any server.
 
     bool isEmpty() const { return suspects.empty() && quarantined.empty(); }
-    bool operator==(const PromptVerdicts&) const = default;
+    bool operator==(const PromptFindings&) const = default;
 };
 
 } // namespace HickoryHollow
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -43,10 +43,10 @@
     }
 }
 
-void PromptGuard::apply(const PromptVerdicts& verdicts)
+void PromptGuard::apply(const PromptFindings& findings)
 {
-    const auto previous = std::exchange(m_suspects, { verdicts.suspects.begin(), verdicts.suspects.end() });
-    m_quarantined = { verdicts.quarantined.begin(), verdicts.quarantined.end() };
+    const auto previous = std::exchange(m_suspects, { findings.suspects.begin(), findings.suspects.end() });
+    m_quarantined = { findings.quarantined.begin(), findings.quarantined.end() };
     for (const auto part : m_suspects) {
         if (!previous.contains(part) && (m_answered.contains(part) || m_answeredEarlier.contains(part)))
             m_dueAnswered.insert(part);
--- a/src/placement/PromptGuard.h
+++ b/src/placement/PromptGuard.h
@@ -19,8 +19,8 @@
     void recordCrash(const Prompt&, const BackendId&, Incarnation, Duration sentFor, TimePoint now);
     /** A server answered the prompt to the end. */
     void recordAnswered(const Prompt&, TimePoint now);
-    /** Takes over the conclusions of the state instances, which replace earlier ones. */
-    void apply(const PromptVerdicts&);
+    /** Takes over the findings of the state instances, which replace earlier ones. */
+    void apply(const PromptFindings&);
     /** Returns true if the prompt has a part in quarantine. */
     bool isQuarantined(const Prompt&) const;
     /** Returns, and removes, the observations to report. */
--- a/src/wire/PromptEvidenceCodec.cpp
+++ b/src/wire/PromptEvidenceCodec.cpp
@@ -66,15 +66,15 @@
     return evidence;
 }
 
-Wire::PromptVerdicts toWire(const PromptVerdicts& verdicts)
+Wire::PromptFindings toWire(const PromptFindings& findings)
 {
-    Wire::PromptVerdicts wire;
-    wire.suspects = toSignedParts(verdicts.suspects);
-    wire.quarantined = toSignedParts(verdicts.quarantined);
+    Wire::PromptFindings wire;
+    wire.suspects = toSignedParts(findings.suspects);
+    wire.quarantined = toSignedParts(findings.quarantined);
     return wire;
 }
 
-PromptVerdicts fromWire(const Wire::PromptVerdicts& wire)
+PromptFindings fromWire(const Wire::PromptFindings& wire)
 {
     return { .suspects = toUnsignedParts(wire.suspects), .quarantined = toUnsignedParts(wire.quarantined) };
 }
--- a/src/wire/PromptEvidenceCodec.h
+++ b/src/wire/PromptEvidenceCodec.h
@@ -1,5 +1,5 @@
 /** \file
- * Converts observations and conclusions about the parts of prompts to and from their Thrift form.
+ * Converts observations and findings about the parts of prompts to and from their Thrift form.
  */
 #pragma once
 
@@ -7,14 +7,14 @@
 
 namespace HickoryHollow::Wire {
 class PromptEvidence;
-class PromptVerdicts;
+class PromptFindings;
 }
 
 namespace HickoryHollow {
 
 Wire::PromptEvidence toWire(const PromptEvidence&);
 PromptEvidence fromWire(const Wire::PromptEvidence&);
-Wire::PromptVerdicts toWire(const PromptVerdicts&);
-PromptVerdicts fromWire(const Wire::PromptVerdicts&);
+Wire::PromptFindings toWire(const PromptFindings&);
+PromptFindings fromWire(const Wire::PromptFindings&);
 
 } // namespace HickoryHollow
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -10118,25 +10118,25 @@
 }
 
 
-PromptVerdicts::~PromptVerdicts() noexcept {
+PromptFindings::~PromptFindings() noexcept {
 }
 
 
-void PromptVerdicts::__set_suspects(const std::vector<int64_t> & val) {
+void PromptFindings::__set_suspects(const std::vector<int64_t> & val) {
   this->suspects = val;
 }
 
-void PromptVerdicts::__set_quarantined(const std::vector<int64_t> & val) {
+void PromptFindings::__set_quarantined(const std::vector<int64_t> & val) {
   this->quarantined = val;
 }
-std::ostream& operator<<(std::ostream& out, const PromptVerdicts& obj)
+std::ostream& operator<<(std::ostream& out, const PromptFindings& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PromptVerdicts::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PromptFindings::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10209,10 +10209,10 @@
   return xfer;
 }
 
-uint32_t PromptVerdicts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PromptFindings::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PromptVerdicts");
+  xfer += oprot->writeStructBegin("PromptFindings");
 
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
   {
@@ -10243,27 +10243,27 @@
   return xfer;
 }
 
-void swap(PromptVerdicts &a, PromptVerdicts &b) {
+void swap(PromptFindings &a, PromptFindings &b) {
   using ::std::swap;
   swap(a.suspects, b.suspects);
   swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-PromptVerdicts::PromptVerdicts(const PromptVerdicts& other292) {
+PromptFindings::PromptFindings(const PromptFindings& other292) {
   suspects = other292.suspects;
   quarantined = other292.quarantined;
   __isset = other292.__isset;
 }
-PromptVerdicts& PromptVerdicts::operator=(const PromptVerdicts& other293) {
+PromptFindings& PromptFindings::operator=(const PromptFindings& other293) {
   suspects = other293.suspects;
   quarantined = other293.quarantined;
   __isset = other293.__isset;
   return *this;
 }
-void PromptVerdicts::printTo(std::ostream& out) const {
+void PromptFindings::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PromptVerdicts(";
+  out << "PromptFindings(";
   out << "suspects=" << to_string(suspects);
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ")";
@@ -10334,9 +10334,9 @@
 __isset.promptEvidence = true;
 }
 
-void LinkMessage::__set_promptVerdicts(const PromptVerdicts& val) {
-  this->promptVerdicts = val;
-__isset.promptVerdicts = true;
+void LinkMessage::__set_promptFindings(const PromptFindings& val) {
+  this->promptFindings = val;
+__isset.promptFindings = true;
 }
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
@@ -10464,8 +10464,8 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->promptVerdicts.read(iprot);
-          this->__isset.promptVerdicts = true;
+          xfer += this->promptFindings.read(iprot);
+          this->__isset.promptFindings = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10547,9 +10547,9 @@
     xfer += this->promptEvidence.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.promptVerdicts) {
-    xfer += oprot->writeFieldBegin("promptVerdicts", ::apache::thrift::protocol::T_STRUCT, 13);
-    xfer += this->promptVerdicts.write(oprot);
+  if (this->__isset.promptFindings) {
+    xfer += oprot->writeFieldBegin("promptFindings", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->promptFindings.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -10571,7 +10571,7 @@
   swap(a.keptPrompts, b.keptPrompts);
   swap(a.routingDelta, b.routingDelta);
   swap(a.promptEvidence, b.promptEvidence);
-  swap(a.promptVerdicts, b.promptVerdicts);
+  swap(a.promptFindings, b.promptFindings);
   swap(a.__isset, b.__isset);
 }
 
@@ -10588,7 +10588,7 @@
   keptPrompts = other294.keptPrompts;
   routingDelta = other294.routingDelta;
   promptEvidence = other294.promptEvidence;
-  promptVerdicts = other294.promptVerdicts;
+  promptFindings = other294.promptFindings;
   __isset = other294.__isset;
 }
 LinkMessage& LinkMessage::operator=(const LinkMessage& other295) {
@@ -10604,7 +10604,7 @@
   keptPrompts = other295.keptPrompts;
   routingDelta = other295.routingDelta;
   promptEvidence = other295.promptEvidence;
-  promptVerdicts = other295.promptVerdicts;
+  promptFindings = other295.promptFindings;
   __isset = other295.__isset;
   return *this;
 }
@@ -10623,7 +10623,7 @@
   out << ", " << "keptPrompts="; (__isset.keptPrompts ? (out << to_string(keptPrompts)) : (out << "<null>"));
   out << ", " << "routingDelta="; (__isset.routingDelta ? (out << to_string(routingDelta)) : (out << "<null>"));
   out << ", " << "promptEvidence="; (__isset.promptEvidence ? (out << to_string(promptEvidence)) : (out << "<null>"));
-  out << ", " << "promptVerdicts="; (__isset.promptVerdicts ? (out << to_string(promptVerdicts)) : (out << "<null>"));
+  out << ", " << "promptFindings="; (__isset.promptFindings ? (out << to_string(promptFindings)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -163,7 +163,7 @@
 
 class KeptPrompts;
 
-class PromptVerdicts;
+class PromptFindings;
 
 class LinkMessage;
 
@@ -4274,31 +4274,31 @@
 
 std::ostream& operator<<(std::ostream& out, const KeptPrompts& obj);
 
-typedef struct _PromptVerdicts__isset {
-  _PromptVerdicts__isset() : suspects(false), quarantined(false) {}
+typedef struct _PromptFindings__isset {
+  _PromptFindings__isset() : suspects(false), quarantined(false) {}
   bool suspects :1;
   bool quarantined :1;
-} _PromptVerdicts__isset;
+} _PromptFindings__isset;
 
-class PromptVerdicts : public virtual ::apache::thrift::TBase {
+class PromptFindings : public virtual ::apache::thrift::TBase {
  public:
 
-  PromptVerdicts(const PromptVerdicts&);
-  PromptVerdicts& operator=(const PromptVerdicts&);
-  PromptVerdicts() noexcept {
+  PromptFindings(const PromptFindings&);
+  PromptFindings& operator=(const PromptFindings&);
+  PromptFindings() noexcept {
   }
 
-  virtual ~PromptVerdicts() noexcept;
+  virtual ~PromptFindings() noexcept;
   std::vector<int64_t>  suspects;
   std::vector<int64_t>  quarantined;
 
-  _PromptVerdicts__isset __isset;
+  _PromptFindings__isset __isset;
 
   void __set_suspects(const std::vector<int64_t> & val);
 
   void __set_quarantined(const std::vector<int64_t> & val);
 
-  bool operator == (const PromptVerdicts & rhs) const
+  bool operator == (const PromptFindings & rhs) const
   {
     if (!(suspects == rhs.suspects))
       return false;
@@ -4306,11 +4306,11 @@
       return false;
     return true;
   }
-  bool operator != (const PromptVerdicts &rhs) const {
+  bool operator != (const PromptFindings &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PromptVerdicts & ) const;
+  bool operator < (const PromptFindings & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -4318,12 +4318,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PromptVerdicts &a, PromptVerdicts &b);
+void swap(PromptFindings &a, PromptFindings &b);
 
-std::ostream& operator<<(std::ostream& out, const PromptVerdicts& obj);
+std::ostream& operator<<(std::ostream& out, const PromptFindings& obj);
 
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptVerdicts(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -4336,7 +4336,7 @@
   bool keptPrompts :1;
   bool routingDelta :1;
   bool promptEvidence :1;
-  bool promptVerdicts :1;
+  bool promptFindings :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4360,7 +4360,7 @@
   KeptPrompts keptPrompts;
   RoutingDelta routingDelta;
   PromptEvidence promptEvidence;
-  PromptVerdicts promptVerdicts;
+  PromptFindings promptFindings;
 
   _LinkMessage__isset __isset;
 
@@ -4388,7 +4388,7 @@
 
   void __set_promptEvidence(const PromptEvidence& val);
 
-  void __set_promptVerdicts(const PromptVerdicts& val);
+  void __set_promptFindings(const PromptFindings& val);
 
   bool operator == (const LinkMessage & rhs) const
   {
@@ -4440,9 +4440,9 @@
       return false;
     else if (__isset.promptEvidence && !(promptEvidence == rhs.promptEvidence))
       return false;
-    if (__isset.promptVerdicts != rhs.__isset.promptVerdicts)
+    if (__isset.promptFindings != rhs.__isset.promptFindings)
       return false;
-    else if (__isset.promptVerdicts && !(promptVerdicts == rhs.promptVerdicts))
+    else if (__isset.promptFindings && !(promptFindings == rhs.promptFindings))
       return false;
     return true;
   }
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -161,7 +161,7 @@
 
 // From a state instance to an entry instance: the parts of which whole answers are to be reported, and those that must not be
 // sent. Replaces the sender's previous message of this type.
-struct PromptVerdicts { 1: list<i64> suspects, 2: list<i64> quarantined }
+struct PromptFindings { 1: list<i64> suspects, 2: list<i64> quarantined }
 
 union LinkMessage {
   1: LinkHello hello
@@ -176,5 +176,5 @@
   10: KeptPrompts keptPrompts
   11: RoutingDelta routingDelta
   12: PromptEvidence promptEvidence
-  13: PromptVerdicts promptVerdicts
+  13: PromptFindings promptFindings
 }
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -27,7 +27,7 @@
 
 bool isQuarantined(const CrashSuspects& suspects, std::uint64_t part)
 {
-    const auto quarantined = suspects.verdicts().quarantined;
+    const auto quarantined = suspects.findings().quarantined;
     return std::find(quarantined.begin(), quarantined.end(), part) != quarantined.end();
 }
 
@@ -133,7 +133,7 @@
         m_downUntil[engine] = m_now + 3s;
     }
 
-    // Each instance reports every 150 ms; reports and conclusions arrive 100 ms later.
+    // Each instance reports every 150 ms; reports and findings arrive 100 ms later.
     void report()
     {
         for (std::uint32_t i = 0; i < m_guards.size(); ++i) {
@@ -148,11 +148,11 @@
         }
         if (m_steps % 10 == 0) {
             m_suspects.update(m_now);
-            m_verdicts.emplace_back(m_now + 100ms, m_suspects.verdicts());
+            m_findings.emplace_back(m_now + 100ms, m_suspects.findings());
         }
-        for (; !m_verdicts.empty() && m_verdicts.front().first <= m_now; m_verdicts.pop_front()) {
+        for (; !m_findings.empty() && m_findings.front().first <= m_now; m_findings.pop_front()) {
             for (auto& it : m_guards)
-                it.apply(m_verdicts.front().second);
+                it.apply(m_findings.front().second);
         }
     }
 
@@ -164,7 +164,7 @@
     std::vector<std::uint64_t> m_incarnations;
     std::vector<Run> m_runs;
     std::deque<std::pair<TimePoint, PromptEvidence>> m_reports;
-    std::deque<std::pair<TimePoint, PromptVerdicts>> m_verdicts;
+    std::deque<std::pair<TimePoint, PromptFindings>> m_findings;
     TimePoint m_now = start;
     std::uint64_t m_steps = 0;
     std::uint64_t m_lastPart = 0;
@@ -179,7 +179,7 @@
         suspects.recordCrash(crash(i, { guilty, 100 + i }), start + i * 1s);
     suspects.update(start + 4s);
     CHECK(isQuarantined(suspects, guilty));
-    CHECK(suspects.verdicts().quarantined.size() == 1);
+    CHECK(suspects.findings().quarantined.size() == 1);
 }
 
 TEST_CASE("many requests that one crash ends count once", "[placement]")
@@ -188,7 +188,7 @@
     for (int i = 0; i < 50; ++i)
         suspects.recordCrash(crash(1, { guilty }), start + i * 1ms);
     suspects.update(start + 4s);
-    CHECK(suspects.verdicts().isEmpty());
+    CHECK(suspects.findings().isEmpty());
 }
 
 TEST_CASE("requests that were sent before a wave of crashes prove nothing against their parts", "[placement]")
@@ -198,7 +198,7 @@
         suspects.recordCrash(crash(i, { shared }, 2s), start + i * 20ms);
     suspects.update(start + 2s);
     CHECK_FALSE(isQuarantined(suspects, shared));
-    CHECK(suspects.verdicts().suspects == std::vector<std::uint64_t> { shared });
+    CHECK(suspects.findings().suspects == std::vector<std::uint64_t> { shared });
 }
 
 TEST_CASE("a part that was answered after its last crash is cleared, also from quarantine", "[placement]")
@@ -209,10 +209,10 @@
     suspects.update(start + 6s);
     REQUIRE(isQuarantined(suspects, shared));
     CHECK(suspects.recordAnswered(shared, start + 6s, start + 6s));
-    CHECK(suspects.verdicts().isEmpty());
+    CHECK(suspects.findings().isEmpty());
     // A state instance that has not heard of the answer still reports the quarantine.
     suspects.addQuarantined(shared, start + 7s);
-    CHECK(suspects.verdicts().isEmpty());
+    CHECK(suspects.findings().isEmpty());
 }
 
 TEST_CASE("a part that was answered before its crashes needs more of them", "[placement]")
@@ -236,8 +236,8 @@
     for (std::uint64_t i = 1; i <= 9; ++i)
         suspects.recordCrash(crash(i, { guilty, shared }), start + i * 1s);
     suspects.update(start + 10s);
-    CHECK(suspects.verdicts().suspects.empty());
-    CHECK(suspects.verdicts().quarantined == std::vector<std::uint64_t> { guilty });
+    CHECK(suspects.findings().suspects.empty());
+    CHECK(suspects.findings().quarantined == std::vector<std::uint64_t> { guilty });
 }
 
 TEST_CASE("a quarantine ends, and a suspicion without further crashes sooner", "[placement]")
@@ -247,12 +247,12 @@
     for (std::uint64_t i = 1; i <= 2; ++i)
         suspects.recordCrash(crash(i, { shared }), start + i * 1s);
     suspects.update(start + 2min);
-    CHECK(suspects.verdicts().suspects.empty());
+    CHECK(suspects.findings().suspects.empty());
     CHECK(isQuarantined(suspects, guilty));
     suspects.update(start + 2h);
     CHECK_FALSE(isQuarantined(suspects, guilty));
     suspects.update(start + 2h);
-    CHECK(suspects.verdicts().isEmpty());
+    CHECK(suspects.findings().isEmpty());
 }
 
 TEST_CASE("after a quarantine the first crash leads to a longer one, and an answer clears the part", "[placement]")
@@ -261,7 +261,7 @@
     suspects.addQuarantined(guilty, start);
     suspects.update(start + 6min);
     REQUIRE_FALSE(isQuarantined(suspects, guilty));
-    CHECK(suspects.verdicts().suspects == std::vector<std::uint64_t> { guilty });
+    CHECK(suspects.findings().suspects == std::vector<std::uint64_t> { guilty });
     suspects.recordCrash(crash(1, { guilty }), start + 6min);
     suspects.update(start + 6min);
     CHECK(isQuarantined(suspects, guilty));
@@ -270,7 +270,7 @@
     suspects.update(start + 17min);
     REQUIRE_FALSE(isQuarantined(suspects, guilty));
     suspects.recordAnswered(guilty, start + 17min, start + 17min);
-    CHECK(suspects.verdicts().isEmpty());
+    CHECK(suspects.findings().isEmpty());
 }
 
 TEST_CASE("the last part of a prompt is never reported", "[placement]")
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -79,7 +79,7 @@
         .cachedPrefixes = [](const auto&) {},
         .takeLocalPrefixes = [] { return std::vector<CachedPrefixReport> {}; },
         .takePromptEvidence = [](bool) { return PromptEvidence {}; },
-        .promptVerdicts = [](const auto&) {},
+        .promptFindings = [](const auto&) {},
         .entryInstances = [](auto) {},
     };
 }
