Strong types for parts of prompts and starts of servers

The new code on crashing prompts passed both as plain numbers, which is how a hash of a server could be taken for a part. The ids of parts in prompts get the same type.

--- a/bench/replay/Replay.cpp
+++ b/bench/replay/Replay.cpp
@@ -116,7 +116,7 @@
         const auto id = ++m_lastId;
         Request request { .kind = kindIndex, .instance = m_random.below(m_policies.size()), .prompt = {}, .arrivedAt = now, .submittedAt = now };
         const auto prefix = (kindIndex + 1) * randomSteps + pickPrefix(kind);
-        request.prompt = { .model = "m", .parts = { { .id = prefix, .tokens = kind.sharedTokens }, { .id = id << 32U, .tokens = kind.uniqueTokens } }, .tokens = kind.sharedTokens + kind.uniqueTokens, .maxOutputTokens = kind.outputTokens };
+        request.prompt = { .model = "m", .parts = { { .id = PromptPartId(prefix), .tokens = kind.sharedTokens }, { .id = PromptPartId(id << 32U), .tokens = kind.uniqueTokens } }, .tokens = kind.sharedTokens + kind.uniqueTokens, .maxOutputTokens = kind.outputTokens };
         ++m_outcome.kinds[kind.name].requests;
         submit(id, m_requests.emplace(id, std::move(request)).first->second, now);
     }
--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -152,7 +152,7 @@
     for (const auto& it : m_scheduler.takeEjectionChanges())
         logEvent(it.isEjected ? LogEvent::BackendEjected : LogEvent::BackendRestored, "backend={} pool={} slowness={:.1f}", it.backend.value(), it.pool.value(), it.slowness);
     for (const auto& it : m_quarantine.update(monotonicNow()))
-        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part, it.crashes, it.rounds, it.wasAnswered);
+        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part.value(), it.crashes, it.rounds, it.wasAnswered);
 }
 
 std::optional<Duration> Dispatcher::enterWorkspace(const Workspace& workspace)
--- a/src/entry/RequestQuarantine.cpp
+++ b/src/entry/RequestQuarantine.cpp
@@ -11,8 +11,8 @@
 {
     Prompt prompt;
     if (request.prefix.value() != 0)
-        prompt.parts.push_back({ .id = request.prefix.value(), .tokens = 0 });
-    prompt.parts.push_back({ .id = request.fingerprint, .tokens = 0 });
+        prompt.parts.push_back({ .id = PromptPartId(request.prefix.value()), .tokens = 0 });
+    prompt.parts.push_back({ .id = PromptPartId(request.fingerprint), .tokens = 0 });
     prompt.parts.push_back({});
     return prompt;
 }
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -513,7 +513,7 @@
     constexpr std::size_t maxLoggedParts = 8;
     std::string parts;
     for (std::size_t i = 0; i + 1 < m_metadata.prompt.parts.size() && i < maxLoggedParts; ++i)
-        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id);
+        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id.value());
     logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), parts);
 }
 
--- a/src/node/StateInstancePrompts.cpp
+++ b/src/node/StateInstancePrompts.cpp
@@ -14,7 +14,7 @@
         m_crashSuspects.recordCrash(it, now);
     for (const auto& it : evidence.answered) {
         if (m_crashSuspects.recordAnswered(it.part, now - it.age, now))
-            logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part, it.age / std::chrono::milliseconds(1));
+            logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part.value(), it.age / std::chrono::milliseconds(1));
     }
     if (!evidence.quarantined.empty())
         publishPromptFindings();
@@ -24,7 +24,7 @@
 {
     PromptEvidence found;
     for (const auto& it : m_crashSuspects.update(monotonicNow())) {
-        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part, it.crashes, it.rounds, it.wasAnswered);
+        logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part.value(), it.crashes, it.rounds, it.wasAnswered);
         found.quarantined.push_back(it.part);
     }
     if (!found.isEmpty()) {
--- a/src/placement/CrashSuspects.cpp
+++ b/src/placement/CrashSuspects.cpp
@@ -49,7 +49,7 @@
     m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); }));
 }
 
-bool CrashSuspects::recordAnswered(std::uint64_t part, TimePoint answeredAt, TimePoint now)
+bool CrashSuspects::recordAnswered(PromptPartId part, TimePoint answeredAt, TimePoint now)
 {
     const auto it = m_suspects.find(part);
     if (it == m_suspects.end())
@@ -65,7 +65,7 @@
     return wasQuarantined;
 }
 
-void CrashSuspects::addQuarantined(std::uint64_t part, TimePoint now)
+void CrashSuspects::addQuarantined(PromptPartId part, TimePoint now)
 {
     if (m_cleared.contains(part))
         return;
--- a/src/placement/CrashSuspects.h
+++ b/src/placement/CrashSuspects.h
@@ -22,7 +22,7 @@
 public:
     /** A part that was put in quarantine, and the crashes that led to it. */
     struct NewQuarantine {
-        std::uint64_t part = 0;
+        PromptPartId part;
         std::size_t crashes = 0; ///< Servers that ended.
         std::uint32_t rounds = 0; ///< Crashes of requests that were sent after the crash before.
         bool wasAnswered = false; ///< Some server had answered the part before.
@@ -31,9 +31,9 @@
     /** Counts the crash for each part, unless a part in quarantine explains it. */
     void recordCrash(const PromptCrash&, TimePoint now);
     /** Clears the part, also from quarantine, if `answeredAt` is after its last crash. Returns true if it ended a quarantine. */
-    bool recordAnswered(std::uint64_t part, TimePoint answeredAt, TimePoint now);
+    bool recordAnswered(PromptPartId part, TimePoint answeredAt, TimePoint now);
     /** Takes over a quarantine that another instance knows of, unless the part was cleared a short time ago. */
-    void addQuarantined(std::uint64_t part, TimePoint now);
+    void addQuarantined(PromptPartId part, TimePoint now);
     /** Puts parts in quarantine, and drops what is too old. Call several times per second. Returns the new quarantines. */
     std::vector<NewQuarantine> update(TimePoint now);
     /** Returns what is found at present; the parts are sorted. */
@@ -41,7 +41,7 @@
 
 private:
     struct Suspect {
-        std::set<std::uint64_t> servers {}; ///< Servers that ended; see PromptCrash::server.
+        std::set<ServerStartId> servers {}; ///< Servers that ended.
         std::uint32_t rounds = 0; ///< See NewQuarantine::rounds.
         TimePoint lastCrashAt {};
         TimePoint suspectSince {}; ///< When the part became one to ask for; TimePoint() before.
@@ -56,8 +56,8 @@
     static void quarantine(Suspect&, TimePoint now);
     void dropOldest();
 
-    std::unordered_map<std::uint64_t, Suspect> m_suspects; // By part; at most maxSuspects.
-    std::unordered_map<std::uint64_t, TimePoint> m_cleared; // End of a quarantine by an answer, lately; by part.
+    std::unordered_map<PromptPartId, Suspect> m_suspects; // By part; at most maxSuspects.
+    std::unordered_map<PromptPartId, TimePoint> m_cleared; // End of a quarantine by an answer, lately; by part.
 };
 
 } // namespace HickoryHollow
--- a/src/placement/EnginePrefixCache.cpp
+++ b/src/placement/EnginePrefixCache.cpp
@@ -17,7 +17,8 @@
     prefixes.reserve(prompt.parts.size());
     PromptPrefix prefix { .hash = XXH64(prompt.model.data(), prompt.model.size(), 0) };
     for (const auto& it : prompt.parts) {
-        prefix.hash = XXH64(&it.id, sizeof(it.id), prefix.hash);
+        const auto id = it.id.value();
+        prefix.hash = XXH64(&id, sizeof(id), prefix.hash);
         prefix.tokens += it.tokens;
         prefixes.push_back(prefix);
     }
--- a/src/placement/Prompt.h
+++ b/src/placement/Prompt.h
@@ -3,15 +3,20 @@
  */
 #pragma once
 
+#include "base/StrongId.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace HickoryHollow {
 
+/** Identifies a part of a prompt. Equal ids within a model stand for equal text. */
+using PromptPartId = StrongId<struct PromptPartTag, std::uint64_t>;
+
 /** One part of a prompt. An engine that has this part and all parts before it in its cache need not prefill it again. */
 struct PromptPart {
-    std::uint64_t id = 0; ///< Equal ids within a model stand for equal text.
+    PromptPartId id;
     std::uint32_t tokens = 0; ///< Length of the part.
 };
 
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -11,9 +11,9 @@
 constexpr std::size_t maxAnsweredParts = 4096;
 
 /** Ids of the parts that other requests may share: all but the last one, each once. */
-std::vector<std::uint64_t> sharedParts(const Prompt& prompt)
+std::vector<PromptPartId> sharedParts(const Prompt& prompt)
 {
-    std::vector<std::uint64_t> parts;
+    std::vector<PromptPartId> parts;
     for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
         parts.push_back(prompt.parts[i].id);
     std::sort(parts.begin(), parts.end());
@@ -28,7 +28,7 @@
     auto parts = sharedParts(prompt);
     if (parts.empty() || m_crashes.size() >= maxCrashes)
         return;
-    const auto server = XXH64(backend.value().data(), backend.value().size(), incarnation.value());
+    const ServerStartId server(XXH64(backend.value().data(), backend.value().size(), incarnation.value()));
     m_crashes.push_back({ .report = { .server = server, .sentFor = sentFor, .age = {}, .parts = std::move(parts) }, .endedAt = now });
 }
 
--- a/src/placement/PromptGuard.h
+++ b/src/placement/PromptGuard.h
@@ -29,7 +29,7 @@
     void reportQuarantined() { m_mustReportQuarantined = true; }
 
 private:
-    using AnswerTimes = std::unordered_map<std::uint64_t, TimePoint>;
+    using AnswerTimes = std::unordered_map<PromptPartId, TimePoint>;
 
     struct Crash {
         PromptCrash report;
@@ -37,12 +37,12 @@
     };
 
     std::vector<Crash> m_crashes; // Waits for takeEvidence(); at most maxCrashes.
-    std::unordered_set<std::uint64_t> m_dueAnswered; // Suspects that were answered and not reported since.
+    std::unordered_set<PromptPartId> m_dueAnswered; // Suspects that were answered and not reported since.
     // End of the last answer to each part. Both are bounded: the younger one replaces the older one when it is full.
     AnswerTimes m_answered;
     AnswerTimes m_answeredEarlier;
-    std::unordered_set<std::uint64_t> m_suspects;
-    std::unordered_set<std::uint64_t> m_quarantined;
+    std::unordered_set<PromptPartId> m_suspects;
+    std::unordered_set<PromptPartId> m_quarantined;
     bool m_mustReportQuarantined = false;
 };
 
--- a/src/wire/PromptEvidenceCodec.cpp
+++ b/src/wire/PromptEvidenceCodec.cpp
@@ -20,17 +20,17 @@
     return std::chrono::milliseconds(std::max(time, 0));
 }
 
-std::vector<std::int64_t> toSignedParts(const std::vector<std::uint64_t>& parts)
+std::vector<std::int64_t> toSignedParts(const std::vector<PromptPartId>& parts)
 {
     std::vector<std::int64_t> wire(parts.size());
-    std::transform(parts.begin(), parts.end(), wire.begin(), [](auto it) { return toSigned(it); });
+    std::transform(parts.begin(), parts.end(), wire.begin(), [](auto it) { return toSigned(it.value()); });
     return wire;
 }
 
-std::vector<std::uint64_t> toUnsignedParts(const std::vector<std::int64_t>& wire)
+std::vector<PromptPartId> fromSignedParts(const std::vector<std::int64_t>& wire)
 {
-    std::vector<std::uint64_t> parts(wire.size());
-    std::transform(wire.begin(), wire.end(), parts.begin(), [](auto it) { return toUnsigned(it); });
+    std::vector<PromptPartId> parts(wire.size());
+    std::transform(wire.begin(), wire.end(), parts.begin(), [](auto it) { return PromptPartId(toUnsigned(it)); });
     return parts;
 }
 
@@ -41,14 +41,14 @@
     Wire::PromptEvidence wire;
     for (const auto& it : evidence.crashes) {
         auto& crash = wire.crashes.emplace_back();
-        crash.server = toSigned(it.server);
+        crash.server = toSigned(it.server.value());
         crash.sentForMs = toMilliseconds(it.sentFor);
         crash.ageMs = toMilliseconds(it.age);
         crash.parts = toSignedParts(it.parts);
     }
     for (const auto& it : evidence.answered) {
         auto& answered = wire.answered.emplace_back();
-        answered.part = toSigned(it.part);
+        answered.part = toSigned(it.part.value());
         answered.ageMs = toMilliseconds(it.age);
     }
     wire.quarantined = toSignedParts(evidence.quarantined);
@@ -59,10 +59,10 @@
 {
     PromptEvidence evidence;
     for (const auto& it : wire.crashes)
-        evidence.crashes.push_back({ .server = toUnsigned(it.server), .sentFor = fromMilliseconds(it.sentForMs), .age = fromMilliseconds(it.ageMs), .parts = toUnsignedParts(it.parts) });
+        evidence.crashes.push_back({ .server = ServerStartId(toUnsigned(it.server)), .sentFor = fromMilliseconds(it.sentForMs), .age = fromMilliseconds(it.ageMs), .parts = fromSignedParts(it.parts) });
     for (const auto& it : wire.answered)
-        evidence.answered.push_back({ .part = toUnsigned(it.part), .age = fromMilliseconds(it.ageMs) });
-    evidence.quarantined = toUnsignedParts(wire.quarantined);
+        evidence.answered.push_back({ .part = PromptPartId(toUnsigned(it.part)), .age = fromMilliseconds(it.ageMs) });
+    evidence.quarantined = fromSignedParts(wire.quarantined);
     return evidence;
 }
 
@@ -76,7 +76,7 @@
 
 PromptFindings fromWire(const Wire::PromptFindings& wire)
 {
-    return { .suspects = toUnsignedParts(wire.suspects), .quarantined = toUnsignedParts(wire.quarantined) };
+    return { .suspects = fromSignedParts(wire.suspects), .quarantined = fromSignedParts(wire.quarantined) };
 }
 
 } // namespace HickoryHollow
--- a/test/correctness/cached_prefixes.cpp
+++ b/test/correctness/cached_prefixes.cpp
@@ -19,7 +19,7 @@
 PlacementRequest draft(std::uint64_t sharedPart, std::uint64_t ownPart)
 {
     PlacementRequest request { .service = models };
-    request.prompt = { .model = "m", .parts = { { .id = sharedPart, .tokens = 12000 }, { .id = ownPart, .tokens = 3000 } }, .tokens = 15000 };
+    request.prompt = { .model = "m", .parts = { { .id = PromptPartId(sharedPart), .tokens = 12000 }, { .id = PromptPartId(ownPart), .tokens = 3000 } }, .tokens = 15000 };
     return request;
 }
 
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -16,16 +16,16 @@
 
 namespace {
 
-constexpr std::uint64_t guilty = 1;
-constexpr std::uint64_t shared = 2;
+const PromptPartId guilty(1);
+const PromptPartId shared(2);
 const TimePoint start(1h);
 
-PromptCrash crash(std::uint64_t server, std::vector<std::uint64_t> parts, Duration sentFor = 100ms)
+PromptCrash crash(std::uint64_t server, std::vector<PromptPartId> parts, Duration sentFor = 100ms)
 {
-    return { .server = server, .sentFor = sentFor, .age = {}, .parts = std::move(parts) };
+    return { .server = ServerStartId(server), .sentFor = sentFor, .age = {}, .parts = std::move(parts) };
 }
 
-bool isQuarantined(const CrashSuspects& suspects, std::uint64_t part)
+bool isQuarantined(const CrashSuspects& suspects, PromptPartId part)
 {
     const auto quarantined = suspects.findings().quarantined;
     return std::find(quarantined.begin(), quarantined.end(), part) != quarantined.end();
@@ -88,10 +88,10 @@
         if (m_random.below(1000) >= threshold)
             return;
         Prompt prompt;
-        prompt.parts.push_back({ .id = shared + m_random.below(m_options.soundParts), .tokens = 10 });
+        prompt.parts.push_back({ .id = PromptPartId(shared.value() + m_random.below(m_options.soundParts)), .tokens = 10 });
         if (isGuilty)
             prompt.parts.insert(m_random.below(2) == 0 ? prompt.parts.begin() : prompt.parts.end(), { .id = guilty, .tokens = 10 });
-        prompt.parts.push_back({ .id = 1000000 + ++m_lastPart, .tokens = 10 });
+        prompt.parts.push_back({ .id = PromptPartId(1000000 + ++m_lastPart), .tokens = 10 });
         const auto instance = static_cast<std::uint32_t>(m_random.below(m_options.instances));
         const auto engine = static_cast<std::uint32_t>(m_random.below(m_options.engines));
         if (m_guards[instance].isQuarantined(prompt)) {
@@ -176,7 +176,7 @@
 {
     CrashSuspects suspects;
     for (std::uint64_t i = 1; i <= 3; ++i)
-        suspects.recordCrash(crash(i, { guilty, 100 + i }), start + i * 1s);
+        suspects.recordCrash(crash(i, { guilty, PromptPartId(100 + i) }), start + i * 1s);
     suspects.update(start + 4s);
     CHECK(isQuarantined(suspects, guilty));
     CHECK(suspects.findings().quarantined.size() == 1);
@@ -198,7 +198,7 @@
         suspects.recordCrash(crash(i, { shared }, 2s), start + i * 20ms);
     suspects.update(start + 2s);
     CHECK_FALSE(isQuarantined(suspects, shared));
-    CHECK(suspects.findings().suspects == std::vector<std::uint64_t> { shared });
+    CHECK(suspects.findings().suspects == std::vector<PromptPartId> { shared });
 }
 
 TEST_CASE("a part that was answered after its last crash is cleared, also from quarantine", "[placement]")
@@ -237,7 +237,7 @@
         suspects.recordCrash(crash(i, { guilty, shared }), start + i * 1s);
     suspects.update(start + 10s);
     CHECK(suspects.findings().suspects.empty());
-    CHECK(suspects.findings().quarantined == std::vector<std::uint64_t> { guilty });
+    CHECK(suspects.findings().quarantined == std::vector<PromptPartId> { guilty });
 }
 
 TEST_CASE("a quarantine ends, and a suspicion without further crashes sooner", "[placement]")
@@ -261,7 +261,7 @@
     suspects.addQuarantined(guilty, start);
     suspects.update(start + 6min);
     REQUIRE_FALSE(isQuarantined(suspects, guilty));
-    CHECK(suspects.findings().suspects == std::vector<std::uint64_t> { guilty });
+    CHECK(suspects.findings().suspects == std::vector<PromptPartId> { guilty });
     suspects.recordCrash(crash(1, { guilty }), start + 6min);
     suspects.update(start + 6min);
     CHECK(isQuarantined(suspects, guilty));
@@ -280,11 +280,11 @@
     prompt.parts = { { .id = guilty, .tokens = 1 } };
     guard.recordCrash(prompt, BackendId("s"), Incarnation(1), 1s, start);
     CHECK(guard.takeEvidence(start).isEmpty());
-    prompt.parts.push_back({ .id = 9, .tokens = 1 });
+    prompt.parts.push_back({ .id = PromptPartId(9), .tokens = 1 });
     guard.recordCrash(prompt, BackendId("s"), Incarnation(1), 1s, start);
     const auto evidence = guard.takeEvidence(start + 1s);
     REQUIRE(evidence.crashes.size() == 1);
-    CHECK(evidence.crashes[0].parts == std::vector<std::uint64_t> { guilty });
+    CHECK(evidence.crashes[0].parts == std::vector<PromptPartId> { guilty });
     CHECK(evidence.crashes[0].age == 1s);
 }
 
--- a/test/correctness/engine_model.cpp
+++ b/test/correctness/engine_model.cpp
@@ -17,7 +17,7 @@
 
 EngineRequest request(std::uint64_t id, std::uint64_t sharedPart, std::uint32_t priority = 0)
 {
-    return { .id = id, .prompt = { .model = "m", .parts = { { .id = sharedPart, .tokens = 4000 }, { .id = 1000 + id, .tokens = 1000 } }, .tokens = 5000 }, .outputTokens = 4, .priority = priority };
+    return { .id = id, .prompt = { .model = "m", .parts = { { .id = PromptPartId(sharedPart), .tokens = 4000 }, { .id = PromptPartId(1000 + id), .tokens = 1000 } }, .tokens = 5000 }, .outputTokens = 4, .priority = priority };
 }
 
 /** Returns when the first chunk of the answer arrived, in milliseconds since `start`; -1 if none has. */
--- a/test/correctness/fleet_ejection.cpp
+++ b/test/correctness/fleet_ejection.cpp
@@ -92,7 +92,7 @@
     {
         PlacementRequest request { .service = models };
         if (m_options.hasPrompts)
-            request.prompt = { .model = "m", .parts = { { .id = ++m_lastPrompt, .tokens = 1800 } }, .tokens = 1800 };
+            request.prompt = { .model = "m", .parts = { { .id = PromptPartId(++m_lastPrompt), .tokens = 1800 } }, .tokens = 1800 };
         const auto placement = selector.select(request, m_now);
         REQUIRE(placement);
         const auto call = selector.beginCall(*placement, request, m_now);
--- a/test/correctness/overload.cpp
+++ b/test/correctness/overload.cpp
@@ -81,7 +81,7 @@
     {
         ++m_tallies[kind.priority].offered;
         Request request { .kind = kind, .placementRequest = { .service = models }, .arrival = m_now };
-        request.placementRequest.prompt = { .model = "m", .parts = { { .id = ++m_part, .tokens = kind.tokens } }, .tokens = kind.tokens };
+        request.placementRequest.prompt = { .model = "m", .parts = { { .id = PromptPartId(++m_part), .tokens = kind.tokens } }, .tokens = kind.tokens };
         request.placementRequest.priority = kind.priority;
         request.placementRequest.levelsAboveLowest = 2 - kind.priority;
         if (const auto grant = m_queue.tryPlace(request.placementRequest, m_now))
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -27,7 +27,7 @@
 PlacementRequest draft(std::uint64_t sharedPart, std::uint64_t ownPart)
 {
     PlacementRequest request { .service = models };
-    request.prompt = { .model = "m", .parts = { { .id = sharedPart, .tokens = 12000 }, { .id = ownPart, .tokens = 3000 } }, .tokens = 15000 };
+    request.prompt = { .model = "m", .parts = { { .id = PromptPartId(sharedPart), .tokens = 12000 }, { .id = PromptPartId(ownPart), .tokens = 3000 } }, .tokens = 15000 };
     request.priority = 2;
     return request;
 }
@@ -35,7 +35,7 @@
 PlacementRequest edit(std::uint64_t ownPart)
 {
     PlacementRequest request { .service = models };
-    request.prompt = { .model = "m", .parts = { { .id = 1, .tokens = 350 }, { .id = ownPart, .tokens = 1000 } }, .tokens = 1350 };
+    request.prompt = { .model = "m", .parts = { { .id = PromptPartId(1), .tokens = 350 }, { .id = PromptPartId(ownPart), .tokens = 1000 } }, .tokens = 1350 };
     request.isInteractive = true;
     return request;
 }
--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -142,7 +142,7 @@
     CHECK(call.prompt.tokens == 1460);
     CHECK(call.prompt.maxOutputTokens == 80);
     REQUIRE(call.prompt.parts.size() == 3);
-    CHECK(call.prompt.parts[0].id == 0x5c1e07a2);
+    CHECK(call.prompt.parts[0].id == PromptPartId(0x5c1e07a2));
     CHECK(call.prompt.parts[2].tokens == 250);
 }
 
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -499,7 +499,7 @@
 TEST_CASE("a prompt with a part in quarantine is refused as not run, and others are served", "[routed]")
 {
     RoutedBench bench;
-    bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } });
+    bench.promptGuard.apply({ .suspects = {}, .quarantined = { PromptPartId(0xbad) } });
     bench.upstream.scripts = { RoutedBench::answer("served") };
     bench.run(promptRequest("/chat/1"));
     CHECK(bench.upstream.requests.empty());
@@ -507,7 +507,7 @@
     CHECK(bench.writer.response->status == 503);
     CHECK_FALSE(bench.writer.response->fields.find("Retry-After").empty());
     RoutedBench other;
-    other.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad1 } });
+    other.promptGuard.apply({ .suspects = {}, .quarantined = { PromptPartId(0xbad1) } });
     other.upstream.scripts = { stream({ event(1) }) };
     other.run(promptRequest("/chat/1"));
     CHECK(other.writer.streamed == event(1));
@@ -517,7 +517,7 @@
 {
     RoutedBench bench;
     auto slow = RoutedBench::answer("too late");
-    slow.beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } }); };
+    slow.beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { PromptPartId(0xbad) } }); };
     bench.upstream.scripts = { slow, slow };
     bench.run(promptRequest("/draft/1"));
     CHECK(bench.upstream.requests.empty());
@@ -530,7 +530,7 @@
     RoutedBench bench;
     auto crashing = stream({}, broken());
     bench.upstream.scripts = { crashing, stream({ event(1) }) };
-    bench.upstream.scripts[1].beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { 0xbad } }); };
+    bench.upstream.scripts[1].beforeSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { PromptPartId(0xbad) } }); };
     bench.run(promptRequest("/draft/1"));
     CHECK(bench.upstream.requests.size() == 1);
     REQUIRE(bench.writer.response);
@@ -540,7 +540,7 @@
 TEST_CASE("only answers that the server broke off are reported as crashes, and whole ones as answered", "[routed]")
 {
     RoutedBench bench;
-    bench.promptGuard.apply({ .suspects = { 0xbad }, .quarantined = {} });
+    bench.promptGuard.apply({ .suspects = { PromptPartId(0xbad) }, .quarantined = {} });
     SECTION("a connection that ends")
     {
         bench.upstream.scripts = { stream({ event(1) }, broken()) };
