Count a stream that has gone on for a second as an answer to its prompt

A wave of crashes for another reason, soon after a start, could put the shared parts of long answers in quarantine until one of them ends: they are in progress at five servers and were not answered anywhere yet. A part that crashes engines does so when its answer begins, so a stream that goes on for a second after its first event is proof enough.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -442,6 +442,8 @@
     if (last)
         m_events.skipThrough(*last);
     BufferBudget::Share held(m_context.answerBytes);
+    std::optional<TimePoint> firstEventAt;
+    auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
     for (;;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
@@ -465,8 +467,11 @@
         }
         if (!bytes.empty() || isComplete) {
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
-            if (isComplete || m_events.progressCount() > progressBefore)
+            if (isComplete || m_events.progressCount() > progressBefore) {
                 recordChunk(callId);
+                firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
+                isSound = isSound || m_context.promptGuard.recordProgress(m_metadata.prompt, *firstEventAt, *m_lastChunkAt);
+            }
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
                 ec = co_await m_writer.write(bytes);
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t maxCrashes = 256; // The requests of one entry instance at a few servers that crash together.
 constexpr std::size_t maxAnsweredParts = 4096;
+constexpr Duration soundAfter = std::chrono::seconds(1); // A crashing part ends its engine when the answer begins.
 
 /** Ids of the parts that other requests may share: all but the last one, each once. */
 std::vector<PromptPartId> sharedParts(const Prompt& prompt)
@@ -43,6 +44,14 @@
     }
 }
 
+bool PromptGuard::recordProgress(const Prompt& prompt, TimePoint firstEventAt, TimePoint now)
+{
+    if (now - firstEventAt < soundAfter)
+        return false;
+    recordAnswered(prompt, now);
+    return true;
+}
+
 void PromptGuard::apply(const PromptFindings& findings)
 {
     const auto previous = std::exchange(m_suspects, { findings.suspects.begin(), findings.suspects.end() });
--- a/src/placement/PromptGuard.h
+++ b/src/placement/PromptGuard.h
@@ -19,6 +19,11 @@
     void recordCrash(const Prompt&, const BackendId&, Incarnation, Duration sentFor, TimePoint now);
     /** A server answered the prompt to the end. */
     void recordAnswered(const Prompt&, TimePoint now);
+    /**
+     * A stream goes on whose first event came at `firstEventAt`. Once it has lasted for a second, it counts as answered, and
+     * true is returned.
+     */
+    bool recordProgress(const Prompt&, TimePoint firstEventAt, TimePoint now);
     /** Takes over the findings of the state instances, which replace earlier ones. */
     void apply(const PromptFindings&);
     /** Returns true if the prompt has a part in quarantine. */
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -273,6 +273,27 @@
     CHECK(suspects.findings().isEmpty());
 }
 
+TEST_CASE("a stream that has gone on for a second proves its parts sound, so that a wave of crashes does not", "[placement]")
+{
+    Prompt prompt;
+    prompt.parts = { { .id = shared, .tokens = 1 }, { .id = PromptPartId(9), .tokens = 1 } };
+    PromptGuard guard;
+    guard.apply({ .suspects = { shared }, .quarantined = {} });
+    CHECK_FALSE(guard.recordProgress(prompt, start, start + 999ms));
+    CHECK(guard.takeEvidence(start + 999ms).answered.empty());
+    CHECK(guard.recordProgress(prompt, start, start + 1s));
+    const auto evidence = guard.takeEvidence(start + 1s);
+    REQUIRE(evidence.answered.size() == 1);
+    CHECK(evidence.answered[0].part == shared);
+
+    CrashSuspects suspects;
+    for (std::uint64_t i = 1; i <= 40; ++i)
+        suspects.recordCrash(crash(i, { shared }, 2s), start + 2s);
+    suspects.recordAnswered(shared, start + 1s, start + 2s);
+    suspects.update(start + 4s);
+    CHECK_FALSE(isQuarantined(suspects, shared));
+}
+
 TEST_CASE("the last part of a prompt is never reported", "[placement]")
 {
     PromptGuard guard;
