Give the attempts of an exchange a file of their own

The functions of one attempt, from the request to the server to the end of its answer, move to RoutedExchangeAttempt.cpp; a comparison of all lines shows that nothing else changed.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -20,6 +20,7 @@
 
 constexpr unsigned unavailable = 503; // This HTTP status promises that the request has not run and will not run.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
+constexpr std::string_view quarantinedCode = "prompt-quarantined"; // The prompt has a part that crashes servers.
 
 } // namespace Internal
 
--- /dev/null
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -0,0 +1,310 @@
+#include "forwarding/RoutedExchange.h"
+
+#include "base/LogEvent.h"
+#include "base/RouterError.h"
+#include "forwarding/AsyncAdmissionQueue.h"
+#include "http/DeadlineWatch.h"
+#include "http/ResponseWriter.h"
+#include "placement/PromptGuard.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace HickoryHollow {
+
+using namespace Internal;
+
+namespace {
+
+// HTTP statuses.
+constexpr unsigned firstRedirect = 300;
+constexpr unsigned firstServerError = 500;
+
+constexpr std::size_t maxWholeAnswerBytes = 16U << 20U;
+constexpr Duration minSilenceTimeout = std::chrono::milliseconds(1200); // A paused or slowed server can be silent this long.
+constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
+// A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
+// if the server had closed the connection, the request would fail and could not be sent again.
+constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
+constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
+
+} // namespace
+
+HttpRequest RoutedExchange::makeUpstreamRequest(const Placement& placement) const
+{
+    constexpr std::uint32_t lastPriority = 9; // Engines have ten priorities, 0 to 9.
+    const UpstreamMetadata metadata {
+        .serverName = placement.serverName,
+        .workspace = m_workspace ? m_workspace->id : WorkspaceId(),
+        .timeLeft = m_deadline - monotonicNow(),
+        .priority = std::min(m_placementRequest.priority, lastPriority),
+        .lastEventId = m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId,
+    };
+    return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForServer(m_http.fields, metadata), .body = m_http.body };
+}
+
+// A request that may run again does not wait for a silent server until its deadline. A server that sends data on other
+// calls of this instance is busy, not silent, so the attempt goes on and is checked again soon.
+std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement) const
+{
+    const auto now = monotonicNow();
+    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
+    const auto limit = std::max<Duration>(minSilenceTimeout, target * silenceTargetFactor);
+    const auto silentSince = std::max(begunAt, m_lastChunkAt.value_or(begunAt));
+    if (now < silentSince + limit)
+        return silentSince + limit;
+    if (m_context.selector.wasActiveSince(placement.backend, now - minSilenceTimeout))
+        return now + minSilenceTimeout / 4;
+    return std::nullopt;
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::runAttempt(const Placement& placement, CallId callId)
+{
+    const auto now = monotonicNow();
+    const auto left = m_deadline - now;
+    const auto mayTryElsewhere = m_route->mayRunAgain() && m_possibleRuns + 1 < m_route->maxAttempts;
+    const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
+    const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
+    m_writer.onCallerDisconnect([&call = *call] { call.cancel(); });
+    AttemptResult result;
+    {
+        const auto executor = m_context.loop.get_executor();
+        const DeadlineWatch deadline(executor, m_deadline, *call);
+        const DeadlineWatch silence(executor, mayTryElsewhere ? silenceDeadline(now, placement) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
+        result = co_await sendAttempt(*call, placement, callId);
+        const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
+        if (!isWhole && deadline.hasPassed()) {
+            result.end = AttemptEnd::DeadlinePassed;
+            result.cause = "deadline-passed";
+        } else if (!isWhole && silence.hasPassed()) {
+            result.cause = "server-silent";
+            result.hasBrokenOff = false;
+        }
+    }
+    m_writer.onCallerDisconnect({});
+    if (result.end != AttemptEnd::Delivered && m_writer.isCallerDisconnected()) {
+        result.end = AttemptEnd::CallerGone;
+        // A disconnecting caller must not count against the server's health.
+        result.outcome = CallOutcome::Rejected;
+    }
+    if (result.end == AttemptEnd::Failed && result.hasBrokenOff && !m_metadata.prompt.isEmpty()) {
+        logBroken(placement, result.cause, monotonicNow() - now);
+        m_context.promptGuard.recordCrash(m_metadata.prompt, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
+    }
+    m_context.selector.endCall(callId, result.outcome, monotonicNow());
+    m_context.admissionQueue.placeWaiting(monotonicNow());
+    co_return result;
+}
+
+// A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the key may have been
+// revoked, the prompt put in quarantine, and the server may have said that it takes no requests.
+std::string_view RoutedExchange::findObstacle(const Placement& placement) const
+{
+    if (m_workspace && !hasLease())
+        return "configuration-unconfirmed";
+    if (m_context.promptGuard.isQuarantined(m_metadata.prompt))
+        return quarantinedCode;
+    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::sendAttempt(UpstreamCall& call, const Placement& placement, CallId callId)
+{
+    AttemptResult result;
+    std::string_view obstacle = findObstacle(placement);
+    const auto forbid = [&result, &obstacle] {
+        result.end = AttemptEnd::NotRun;
+        result.outcome = CallOutcome::Rejected;
+        result.cause = obstacle;
+        return result;
+    };
+    if (!obstacle.empty())
+        co_return forbid();
+    call.checkBeforeSending([this, &placement, &obstacle](HttpRequest& request) {
+        obstacle = findObstacle(placement);
+        if (!obstacle.empty())
+            return false;
+        request = makeUpstreamRequest(placement); // With the time that is left now.
+        return true;
+    });
+    call.skipMismatchedResponses([this](unsigned status, const HttpFields& fields) { return m_context.codec.classifyResponse(status, fields, m_metadata.id) == ResponseKind::OtherRequest; });
+    m_context.selector.recordSent(callId, m_metadata.prompt, monotonicNow());
+    const auto head = co_await call.begin(makeUpstreamRequest(placement));
+    result.wasSent = head.verdict != Verdict::NotRun;
+    if (head.ec == RouterError::SendForbidden)
+        co_return forbid();
+    if (head.ec) {
+        result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
+        result.outcome = result.wasSent ? CallOutcome::Broken : CallOutcome::Unreachable;
+        result.cause = result.wasSent ? (head.ec == RouterError::UpstreamTimeout ? "server-silent" : "answer-broken") : "unreachable";
+        result.hasBrokenOff = result.wasSent && head.ec == RouterError::UpstreamBroken;
+        co_return result;
+    }
+    const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
+    if (kind == ResponseKind::NotRun || kind == ResponseKind::Authentic)
+        applyNotice(placement, head);
+    if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer) {
+        result.end = AttemptEnd::NotRun;
+        result.outcome = kind == ResponseKind::NotRun ? CallOutcome::Rejected : CallOutcome::Unreachable;
+        result.cause = kind == ResponseKind::NotRun ? "server-rejected" : "address-reused";
+        co_return result;
+    }
+    if (kind != ResponseKind::Authentic) {
+        result.cause = "answer-not-signed";
+        co_return result;
+    }
+    const auto type = head.fields.find("Content-Type");
+    const auto isEventStream = type.starts_with("text/event-stream");
+    const auto isStream = m_route->isStream() && head.status < firstRedirect && (isEventStream || type.empty());
+    // Once the caller has received events of the stream, only an event stream can continue them.
+    if (m_streamStarted && !(isStream && isEventStream)) {
+        result.cause = "no-stream";
+        co_return result;
+    }
+    if (isStream)
+        result = co_await relayStream(call, head, callId);
+    else
+        result = co_await relayWholeAnswer(call, head);
+    result.wasSent = true;
+    co_return result;
+}
+
+void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head)
+{
+    const auto now = monotonicNow();
+    const auto notice = m_context.codec.parseNotice(head.status, head.fields);
+    if (!notice.isLeaving && notice.retryAfter == Duration::zero())
+        return;
+    if (m_context.selector.mayReceive(placement, now))
+        logEvent(LogEvent::BackendWithdrew, "backend={} server={} leaving={} retry_after_ms={} id={}", placement.backend.value(), placement.serverName, notice.isLeaving, notice.retryAfter / std::chrono::milliseconds(1), m_metadata.id);
+    if (notice.isLeaving)
+        m_context.selector.recordLeaving(placement.backend, placement.incarnation);
+    m_context.selector.recordBackoff(placement.backend, placement.incarnation, now + notice.retryAfter);
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayWholeAnswer(UpstreamCall& call, const UpstreamHead& head)
+{
+    AttemptResult result;
+    result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
+    BufferBudget::Share held(m_context.answerBytes);
+    for (auto isLast = false; !isLast;) {
+        const auto chunk = co_await call.readChunk();
+        const auto size = result.answer.body.size() + chunk.bytes.size();
+        if (chunk.ec || size > maxWholeAnswerBytes || !held.resize(size)) {
+            result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+            co_return result;
+        }
+        result.answer.body.append(chunk.bytes);
+        isLast = chunk.isLast;
+    }
+    if (head.status >= firstServerError) {
+        result.end = AttemptEnd::ServerError;
+        result.outcome = CallOutcome::ServerError;
+        result.cause = "server-error";
+        co_return result;
+    }
+    result.outcome = CallOutcome::Answered;
+    if (head.status < firstRedirect)
+        m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
+    const auto ec = co_await m_writer.send(std::move(result.answer));
+    result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
+    co_return result;
+}
+
+Task<std::error_code> RoutedExchange::startStream(const UpstreamHead& head)
+{
+    if (m_streamStarted)
+        co_return std::error_code();
+    m_streamStarted = true;
+    co_return co_await m_writer.startStream(head.status, m_context.codec.fieldsForCaller(head.fields));
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, CallId callId)
+{
+    AttemptResult result;
+    const auto last = m_events.lastEventId();
+    m_events = EventStreamScanner(EventStreamScanner::EndMarker::None);
+    if (last)
+        m_events.skipThrough(*last);
+    BufferBudget::Share held(m_context.answerBytes);
+    std::optional<TimePoint> firstEventAt;
+    auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
+    for (;;) {
+        const auto chunk = co_await call.readChunk();
+        if (chunk.ec) {
+            result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+            co_return result;
+        }
+        const auto progressBefore = m_events.progressCount();
+        auto bytes = m_events.feed(chunk.bytes);
+        if (m_events.isOversized() || !held.resize(m_events.incompleteEvent().size())) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
+        // Only a resumed stream may have no event left.
+        const auto isEmpty = m_events.progressCount() == 0 && !last && !m_metadata.lastEventId;
+        const auto isComplete = chunk.isLast && !m_events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
+        std::string lastBytes;
+        if (isComplete && !m_events.incompleteEvent().empty()) {
+            lastBytes = std::string(bytes) + std::string(m_events.incompleteEvent());
+            bytes = lastBytes;
+        }
+        if (!bytes.empty() || isComplete) {
+            // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
+            if (isComplete || m_events.progressCount() > progressBefore) {
+                recordChunk(callId);
+                firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
+                isSound = isSound || m_context.promptGuard.recordProgress(m_metadata.prompt, *firstEventAt, *m_lastChunkAt);
+            }
+            auto ec = co_await startStream(head);
+            if (!ec && !bytes.empty())
+                ec = co_await m_writer.write(bytes);
+            if (!ec && isComplete)
+                ec = co_await m_writer.finishStream();
+            if (ec) {
+                result.end = AttemptEnd::CallerGone;
+                result.outcome = CallOutcome::Rejected;
+                result.cause = "caller-gone";
+                co_return result;
+            }
+        }
+        if (chunk.isLast && !isComplete) {
+            result.cause = m_events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
+            result.hasBrokenOff = true;
+            co_return result;
+        }
+        if (isComplete)
+            break;
+    }
+    m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
+    result.end = AttemptEnd::Delivered;
+    result.outcome = CallOutcome::Answered;
+    result.cause = "none";
+    co_return result;
+}
+
+void RoutedExchange::recordChunk(CallId callId)
+{
+    const auto now = monotonicNow();
+    m_context.selector.recordActivity(callId, now);
+    m_context.selector.recordFirstToken(callId, now);
+    if (!m_lastChunkAt)
+        m_context.admissionQueue.placeWaiting(now);
+    if (m_lastChunkAt)
+        m_longestPause = std::max(m_longestPause, now - *m_lastChunkAt);
+    else
+        m_timeToFirstToken = now - m_arrival;
+    m_lastChunkAt = now;
+}
+
+void RoutedExchange::logBroken(const Placement& placement, std::string_view cause, Duration sentFor) const
+{
+    constexpr std::size_t maxLoggedParts = 8;
+    std::string parts;
+    for (std::size_t i = 0; i + 1 < m_metadata.prompt.parts.size() && i < maxLoggedParts; ++i)
+        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id.value());
+    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), parts);
+}
+
+} // namespace HickoryHollow
