Record reports about prompts in one place

StateInstance and RequestQuarantine walked the same report with the same three loops into CrashSuspects. CrashSuspects::record does it for both, and returns the answers that ended a quarantine, which the state instance logs.

--- a/src/entry/RequestQuarantine.cpp
+++ b/src/entry/RequestQuarantine.cpp
@@ -44,12 +44,7 @@
 
 void RequestQuarantine::receive(const PromptEvidence& evidence, TimePoint now)
 {
-    for (const auto part : evidence.quarantined)
-        m_suspects.addQuarantined(part, now);
-    for (const auto& it : evidence.crashes)
-        m_suspects.recordCrash(it, now);
-    for (const auto& it : evidence.answered)
-        m_suspects.recordAnswered(it.part, now - it.age, now);
+    m_suspects.record(evidence, now);
     m_guard.apply(m_suspects.findings());
 }
 
--- a/src/node/StateInstancePrompts.cpp
+++ b/src/node/StateInstancePrompts.cpp
@@ -7,15 +7,8 @@
 
 void StateInstance::handlePromptEvidence(const PromptEvidence& evidence)
 {
-    const auto now = monotonicNow();
-    for (const auto part : evidence.quarantined)
-        m_crashSuspects.addQuarantined(part, now);
-    for (const auto& it : evidence.crashes)
-        m_crashSuspects.recordCrash(it, now);
-    for (const auto& it : evidence.answered) {
-        if (m_crashSuspects.recordAnswered(it.part, now - it.age, now))
-            logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part.value(), it.age / std::chrono::milliseconds(1));
-    }
+    for (const auto& it : m_crashSuspects.record(evidence, monotonicNow()))
+        logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part.value(), it.age / std::chrono::milliseconds(1));
     if (!evidence.quarantined.empty())
         publishPromptFindings();
 }
--- a/src/placement/CrashSuspects.cpp
+++ b/src/placement/CrashSuspects.cpp
@@ -20,6 +20,20 @@
 
 } // namespace
 
+std::vector<PartAnswered> CrashSuspects::record(const PromptEvidence& evidence, TimePoint now)
+{
+    for (const auto part : evidence.quarantined)
+        addQuarantined(part, now);
+    for (const auto& it : evidence.crashes)
+        recordCrash(it, now);
+    std::vector<PartAnswered> releases;
+    for (const auto& it : evidence.answered) {
+        if (recordAnswered(it.part, now - it.age, now))
+            releases.push_back(it);
+    }
+    return releases;
+}
+
 void CrashSuspects::recordCrash(const PromptCrash& crash, TimePoint now)
 {
     const auto isExplained = std::any_of(crash.parts.begin(), crash.parts.end(), [this](auto part) {
--- a/src/placement/CrashSuspects.h
+++ b/src/placement/CrashSuspects.h
@@ -28,6 +28,8 @@
         bool wasAnswered = false; ///< Some server had answered the part before.
     };
 
+    /** Records all observations. Returns the answers that ended a quarantine. */
+    std::vector<PartAnswered> record(const PromptEvidence&, TimePoint now);
     /** Counts the crash for each part, unless a part in quarantine explains it. */
     void recordCrash(const PromptCrash&, TimePoint now);
     /** Clears the part, also from quarantine, if `answeredAt` is after its last crash. Returns true if it ended a quarantine. */
