--- a/src/links/Link.cpp
+++ b/src/links/Link.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+SharedFrame makeSharedFrame(const Wire::LinkMessage& message)
+{
+    return std::make_shared<const std::string>(encodeFrame(encodeThrift(message)));
+}
+
 Link::Link(PeerSocket&& socket, const LinkOptions& options)
     : m_socket(std::move(socket))
     , m_options(options)
@@ -40,7 +45,7 @@
 
 void Link::send(const Wire::LinkMessage& message)
 {
-    sendFrame(std::make_shared<const std::string>(encodeFrame(encodeThrift(message))));
+    sendFrame(makeSharedFrame(message));
 }
 
 void Link::sendFrame(SharedFrame frame)
--- a/src/links/Link.h
+++ b/src/links/Link.h
@@ -22,6 +22,9 @@
 
 namespace HickoryHollow {
 
+/** Encodes a message for Link::sendFrame() or a FrameSource, so that one to many links is encoded once. */
+SharedFrame makeSharedFrame(const Wire::LinkMessage&);
+
 struct LinkOptions {
     Duration keepAliveInterval = std::chrono::milliseconds(500); ///< An empty frame is sent after this time without another.
     /** The link closes if no frame arrives, or sent bytes stay unacknowledged, for longer. */
@@ -42,7 +45,7 @@
     void start(OnMessage, OnClosed closed);
     /** Queues a message; drops it if the link is closed. */
     void send(const Wire::LinkMessage&);
-    /** Queues a frame made by encodeFrame(), so that a message to many links is encoded once and shared by them. */
+    /** Queues a frame made by makeSharedFrame(). */
     void sendFrame(SharedFrame);
     /** Sends the newest state of a subject once the link is free; see LinkQueue::pushLatest(). */
     void sendLatest(LinkSubject, FrameSource);
--- a/src/links/StateMesh.cpp
+++ b/src/links/StateMesh.cpp
@@ -4,7 +4,6 @@
 #include "net/Listener.h"
 #include "net/Timer.h"
 #include "wire/Signed.h"
-#include "wire/ThriftCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <algorithm>
@@ -22,11 +21,6 @@
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration advertisedAge = std::chrono::seconds(30); // Addresses without a link for longer are not advertised.
 
-SharedFrame makeSharedFrame(const Wire::LinkMessage& message)
-{
-    return std::make_shared<const std::string>(encodeFrame(encodeThrift(message)));
-}
-
 } // namespace
 
 std::vector<StateAddress> fromWire(const std::vector<Wire::StateAddress>& wire)
--- a/src/node/RoutingBroadcast.cpp
+++ b/src/node/RoutingBroadcast.cpp
@@ -1,9 +1,8 @@
 #include "node/RoutingBroadcast.h"
 
+#include "links/Link.h"
 #include "node/RoutingDeltaCodec.h"
-#include "peer/FrameIo.h"
 #include "wire/LedgerCodec.h"
-#include "wire/ThriftCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <algorithm>
@@ -67,7 +66,7 @@
         message.__set_routing(toWire(*m_newest));
     else
         message.__set_routingDelta(toWire({ .base = base, .version = m_newest->version, .text = makeDelta((*it)->text, m_newest->text) }));
-    return std::make_shared<const std::string>(encodeFrame(encodeThrift(message)));
+    return makeSharedFrame(message);
 }
 
 std::size_t RoutingBroadcast::keptBytes() const
