--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -37,6 +37,7 @@
     PromptQuarantined = 3010,
     PromptReleased = 3011,
     BackendWithdrew = 3012,
+    BackendLimited = 3013,
     LeaderElected = 4001,
     LeaderLost = 4002,
     SettingsApplied = 4003,
--- a/src/forwarding/AsyncAdmissionQueue.cpp
+++ b/src/forwarding/AsyncAdmissionQueue.cpp
@@ -11,6 +11,8 @@
     const auto id = m_queue.enqueue(request, queueUntil, now);
     const auto waiter = std::make_shared<Waiter>(m_loop);
     m_waiters.emplace(id, waiter);
+    if (m_onWait)
+        m_onWait();
     setCancelHandler([waiter] {
         waiter->isOver = true;
         waiter->timer.cancel();
--- a/src/forwarding/AsyncAdmissionQueue.h
+++ b/src/forwarding/AsyncAdmissionQueue.h
@@ -19,10 +19,11 @@
     /** Registers the function that cancels the wait when the caller disconnects; an empty function unregisters it. */
     using SetCancelHandler = std::function<void(std::function<void()>)>;
 
-    /** `selector` outlives this object. */
-    AsyncAdmissionQueue(asio::io_context& loop, BackendSelector& selector)
+    /** `selector` outlives this object. `onWait` is called when a request begins to wait. */
+    AsyncAdmissionQueue(asio::io_context& loop, BackendSelector& selector, std::function<void()> onWait = {})
         : m_loop(loop)
         , m_queue(selector)
+        , m_onWait(std::move(onWait))
     {
     }
 
@@ -52,6 +53,7 @@
 
     asio::io_context& m_loop;
     AdmissionQueue m_queue;
+    std::function<void()> m_onWait;
     std::map<WaiterId, std::shared_ptr<Waiter>> m_waiters;
 };
 
--- a/src/forwarding/RequestCodec.h
+++ b/src/forwarding/RequestCodec.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "http/HttpMessage.h"
 #include "placement/Prompt.h"
+#include "placement/ServerLimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -47,6 +48,8 @@
 struct ServerNotice {
     bool isLeaving = false; ///< The server shuts down; it must receive no further request.
     Duration retryAfter {}; ///< Time for which this instance must send it nothing; zero if it does not say so.
+    std::optional<RequestRate> limit; ///< What it takes from all instances together; nothing if it names no limit.
+    bool isLimitUnreadable = false; ///< It names a limit that is no number of requests.
 };
 
 class RequestCodec {
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -88,7 +88,7 @@
     std::string_view findObstacle(const Placement&) const;
     Task<AttemptResult> sendAttempt(UpstreamCall&, const Placement&, CallId);
     /** Takes over what the server says of itself in the header of its answer. */
-    void applyNotice(const Placement&, const UpstreamHead&);
+    void applyNotice(const Placement&, const UpstreamHead&, TimePoint sentAt);
     Task<AttemptResult> relayWholeAnswer(UpstreamCall&, const UpstreamHead&);
     Task<AttemptResult> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -127,7 +127,8 @@
         return true;
     });
     call.skipMismatchedResponses([this](unsigned status, const HttpFields& fields) { return m_context.codec.classifyResponse(status, fields, m_metadata.id) == ResponseKind::OtherRequest; });
-    m_context.selector.recordSent(callId, m_metadata.prompt, monotonicNow());
+    const auto sentAt = monotonicNow();
+    m_context.selector.recordSent(callId, m_metadata.prompt, sentAt);
     const auto head = co_await call.begin(makeUpstreamRequest(placement));
     result.wasSent = head.verdict != Verdict::NotRun;
     if (head.ec == RouterError::SendForbidden)
@@ -141,7 +142,7 @@
     }
     const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
     if (kind == ResponseKind::NotRun || kind == ResponseKind::Authentic)
-        applyNotice(placement, head);
+        applyNotice(placement, head, sentAt);
     if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer) {
         result.end = AttemptEnd::NotRun;
         result.outcome = kind == ResponseKind::NotRun ? CallOutcome::Rejected : CallOutcome::Unreachable;
@@ -168,10 +169,13 @@
     co_return result;
 }
 
-void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head)
+void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head, TimePoint sentAt)
 {
     const auto now = monotonicNow();
     const auto notice = m_context.codec.parseNotice(head.status, head.fields);
+    // A request that was sent before the server named its limit may be answered without one after that.
+    if (!notice.isLimitUnreadable && m_context.selector.recordLimit(placement.backend, placement.incarnation, notice.limit, notice.limit ? now : sentAt, now))
+        logEvent(LogEvent::BackendLimited, "backend={} server={} limit={} id={}", placement.backend.value(), placement.serverName, notice.limit ? fmt::format("{:.3f}", perSecond(*notice.limit)) : "none", m_metadata.id);
     if (!notice.isLeaving && notice.retryAfter == Duration::zero())
         return;
     if (m_context.selector.mayReceive(placement, now))
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -45,7 +45,9 @@
     , m_decoder(decoder)
     , m_random(std::make_unique<SeededRandom>(systemSeed()))
     , m_selector({ .ownDomain = settings.failureDomain }, *m_random)
-    , m_admissionQueue(m_loop, m_selector)
+    , m_admissionQueue(m_loop, m_selector, [this] {
+        if (m_selector.limits().isReportDue())
+            m_feed.reportNow(); })
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
     , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
@@ -68,7 +70,12 @@
                       m_promptGuard.reportQuarantined();
                   return m_promptGuard.takeEvidence(monotonicNow()); },
               .promptFindings = [this](const auto& findings) { m_promptGuard.apply(findings); },
+              .takeLimitReport = [this] { return m_selector.limits().takeReport(monotonicNow()); },
+              .limits = [this](const auto& update) {
+                  m_selector.limits().apply(update, monotonicNow());
+                  m_admissionQueue.placeWaiting(monotonicNow()); },
               .entryInstances = [this](auto n) {
+                  m_selector.limits().setInstances(n);
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
           })
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -6,6 +6,7 @@
 #include "node/UsageCodec.h"
 #include "wire/FleetCodec.h"
 #include "wire/LedgerCodec.h"
+#include "wire/LimitCodec.h"
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
@@ -46,6 +47,7 @@
     void reportUsage(Link&, bool evenIfUnchanged);
     void reportCachedPrefixes(Link&);
     void reportPromptEvidence(Link&, bool isNewLink);
+    void reportLimits(Link&);
 
     asio::io_context& loop;
     Options options;
@@ -114,14 +116,23 @@
     Wire::LinkMessage message;
     message.__set_hello(hello);
     link->send(message);
-    for (int interval = 0; !isStopped && !cannotConfirm && link->isOpen() && monotonicNow() - confirmedAt <= options.confirmationTimeout; ++interval) {
-        const auto isPoll = std::exchange(isPollDue, false) || interval % options.intervalsPerPoll == 0;
+    auto isFirst = true;
+    auto nextInterval = monotonicNow();
+    for (int interval = 0; !isStopped && !cannotConfirm && link->isOpen() && monotonicNow() - confirmedAt <= options.confirmationTimeout;) {
+        // The loop also wakes between two intervals, for a report that is due at once.
+        const auto isIntervalOver = monotonicNow() >= nextInterval;
+        const auto isPoll = std::exchange(isPollDue, false) || (isIntervalOver && interval % options.intervalsPerPoll == 0);
+        if (isIntervalOver) {
+            nextInterval = monotonicNow() + options.usageInterval;
+            ++interval;
+        }
         if (isPoll)
             poll(*link);
         reportUsage(*link, isPoll);
         reportCachedPrefixes(*link);
-        reportPromptEvidence(*link, interval == 0);
-        wake.expires_after(options.usageInterval);
+        reportPromptEvidence(*link, std::exchange(isFirst, false));
+        reportLimits(*link);
+        wake.expires_after(nextInterval - monotonicNow());
         co_await wake.async_wait(asTuple);
     }
     link->close();
@@ -170,6 +181,16 @@
     link.send(message);
 }
 
+void StateFeed::State::reportLimits(Link& link)
+{
+    const auto report = events.takeLimitReport();
+    if (report.isEmpty())
+        return;
+    Wire::LinkMessage message;
+    message.__set_limitReport(toWire(report));
+    link.send(message);
+}
+
 void StateFeed::State::handleMessage(const Wire::LinkMessage& message)
 {
     if (message.__isset.hello) {
@@ -187,6 +208,8 @@
         events.cachedPrefixes(HickoryHollow::fromWire(message.keptPrompts));
     } else if (message.__isset.promptFindings) {
         events.promptFindings(HickoryHollow::fromWire(message.promptFindings));
+    } else if (message.__isset.limitUpdate) {
+        events.limits(HickoryHollow::fromWire(message.limitUpdate));
     } else if (message.__isset.freshnessReply) {
         handleFreshnessReply(message.freshnessReply);
     }
@@ -266,6 +289,11 @@
     m_state->wake.cancel();
 }
 
+void StateFeed::reportNow()
+{
+    m_state->wake.cancel();
+}
+
 InstanceId StateFeed::attachedInstance() const
 {
     return m_state->attached;
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -11,6 +11,7 @@
 #include "membership/BackendRecord.h"
 #include "node/UsageAggregator.h"
 #include "placement/PromptEvidence.h"
+#include "placement/ServerLimit.h"
 
 #include <functional>
 #include <map>
@@ -52,6 +53,10 @@
         std::function<PromptEvidence(bool onNewLink)> takePromptEvidence;
         /** Receives the findings from what all entry instances observed; they replace earlier ones. */
         std::function<void(const PromptFindings&)> promptFindings;
+        /** Returns the demand for permits of servers that name limits, and what is new of these limits. */
+        std::function<LimitReport()> takeLimitReport;
+        /** Receives limits of servers and permits. */
+        std::function<void(const LimitUpdate&)> limits;
         /** Receives the number of entry instances in the deployment; at least 1. */
         std::function<void(std::uint32_t)> entryInstances;
     };
@@ -65,6 +70,8 @@
     void setSeeds(const std::vector<InstanceId>&);
     /** Requests a confirmation without waiting for the next poll. */
     void pollNow();
+    /** Sends what is due to be reported without waiting for the next interval. */
+    void reportNow();
     /** Returns the address of the state instance that the feed is attached to; empty while there is none. */
     InstanceId attachedInstance() const;
 
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -2,10 +2,12 @@
 
 #include "base/LogEvent.h"
 #include "net/Timer.h"
+#include "node/ReportSource.h"
 #include "node/UsageCodec.h"
 #include "wire/AgreementCodec.h"
 #include "wire/FleetCodec.h"
 #include "wire/LedgerCodec.h"
+#include "wire/LimitCodec.h"
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/ThriftCodec.h"
@@ -30,14 +32,6 @@
 constexpr std::uint64_t compactAfterJournalBytes = 16ULL << 20U; // The data disk has 128 MB and holds two generations.
 constexpr std::size_t maxPendingPrefixes = 2000; // 300 entry instances with 60 requests/s each report at most 1800 a tick.
 
-const std::string entrySourcePrefix = "entry-";
-const std::string stateSourcePrefix = "state-";
-
-std::string sourceOf(EntryLinkId id)
-{
-    return entrySourcePrefix + std::to_string(id.value());
-}
-
 // Reports over the limit are dropped. The cost of a dropped report is one repeated prefill of that prefix.
 void appendBounded(std::vector<CachedPrefixReport>& pending, const std::vector<CachedPrefixReport>& reports)
 {
@@ -59,11 +53,14 @@
               .entryJoined = [this](auto id) { sendInitialStateToEntry(id); },
               .entryLeft = [this](auto id) {
                   m_usage.remove(sourceOf(id));
+                  m_limits.remove(sourceOf(id));
                   m_broadcast.remove(id); },
               .stateJoined = [this](const auto& id) {
                   sendRecordsToState(id);
                   sendQuarantinedToState(id); },
-              .stateLeft = [this](const auto& id) { m_usage.remove(stateSourcePrefix + id.value()); },
+              .stateLeft = [this](const auto& id) {
+                  m_usage.remove(sourceOf(id));
+                  m_limits.remove(sourceOf(id)); },
           })
     , m_directory({ .self = m_mesh.self(), .lease = settings.bounds.announceInterval * missedAnnouncementsBeforeLapse })
     , m_routing(std::make_shared<const RoutingDocument>())
@@ -141,6 +138,7 @@
         publishBackendChanges();
         m_usage.expire(usageLifetime, now);
         reportUsage(tick % ticksPerUsageReport == 0);
+        publishLimits(tick % ticksPerUsageReport == 0);
         reportCachedPrefixes();
         publishPromptFindings();
     }
@@ -190,6 +188,7 @@
     Wire::LinkMessage message;
     message.__set_fleetNews(toWire(update));
     m_mesh.sendToEntry(id, message);
+    sendLimitsToEntry(id);
     const auto findings = m_crashSuspects.findings();
     if (findings.isEmpty())
         return;
@@ -226,7 +225,7 @@
 
 void StateInstance::reportUsage(bool evenIfUnchanged)
 {
-    auto local = m_usage.sum(entrySourcePrefix);
+    auto local = m_usage.sum(entrySources);
     if (evenIfUnchanged || local != m_lastReportToStates) {
         Wire::LinkMessage message;
         message.__set_uses(toWire(local));
@@ -292,11 +291,13 @@
             m_directory.renew(it, monotonicNow());
         publishBackendChanges();
     } else if (isset.uses) {
-        m_usage.set(stateSourcePrefix + from.value(), HickoryHollow::fromWire(message.uses), monotonicNow());
+        m_usage.set(sourceOf(from), HickoryHollow::fromWire(message.uses), monotonicNow());
     } else if (isset.keptPrompts) {
         appendBounded(m_prefixesForEntries, HickoryHollow::fromWire(message.keptPrompts));
     } else if (isset.promptEvidence) {
         handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
+    } else if (isset.limitReport) {
+        m_limits.reportFromState(sourceOf(from), HickoryHollow::fromWire(message.limitReport), monotonicNow());
     } else if (isset.freshnessPoll) {
         answerStatePoll(from, toUnsigned(message.freshnessPoll.id), RoutingVersion(toUnsigned(message.freshnessPoll.held)));
     } else if (isset.freshnessReply) {
@@ -339,6 +340,10 @@
         m_mesh.sendToStates(message);
         return;
     }
+    if (message.__isset.limitReport) {
+        handleLimitReport(from, HickoryHollow::fromWire(message.limitReport));
+        return;
+    }
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -11,6 +11,7 @@
 #include "node/RoutingBroadcast.h"
 #include "node/UsageAggregator.h"
 #include "placement/CrashSuspects.h"
+#include "placement/LimitShares.h"
 #include "state/StateNode.h"
 
 #include <functional>
@@ -70,6 +71,16 @@
     /** Tells a state instance which parts of prompts are in quarantine. */
     void sendQuarantinedToState(const InstanceId&);
 
+    /** Takes the demand for permits of an entry instance, and answers with those that are due. */
+    void handleLimitReport(EntryLinkId, const LimitReport&);
+    /** Sends due permits and changed limits to the entry instances, and the demand here to the state instances. */
+    void publishLimits(bool isRegular);
+    void sendPermits(const std::map<std::string, LimitUpdate>&);
+    /** Sends the limits that servers name to an entry instance that joins. */
+    void sendLimitsToEntry(EntryLinkId);
+    /** Without a leader that confirms, others may issue the same permits. */
+    bool mayIssuePermits() const;
+
     /** Asks the leader for the newest accepted version, in this round or the next one. */
     void confirmNewest(ConfirmationCallback);
     void startConfirmationRound();
@@ -95,6 +106,8 @@
     std::vector<CachedPrefixReport> m_prefixesForEntries; // Reported by all entry instances.
     CrashSuspects m_crashSuspects;
     PromptFindings m_lastFindings; // As sent last to the entry instances.
+    LimitShares m_limits;
+    std::optional<TimePoint> m_confirmedAt; // Last confirmation of the leader.
 
     // Newest committed document known here; never null. The version only grows.
     std::shared_ptr<const RoutingDocument> m_routing;
--- a/src/node/StateInstanceRouting.cpp
+++ b/src/node/StateInstanceRouting.cpp
@@ -65,6 +65,8 @@
 {
     if (!m_isRoundOpen || id != m_round)
         return;
+    if (confirmation)
+        m_confirmedAt = monotonicNow();
     if (confirmation && confirmation->newer)
         storeRouting(*confirmation->newer);
     const auto callbacks = std::exchange(m_roundCallbacks, {});
--- a/src/placement/AdmissionQueue.cpp
+++ b/src/placement/AdmissionQueue.cpp
@@ -41,6 +41,7 @@
 {
     const WaiterId id(++m_lastWaiter);
     const auto priority = request.priority;
+    request.isWaiting = true;
     m_waiters.emplace(Order { priority, now, id }, Waiter { .request = std::move(request), .queueUntil = queueUntil });
     return id;
 }
@@ -53,6 +54,7 @@
 std::vector<std::pair<WaiterId, AdmissionQueue::Grant>> AdmissionQueue::placeWaiting(TimePoint now)
 {
     std::vector<std::pair<WaiterId, Grant>> grants;
+    m_selector.limits().clearWaiting(); // Those that still wait are counted again.
     for (auto it = m_waiters.begin(); it != m_waiters.end();) {
         auto grant = place(it->second.request, now >= it->second.queueUntil, now);
         if (!grant) {
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -16,6 +16,7 @@
 constexpr double millisecondsPerRunning = 2; // Each running request lengthens the engine step that the new one waits for.
 constexpr double millisecondsPerQueued = 50; // A request beyond the engine's slots waits until another one ends.
 constexpr double millisecondsPerPlainCall = 30; // Time of one call without a prompt that is ahead in the server's queue.
+constexpr double unusedPermitMilliseconds = 10; // Little, so that a limited server is not sent more than it would be without a limit.
 constexpr double otherDomainMilliseconds = 3; // Network distance and the price of traffic between failure domains.
 constexpr double repeatedPrefillWeight = 4; // A repeated prefill of a shared prefix also delays all later requests.
 constexpr double preferenceRankMilliseconds = 30; // Makes all instances fall back to the same next preferred engine.
@@ -85,6 +86,7 @@
         server.prefillTokens = 0;
     }
     server.record = record;
+    server.start = serverStartOf(record.id, record.incarnation);
     const auto engine = m_engines.find(record.service);
     server.cache.setCapacity(engine == m_engines.end() ? 0 : static_cast<std::uint64_t>(cacheMemoryShare * static_cast<double>(engine->second.tokenCapacity)));
     return true;
@@ -104,11 +106,19 @@
         it->second.backoffUntil = std::max(it->second.backoffUntil, until);
 }
 
+bool BackendSelector::recordLimit(const BackendId& id, Incarnation incarnation, std::optional<RequestRate> rate, TimePoint saidAt, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    return it != m_servers.end() && it->second.record.incarnation == incarnation && m_limits.recordNotice(it->second.start, rate, saidAt, now);
+}
+
 bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     const auto it = m_servers.find(placement.backend);
     if (it == m_servers.end() || it->second.record.incarnation != placement.incarnation)
         return false;
+    if (m_limits.isLimited(it->second.start) && now >= placement.permitUntil.value_or(now))
+        return false;
     return it->second.record.state != BackendState::Leaving && now >= it->second.backoffUntil;
 }
 
@@ -117,7 +127,7 @@
     std::optional<TimePoint> first;
     for (const auto& [id, server] : m_servers) {
         if (isCandidate(server, request))
-            first = std::min(first.value_or(TimePoint::max()), std::max(now, server.backoffUntil));
+            first = std::min(first.value_or(TimePoint::max()), std::max(now + m_limits.expectedWait(server.start), server.backoffUntil));
     }
     return first;
 }
@@ -329,13 +339,27 @@
     const Server* best = nullptr;
     auto bestHealthRank = 0;
     Estimate bestEstimate;
+    std::optional<TimePoint> permitUntil;
+    const Server* bestLimited = nullptr; // The best of those without a permit.
+    auto bestLimitedRank = std::make_pair(0, 0.0);
     std::uint64_t ties = 0;
     for (const auto& [id, server] : m_servers) {
         if (!isCandidate(server, request) || now < server.backoffUntil)
             continue;
         const auto isLapsed = server.record.state == BackendState::Lapsed && now - server.health.lastAnswerAt() > lapseGrace;
         const auto healthRank = (isEjected(server, now) ? 1 : 0) + (isLapsed ? 2 : 0);
-        const auto it = estimate(server, request, prefixes, preferred, now);
+        auto it = estimate(server, request, prefixes, preferred, now);
+        const auto isLimited = m_limits.isLimited(server.start);
+        it.cost -= isLimited ? unusedPermitMilliseconds : 0;
+        const auto permit = isLimited ? m_limits.permitUntil(server.start, request.priority, now) : std::nullopt;
+        if (isLimited && !permit) {
+            const auto rank = std::make_pair(healthRank, it.cost);
+            if (!bestLimited || rank < bestLimitedRank) {
+                bestLimited = &server;
+                bestLimitedRank = rank;
+            }
+            continue;
+        }
         const auto isTie = best && healthRank == bestHealthRank && it.cost == bestEstimate.cost;
         const auto isBetter = !best || healthRank < bestHealthRank || (healthRank == bestHealthRank && it.cost < bestEstimate.cost);
         ties = isTie ? ties + 1 : ties;
@@ -345,7 +369,12 @@
         best = &server;
         bestHealthRank = healthRank;
         bestEstimate = it;
+        permitUntil = permit;
     }
+    if (bestLimited && (!best || bestLimitedRank < std::make_pair(bestHealthRank, bestEstimate.cost)))
+        recordLimitDemand(*bestLimited, request, now);
+    else if (permitUntil)
+        recordLimitDemand(*best, request, now);
     if (!best)
         return std::nullopt;
     const auto tokensAhead = best->prefillTokens + best->remoteUsage.promptTokens;
@@ -360,9 +389,18 @@
         .isPreferredEngine = !preferred.engines.empty() && preferred.engines.front() == best->record.id,
         .isReserved = isReserved(*best),
         .isFallback = bestHealthRank > 0,
+        .permitUntil = permitUntil,
     };
 }
 
+void BackendSelector::recordLimitDemand(const Server& server, const PlacementRequest& request, TimePoint now)
+{
+    if (request.isWaiting)
+        m_limits.recordWaiting(server.start, request.priority);
+    else
+        m_limits.recordDemand(server.start, request.priority, now);
+}
+
 CallId BackendSelector::beginCall(const Placement& placement, const PlacementRequest& request, TimePoint now)
 {
     const CallId id(++m_lastCall);
@@ -370,6 +408,8 @@
     Call call { .backend = placement.backend, .incarnation = {}, .uncachedTokens = placement.uncachedTokens, .hasFirstToken = false, .isInteractive = request.isInteractive, .expectedTime = placement.expectedTime, .startedAt = now };
     if (it != m_servers.end()) {
         call.incarnation = it->second.record.incarnation;
+        if (placement.permitUntil)
+            m_limits.takePermit(it->second.start, request.priority, now);
         ++it->second.calls;
         it->second.interactiveCalls += call.isInteractive ? 1 : 0;
         it->second.prefillTokens += call.uncachedTokens;
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -15,6 +15,7 @@
 #include "placement/CallWindow.h"
 #include "placement/EnginePrefixCache.h"
 #include "placement/FleetEjection.h"
+#include "placement/LimitedServers.h"
 #include "placement/Prompt.h"
 
 #include <map>
@@ -38,6 +39,7 @@
     bool isInteractive = false; ///< The prefill of a long prompt on the same engine visibly pauses the request's stream.
     std::uint32_t levelsAboveLowest = 0; ///< How much more urgent the route is than the service's least urgent one (0).
     std::set<BackendId> excluded; ///< Servers that were already tried for this request; they are not selected again.
+    bool isWaiting = false; ///< The request was not placed at once and is tried again.
 };
 
 /** The backend server selected for a request, with the estimates that led to it. */
@@ -53,6 +55,7 @@
     bool isPreferredEngine = false; ///< The server is the first preferred engine of the prompt's shared prefix.
     bool isReserved = false; ///< The engine is reserved for interactive requests.
     bool isFallback = false; ///< Every candidate was ejected or lapsed, so the server is one of those.
+    std::optional<TimePoint> permitUntil; ///< If the server names a limit: the time until which the request may be sent.
 };
 
 /** Requests in progress at one backend server, either from this instance or from all the others together. */
@@ -85,7 +88,14 @@
     void recordLeaving(const BackendId&, Incarnation);
     /** Records that this start of the server wants no request of this instance until then. */
     void recordBackoff(const BackendId&, Incarnation, TimePoint until);
-    /** Returns false if a selected server must not receive the request any more: it leaves, wants none, or has started anew. */
+    /** Records what this start of the server said of its limit; see LimitedServers::recordNotice(). Returns true if that is new. */
+    bool recordLimit(const BackendId&, Incarnation, std::optional<RequestRate>, TimePoint saidAt, TimePoint now);
+    /** The limits that servers name, and the permits of this instance. */
+    LimitedServers& limits() { return m_limits; }
+    /**
+     * Returns false if a selected server must not receive the request any more: it leaves, wants none, has started anew, or names a
+     * limit and the permit has run out.
+     */
     bool mayReceive(const Placement&, TimePoint now) const;
     /** Returns the first time at which a server may take the request; nothing if none ever will. */
     std::optional<TimePoint> availableAt(const PlacementRequest&, TimePoint now) const;
@@ -118,7 +128,7 @@
     void recordActivity(CallId, TimePoint now);
     /**
      * Returns the server with the lowest cost for the request, at random if several have it; nothing if there is no
-     * candidate, or all candidates want no request at present. Ejected servers are selected only if no other is left, and
+     * candidate, or all candidates want no request at present or have a limit and no permit. Ejected servers are selected only if no other is left, and
      * lapsed ones after those. A lapsed server that answered within the last 3 s is treated as serving.
      */
     std::optional<Placement> select(const PlacementRequest&, TimePoint now);
@@ -147,6 +157,7 @@
         CallWindow recentCalls; ///< Calls of this instance.
         TimePoint backoffUntil {}; ///< The server wants no request of this instance before.
         std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of the last setFleetCalls().
+        ServerStartId start; ///< Identifies the present start.
         EnginePrefixCache cache { 0 };
         ServerUsage remoteUsage; ///< Usage of all other instances together.
         std::uint32_t calls = 0; ///< Number of calls of this instance that have not ended.
@@ -202,6 +213,8 @@
     bool isReserved(const Server&) const;
     void updateReservation(const ServiceId&, Reservation&, TimePoint now);
     bool isCandidate(const Server&, const PlacementRequest&) const;
+    /** Counts the request as demand for a permit of the server. */
+    void recordLimitDemand(const Server&, const PlacementRequest&, TimePoint now);
     double loadAdjustedTime(const Estimate&, const ServiceId&) const;
     Estimate estimate(const Server&, const PlacementRequest&, const std::vector<PromptPrefix>&, const PreferredEngines&, TimePoint now) const;
     PreferredEngines preferredEngines(const PlacementRequest&, std::uint64_t prefixHash, TimePoint now) const;
@@ -213,6 +226,7 @@
     std::map<ServiceId, double> m_serviceSlowness; // Moving average of actual / expected time to the first token.
     std::map<ServiceId, FleetEjection> m_fleetEjections; // By service; created with the service's first failure.
     std::map<ServiceId, Reservation> m_reservations; // Holds exactly the services that have interactive requests.
+    LimitedServers m_limits;
     std::map<CallId, Call> m_calls; // Calls that have not ended.
     std::vector<CachedPrefix> m_unreportedPrefixes; // Waits for takeCachedPrefixes(); bounded by maxUnreportedPrefixes.
     std::uint64_t m_lastCall = 0;
--- a/src/placement/PromptEvidence.h
+++ b/src/placement/PromptEvidence.h
@@ -6,15 +6,13 @@
 
 #include "base/Time.h"
 #include "placement/Prompt.h"
+#include "placement/ServerStart.h"
 
 #include <cstdint>
 #include <vector>
 
 namespace HickoryHollow {
 
-/** Identifies one start of a backend server, by a hash of its address and incarnation. */
-using ServerStartId = StrongId<struct ServerStartTag, std::uint64_t>;
-
 /** A server ended the connection while it answered a prompt, as a crash does. */
 struct PromptCrash {
     ServerStartId server;
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -1,7 +1,6 @@
 #include "placement/PromptGuard.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace HickoryHollow {
 
@@ -29,8 +28,7 @@
     auto parts = sharedParts(prompt);
     if (parts.empty() || m_crashes.size() >= maxCrashes)
         return;
-    const ServerStartId server(XXH64(backend.value().data(), backend.value().size(), incarnation.value()));
-    m_crashes.push_back({ .report = { .server = server, .sentFor = sentFor, .age = {}, .parts = std::move(parts) }, .endedAt = now });
+    m_crashes.push_back({ .report = { .server = serverStartOf(backend, incarnation), .sentFor = sentFor, .age = {}, .parts = std::move(parts) }, .endedAt = now });
 }
 
 void PromptGuard::recordAnswered(const Prompt& prompt, TimePoint now)
--- a/src/wire/PromptEvidenceCodec.cpp
+++ b/src/wire/PromptEvidenceCodec.cpp
@@ -1,25 +1,15 @@
 #include "wire/PromptEvidenceCodec.h"
 
+#include "wire/Milliseconds.h"
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace HickoryHollow {
 
 namespace {
 
-std::int32_t toMilliseconds(Duration time)
-{
-    return static_cast<std::int32_t>(std::clamp<std::int64_t>(time / std::chrono::milliseconds(1), 0, std::numeric_limits<std::int32_t>::max()));
-}
-
-Duration fromMilliseconds(std::int32_t time)
-{
-    return std::chrono::milliseconds(std::max(time, 0));
-}
-
 std::vector<std::int64_t> toSignedParts(const std::vector<PromptPartId>& parts)
 {
     std::vector<std::int64_t> wire(parts.size());
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -10270,6 +10270,668 @@
 }
 
 
+ServerLimit::~ServerLimit() noexcept {
+}
+
+
+void ServerLimit::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void ServerLimit::__set_rate(const int32_t val) {
+  this->rate = val;
+__isset.rate = true;
+}
+
+void ServerLimit::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLimit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.rate) {
+    xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_I32, 2);
+    xfer += oprot->writeI32(this->rate);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLimit &a, ServerLimit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.rate, b.rate);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLimit::ServerLimit(const ServerLimit& other294) noexcept {
+  server = other294.server;
+  rate = other294.rate;
+  ageMs = other294.ageMs;
+  __isset = other294.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other295) noexcept {
+  server = other295.server;
+  rate = other295.rate;
+  ageMs = other295.ageMs;
+  __isset = other295.__isset;
+  return *this;
+}
+void ServerLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLimit(";
+  out << "server=" << to_string(server);
+  out << ", " << "rate="; (__isset.rate ? (out << to_string(rate)) : (out << "<null>"));
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
+LimitDemand::~LimitDemand() noexcept {
+}
+
+
+void LimitDemand::__set_limit(const ServerLimit& val) {
+  this->limit = val;
+}
+
+void LimitDemand::__set_wanted(const std::vector<int32_t> & val) {
+  this->wanted = val;
+}
+
+void LimitDemand::__set_unused(const int32_t val) {
+  this->unused = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit.read(iprot);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted.clear();
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->wanted.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
+            {
+              xfer += iprot->readI32(this->wanted[_i300]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unused);
+          this->__isset.unused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitDemand");
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->limit.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
+    std::vector<int32_t> ::const_iterator _iter301;
+    for (_iter301 = this->wanted.begin(); _iter301 != this->wanted.end(); ++_iter301)
+    {
+      xfer += oprot->writeI32((*_iter301));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unused", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->unused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitDemand &a, LimitDemand &b) {
+  using ::std::swap;
+  swap(a.limit, b.limit);
+  swap(a.wanted, b.wanted);
+  swap(a.unused, b.unused);
+  swap(a.__isset, b.__isset);
+}
+
+LimitDemand::LimitDemand(const LimitDemand& other302) {
+  limit = other302.limit;
+  wanted = other302.wanted;
+  unused = other302.unused;
+  __isset = other302.__isset;
+}
+LimitDemand& LimitDemand::operator=(const LimitDemand& other303) {
+  limit = other303.limit;
+  wanted = other303.wanted;
+  unused = other303.unused;
+  __isset = other303.__isset;
+  return *this;
+}
+void LimitDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitDemand(";
+  out << "limit=" << to_string(limit);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "unused=" << to_string(unused);
+  out << ")";
+}
+
+
+LimitReport::~LimitReport() noexcept {
+}
+
+
+void LimitReport::__set_demands(const std::vector<LimitDemand> & val) {
+  this->demands = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size304;
+            ::apache::thrift::protocol::TType _etype307;
+            xfer += iprot->readListBegin(_etype307, _size304);
+            this->demands.resize(_size304);
+            uint32_t _i308;
+            for (_i308 = 0; _i308 < _size304; ++_i308)
+            {
+              xfer += this->demands[_i308].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitReport");
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<LimitDemand> ::const_iterator _iter309;
+    for (_iter309 = this->demands.begin(); _iter309 != this->demands.end(); ++_iter309)
+    {
+      xfer += (*_iter309).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitReport &a, LimitReport &b) {
+  using ::std::swap;
+  swap(a.demands, b.demands);
+  swap(a.__isset, b.__isset);
+}
+
+LimitReport::LimitReport(const LimitReport& other310) {
+  demands = other310.demands;
+  __isset = other310.__isset;
+}
+LimitReport& LimitReport::operator=(const LimitReport& other311) {
+  demands = other311.demands;
+  __isset = other311.__isset;
+  return *this;
+}
+void LimitReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitReport(";
+  out << "demands=" << to_string(demands);
+  out << ")";
+}
+
+
+LimitGrant::~LimitGrant() noexcept {
+}
+
+
+void LimitGrant::__set_limit(const ServerLimit& val) {
+  this->limit = val;
+}
+
+void LimitGrant::__set_permits(const std::vector<int32_t> & val) {
+  this->permits = val;
+}
+
+void LimitGrant::__set_wantedByAll(const int32_t val) {
+  this->wantedByAll = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit.read(iprot);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->permits.clear();
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->permits.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
+            {
+              xfer += iprot->readI32(this->permits[_i316]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.permits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wantedByAll);
+          this->__isset.wantedByAll = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitGrant");
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->limit.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->permits.size()));
+    std::vector<int32_t> ::const_iterator _iter317;
+    for (_iter317 = this->permits.begin(); _iter317 != this->permits.end(); ++_iter317)
+    {
+      xfer += oprot->writeI32((*_iter317));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantedByAll", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->wantedByAll);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitGrant &a, LimitGrant &b) {
+  using ::std::swap;
+  swap(a.limit, b.limit);
+  swap(a.permits, b.permits);
+  swap(a.wantedByAll, b.wantedByAll);
+  swap(a.__isset, b.__isset);
+}
+
+LimitGrant::LimitGrant(const LimitGrant& other318) {
+  limit = other318.limit;
+  permits = other318.permits;
+  wantedByAll = other318.wantedByAll;
+  __isset = other318.__isset;
+}
+LimitGrant& LimitGrant::operator=(const LimitGrant& other319) {
+  limit = other319.limit;
+  permits = other319.permits;
+  wantedByAll = other319.wantedByAll;
+  __isset = other319.__isset;
+  return *this;
+}
+void LimitGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitGrant(";
+  out << "limit=" << to_string(limit);
+  out << ", " << "permits=" << to_string(permits);
+  out << ", " << "wantedByAll=" << to_string(wantedByAll);
+  out << ")";
+}
+
+
+LimitUpdate::~LimitUpdate() noexcept {
+}
+
+
+void LimitUpdate::__set_grants(const std::vector<LimitGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->grants.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
+            {
+              xfer += this->grants[_i324].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitUpdate");
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<LimitGrant> ::const_iterator _iter325;
+    for (_iter325 = this->grants.begin(); _iter325 != this->grants.end(); ++_iter325)
+    {
+      xfer += (*_iter325).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitUpdate &a, LimitUpdate &b) {
+  using ::std::swap;
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+LimitUpdate::LimitUpdate(const LimitUpdate& other326) {
+  grants = other326.grants;
+  __isset = other326.__isset;
+}
+LimitUpdate& LimitUpdate::operator=(const LimitUpdate& other327) {
+  grants = other327.grants;
+  __isset = other327.__isset;
+  return *this;
+}
+void LimitUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitUpdate(";
+  out << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -10338,6 +11000,16 @@
   this->promptFindings = val;
 __isset.promptFindings = true;
 }
+
+void LinkMessage::__set_limitReport(const LimitReport& val) {
+  this->limitReport = val;
+__isset.limitReport = true;
+}
+
+void LinkMessage::__set_limitUpdate(const LimitUpdate& val) {
+  this->limitUpdate = val;
+__isset.limitUpdate = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -10470,6 +11142,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limitReport.read(iprot);
+          this->__isset.limitReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limitUpdate.read(iprot);
+          this->__isset.limitUpdate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10552,6 +11240,16 @@
     xfer += this->promptFindings.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limitReport) {
+    xfer += oprot->writeFieldBegin("limitReport", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->limitReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limitUpdate) {
+    xfer += oprot->writeFieldBegin("limitUpdate", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->limitUpdate.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10572,40 +11270,46 @@
   swap(a.routingDelta, b.routingDelta);
   swap(a.promptEvidence, b.promptEvidence);
   swap(a.promptFindings, b.promptFindings);
+  swap(a.limitReport, b.limitReport);
+  swap(a.limitUpdate, b.limitUpdate);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other294) {
-  hello = other294.hello;
-  agreement = other294.agreement;
-  fleetNews = other294.fleetNews;
-  freshnessPoll = other294.freshnessPoll;
-  freshnessReply = other294.freshnessReply;
-  routingSubmit = other294.routingSubmit;
-  routingSubmitReply = other294.routingSubmitReply;
-  routing = other294.routing;
-  uses = other294.uses;
-  keptPrompts = other294.keptPrompts;
-  routingDelta = other294.routingDelta;
-  promptEvidence = other294.promptEvidence;
-  promptFindings = other294.promptFindings;
-  __isset = other294.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other295) {
-  hello = other295.hello;
-  agreement = other295.agreement;
-  fleetNews = other295.fleetNews;
-  freshnessPoll = other295.freshnessPoll;
-  freshnessReply = other295.freshnessReply;
-  routingSubmit = other295.routingSubmit;
-  routingSubmitReply = other295.routingSubmitReply;
-  routing = other295.routing;
-  uses = other295.uses;
-  keptPrompts = other295.keptPrompts;
-  routingDelta = other295.routingDelta;
-  promptEvidence = other295.promptEvidence;
-  promptFindings = other295.promptFindings;
-  __isset = other295.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other328) {
+  hello = other328.hello;
+  agreement = other328.agreement;
+  fleetNews = other328.fleetNews;
+  freshnessPoll = other328.freshnessPoll;
+  freshnessReply = other328.freshnessReply;
+  routingSubmit = other328.routingSubmit;
+  routingSubmitReply = other328.routingSubmitReply;
+  routing = other328.routing;
+  uses = other328.uses;
+  keptPrompts = other328.keptPrompts;
+  routingDelta = other328.routingDelta;
+  promptEvidence = other328.promptEvidence;
+  promptFindings = other328.promptFindings;
+  limitReport = other328.limitReport;
+  limitUpdate = other328.limitUpdate;
+  __isset = other328.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other329) {
+  hello = other329.hello;
+  agreement = other329.agreement;
+  fleetNews = other329.fleetNews;
+  freshnessPoll = other329.freshnessPoll;
+  freshnessReply = other329.freshnessReply;
+  routingSubmit = other329.routingSubmit;
+  routingSubmitReply = other329.routingSubmitReply;
+  routing = other329.routing;
+  uses = other329.uses;
+  keptPrompts = other329.keptPrompts;
+  routingDelta = other329.routingDelta;
+  promptEvidence = other329.promptEvidence;
+  promptFindings = other329.promptFindings;
+  limitReport = other329.limitReport;
+  limitUpdate = other329.limitUpdate;
+  __isset = other329.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -10624,6 +11328,8 @@
   out << ", " << "routingDelta="; (__isset.routingDelta ? (out << to_string(routingDelta)) : (out << "<null>"));
   out << ", " << "promptEvidence="; (__isset.promptEvidence ? (out << to_string(promptEvidence)) : (out << "<null>"));
   out << ", " << "promptFindings="; (__isset.promptFindings ? (out << to_string(promptFindings)) : (out << "<null>"));
+  out << ", " << "limitReport="; (__isset.limitReport ? (out << to_string(limitReport)) : (out << "<null>"));
+  out << ", " << "limitUpdate="; (__isset.limitUpdate ? (out << to_string(limitUpdate)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -165,6 +165,16 @@
 
 class PromptFindings;
 
+class ServerLimit;
+
+class LimitDemand;
+
+class LimitReport;
+
+class LimitGrant;
+
+class LimitUpdate;
+
 class LinkMessage;
 
 typedef struct _Member__isset {
@@ -4322,8 +4332,261 @@
 
 std::ostream& operator<<(std::ostream& out, const PromptFindings& obj);
 
+typedef struct _ServerLimit__isset {
+  _ServerLimit__isset() : server(false), rate(false), ageMs(false) {}
+  bool server :1;
+  bool rate :1;
+  bool ageMs :1;
+} _ServerLimit__isset;
+
+class ServerLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLimit(const ServerLimit&) noexcept;
+  ServerLimit& operator=(const ServerLimit&) noexcept;
+  ServerLimit() noexcept
+              : server(0),
+                rate(0),
+                ageMs(0) {
+  }
+
+  virtual ~ServerLimit() noexcept;
+  int64_t server;
+  int32_t rate;
+  int32_t ageMs;
+
+  _ServerLimit__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_rate(const int32_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const ServerLimit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (__isset.rate != rhs.__isset.rate)
+      return false;
+    else if (__isset.rate && !(rate == rhs.rate))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLimit &a, ServerLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
+
+typedef struct _LimitDemand__isset {
+  _LimitDemand__isset() : limit(false), wanted(false), unused(false) {}
+  bool limit :1;
+  bool wanted :1;
+  bool unused :1;
+} _LimitDemand__isset;
+
+class LimitDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitDemand(const LimitDemand&);
+  LimitDemand& operator=(const LimitDemand&);
+  LimitDemand() noexcept
+              : unused(0) {
+  }
+
+  virtual ~LimitDemand() noexcept;
+  ServerLimit limit;
+  std::vector<int32_t>  wanted;
+  int32_t unused;
+
+  _LimitDemand__isset __isset;
+
+  void __set_limit(const ServerLimit& val);
+
+  void __set_wanted(const std::vector<int32_t> & val);
+
+  void __set_unused(const int32_t val);
+
+  bool operator == (const LimitDemand & rhs) const
+  {
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(unused == rhs.unused))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitDemand &a, LimitDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitDemand& obj);
+
+typedef struct _LimitReport__isset {
+  _LimitReport__isset() : demands(false) {}
+  bool demands :1;
+} _LimitReport__isset;
+
+class LimitReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitReport(const LimitReport&);
+  LimitReport& operator=(const LimitReport&);
+  LimitReport() noexcept {
+  }
+
+  virtual ~LimitReport() noexcept;
+  std::vector<LimitDemand>  demands;
+
+  _LimitReport__isset __isset;
+
+  void __set_demands(const std::vector<LimitDemand> & val);
+
+  bool operator == (const LimitReport & rhs) const
+  {
+    if (!(demands == rhs.demands))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitReport &a, LimitReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitReport& obj);
+
+typedef struct _LimitGrant__isset {
+  _LimitGrant__isset() : limit(false), permits(false), wantedByAll(false) {}
+  bool limit :1;
+  bool permits :1;
+  bool wantedByAll :1;
+} _LimitGrant__isset;
+
+class LimitGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitGrant(const LimitGrant&);
+  LimitGrant& operator=(const LimitGrant&);
+  LimitGrant() noexcept
+             : wantedByAll(0) {
+  }
+
+  virtual ~LimitGrant() noexcept;
+  ServerLimit limit;
+  std::vector<int32_t>  permits;
+  int32_t wantedByAll;
+
+  _LimitGrant__isset __isset;
+
+  void __set_limit(const ServerLimit& val);
+
+  void __set_permits(const std::vector<int32_t> & val);
+
+  void __set_wantedByAll(const int32_t val);
+
+  bool operator == (const LimitGrant & rhs) const
+  {
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(permits == rhs.permits))
+      return false;
+    if (!(wantedByAll == rhs.wantedByAll))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitGrant &a, LimitGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitGrant& obj);
+
+typedef struct _LimitUpdate__isset {
+  _LimitUpdate__isset() : grants(false) {}
+  bool grants :1;
+} _LimitUpdate__isset;
+
+class LimitUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitUpdate(const LimitUpdate&);
+  LimitUpdate& operator=(const LimitUpdate&);
+  LimitUpdate() noexcept {
+  }
+
+  virtual ~LimitUpdate() noexcept;
+  std::vector<LimitGrant>  grants;
+
+  _LimitUpdate__isset __isset;
+
+  void __set_grants(const std::vector<LimitGrant> & val);
+
+  bool operator == (const LimitUpdate & rhs) const
+  {
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitUpdate &a, LimitUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitUpdate& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false), limitReport(false), limitUpdate(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -4337,6 +4600,8 @@
   bool routingDelta :1;
   bool promptEvidence :1;
   bool promptFindings :1;
+  bool limitReport :1;
+  bool limitUpdate :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4361,6 +4626,8 @@
   RoutingDelta routingDelta;
   PromptEvidence promptEvidence;
   PromptFindings promptFindings;
+  LimitReport limitReport;
+  LimitUpdate limitUpdate;
 
   _LinkMessage__isset __isset;
 
@@ -4390,6 +4657,10 @@
 
   void __set_promptFindings(const PromptFindings& val);
 
+  void __set_limitReport(const LimitReport& val);
+
+  void __set_limitUpdate(const LimitUpdate& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4444,6 +4715,14 @@
       return false;
     else if (__isset.promptFindings && !(promptFindings == rhs.promptFindings))
       return false;
+    if (__isset.limitReport != rhs.__isset.limitReport)
+      return false;
+    else if (__isset.limitReport && !(limitReport == rhs.limitReport))
+      return false;
+    if (__isset.limitUpdate != rhs.__isset.limitUpdate)
+      return false;
+    else if (__isset.limitUpdate && !(limitUpdate == rhs.limitUpdate))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -163,6 +163,19 @@
 // sent. Replaces the sender's previous message of this type.
 struct PromptFindings { 1: list<i64> suspects, 2: list<i64> quarantined }
 
+// The limit that one start of a server named last, in thousandths of a request per second; left out if it names none any more.
+// `ageMs` ago it said so.
+struct ServerLimit { 1: i64 server, 2: optional i32 rate, 3: i32 ageMs }
+// `wanted` is the number of permits by priority, 0 first; later priorities are left out if they are zero. `unused` is the number of
+// permits that ran out unused.
+struct LimitDemand { 1: ServerLimit limit, 2: list<i32> wanted, 3: i32 unused }
+// Demand of an entry instance, or of all entry instances attached to a state instance.
+struct LimitReport { 1: list<LimitDemand> demands }
+// Permits for the receiver by priority. `wantedByAll` is the number that all entry instances want.
+struct LimitGrant { 1: ServerLimit limit, 2: list<i32> permits, 3: i32 wantedByAll }
+// From a state instance to an entry instance, several times in a second while any server names a limit.
+struct LimitUpdate { 1: list<LimitGrant> grants }
+
 union LinkMessage {
   1: LinkHello hello
   2: AgreementMessage agreement
@@ -177,4 +190,6 @@
   11: RoutingDelta routingDelta
   12: PromptEvidence promptEvidence
   13: PromptFindings promptFindings
+  14: LimitReport limitReport
+  15: LimitUpdate limitUpdate
 }
--- a/test/error/server_limits.cpp
+++ b/test/error/server_limits.cpp
@@ -125,7 +125,7 @@
     const auto limited = GENERATE(RoutedBench::withField(RoutedBench::answer("a"), "Server-Limit", "1"), RoutedBench::withField(RoutedBench::answer("a", 500), "Server-Limit", "1"), RoutedBench::withField(RoutedBench::rejection(), "Server-Limit", "1.0"));
     bench.upstream.scripts.assign(200, limited);
     for (int i = 0; i < 40; ++i)
-        bench.runAgain(RoutedBench::request("/order/7"));
+        bench.runAgain(RoutedBench::request("/order/7", "good-key", "60")); // A short wait for a permit.
     // Two servers, and what the rule allows each in 4 s.
     CHECK(bench.upstream.addresses.size() <= 2 * 11);
 }
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -80,6 +80,8 @@
         .takeLocalPrefixes = [] { return std::vector<CachedPrefixReport> {}; },
         .takePromptEvidence = [](bool) { return PromptEvidence {}; },
         .promptFindings = [](const auto&) {},
+        .takeLimitReport = [] { return LimitReport(); },
+        .limits = [](const auto&) {},
         .entryInstances = [](auto) {},
     };
 }
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -79,12 +79,12 @@
         routing.apply(configuration());
     }
 
-    static HttpRequest request(const std::string& path, const std::string& key = "good-key")
+    static HttpRequest request(const std::string& path, const std::string& key = "good-key", const std::string& deadlineMs = "4000")
     {
         HttpRequest http { .method = "POST", .target = path, .fields = {}, .body = "body" };
         http.fields.add("Host", "h.example");
         http.fields.add("Attempt-Id", attemptId);
-        http.fields.add("Deadline-Ms", "4000");
+        http.fields.add("Deadline-Ms", deadlineMs);
         if (!key.empty())
             http.fields.add("Authorization", "Bearer " + key);
         return http;
@@ -136,7 +136,13 @@
     /** Serves the request and returns once the exchange has ended. */
     void run(const HttpRequest& http)
     {
-        asio::co_spawn(loop, handler.handle(http, writer), asio::detached);
+        auto isDone = false;
+        asio::co_spawn(loop, handler.handle(http, writer), [&isDone](const auto&) { isDone = true; });
+        while (!isDone) {
+            loop.poll();
+            admissionQueue.placeWaiting(monotonicNow()); // As the tick of an entry instance does.
+            loop.restart();
+        }
         loop.run();
     }
 
