Name the whole request in the log line of a broken answer

Event 2103 came only for requests with a prompt, and named only its parts. The line now comes for each broken answer and has a hash of method, path, workspace and body.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -6,6 +6,7 @@
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
+#include "placement/RequestParts.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -87,9 +88,10 @@
         // A disconnecting caller must not count against the server's health.
         result.outcome = CallOutcome::Rejected;
     }
-    if (result.end == AttemptEnd::Failed && result.hasBrokenOff && !m_metadata.prompt.isEmpty()) {
+    if (result.end == AttemptEnd::Failed && result.hasBrokenOff) {
         logBroken(placement, result.cause, monotonicNow() - now);
-        m_context.promptGuard.recordCrash(m_metadata.prompt, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
+        if (!m_metadata.prompt.isEmpty())
+            m_context.promptGuard.recordCrash(m_metadata.prompt, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
     }
     m_context.selector.endCall(callId, result.outcome, monotonicNow());
     m_context.admissionQueue.placeWaiting(monotonicNow());
@@ -308,7 +310,8 @@
     std::string parts;
     for (std::size_t i = 0; i + 1 < m_metadata.prompt.parts.size() && i < maxLoggedParts; ++i)
         parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id.value());
-    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), parts);
+    const auto whole = wholeRequestOf(m_http.method, m_http.target, m_workspace ? m_workspace->id : WorkspaceId(), m_http.body);
+    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} request={:x} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), whole.value(), parts);
 }
 
 } // namespace HickoryHollow
