Put whole requests that crash servers in quarantine, fleet-wide

CrashSuspects now counts the request as a whole beside the parts of its prompt: method, path, workspace and body, and for prompts also with their parts, as a body need not hold the prompt.

--- a/src/entry/Dispatcher.cpp
+++ b/src/entry/Dispatcher.cpp
@@ -151,8 +151,11 @@
     deliver(decisions);
     for (const auto& it : m_scheduler.takeEjectionChanges())
         logEvent(it.isEjected ? LogEvent::BackendEjected : LogEvent::BackendRestored, "backend={} pool={} slowness={:.1f}", it.backend.value(), it.pool.value(), it.slowness);
-    for (const auto& it : m_quarantine.update(monotonicNow()))
+    const auto changes = m_quarantine.update(monotonicNow());
+    for (const auto& it : changes.quarantined)
         logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part.value(), it.crashes, it.rounds, it.wasAnswered);
+    for (const auto part : changes.released)
+        logEvent(LogEvent::PromptReleased, "part={:x} cause=explained", part.value());
 }
 
 std::optional<Duration> Dispatcher::enterWorkspace(const Workspace& workspace)
--- a/src/entry/RequestQuarantine.cpp
+++ b/src/entry/RequestQuarantine.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-/** What a request may share with others, as the parts of a prompt. The last part is not shared and has no meaning. */
-Prompt partsOf(const CallerRequest& request)
+/** What a request may share with others: the start of its prompt, and for repeats the whole request. */
+std::vector<PromptPartId> partsOf(const CallerRequest& request)
 {
-    Prompt prompt;
+    std::vector<PromptPartId> parts { PromptPartId(request.fingerprint) };
     if (request.prefix.value() != 0)
-        prompt.parts.push_back({ .id = PromptPartId(request.prefix.value()), .tokens = 0 });
-    prompt.parts.push_back({ .id = PromptPartId(request.fingerprint), .tokens = 0 });
-    prompt.parts.push_back({});
-    return prompt;
+        parts.emplace_back(request.prefix.value());
+    return parts;
 }
 
 } // namespace
@@ -61,11 +59,11 @@
     return { .crashes = {}, .answered = {}, .quarantined = m_suspects.findings().quarantined };
 }
 
-std::vector<CrashSuspects::NewQuarantine> RequestQuarantine::update(TimePoint now)
+CrashSuspects::Changes RequestQuarantine::update(TimePoint now)
 {
-    auto found = m_suspects.update(now);
+    auto changes = m_suspects.update(now);
     m_guard.apply(m_suspects.findings());
-    return found;
+    return changes;
 }
 
 } // namespace HickoryHollow
--- a/src/entry/RequestQuarantine.h
+++ b/src/entry/RequestQuarantine.h
@@ -32,8 +32,8 @@
     PromptEvidence takeEvidence(TimePoint now);
     /** Returns what an instance that joins has to know. */
     PromptEvidence quarantined() const;
-    /** Applies the rules of CrashSuspects. Call several times per second. Returns the new quarantines. */
-    std::vector<CrashSuspects::NewQuarantine> update(TimePoint now);
+    /** Applies the rules of CrashSuspects. Call several times per second. */
+    CrashSuspects::Changes update(TimePoint now);
 
 private:
     std::map<BackendId, Incarnation> m_incarnations;
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -6,6 +6,7 @@
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
+#include "placement/RequestParts.h"
 #include "routing/ActiveRouting.h"
 
 #include <algorithm>
@@ -77,6 +78,11 @@
 
 Task<void> RoutedExchange::runAttempts()
 {
+    m_parts = sharedPartsOf(m_metadata.prompt);
+    const auto whole = wholeRequestOf(m_http.method, m_http.target, m_workspace ? m_workspace->id : WorkspaceId(), m_http.body);
+    if (!m_metadata.prompt.isEmpty())
+        m_parts.push_back(wholeRequestOf(whole, m_metadata.prompt));
+    m_parts.push_back(whole);
     m_placementRequest = { .service = pickService(), .prompt = m_metadata.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .levelsAboveLowest = 0, .excluded = {} };
     m_placementRequest.priority = priority();
     m_placementRequest.levelsAboveLowest = m_table->lowestPriority(m_placementRequest.service) - m_route->priority;
@@ -126,11 +132,18 @@
     }
 }
 
+std::string_view RoutedExchange::quarantineCode() const
+{
+    if (!m_context.promptGuard.isQuarantined(m_parts))
+        return "";
+    // Of a request without a prompt there is nothing but the whole.
+    return m_metadata.prompt.isEmpty() ? "request-quarantined" : "prompt-quarantined";
+}
+
 std::optional<RoutedExchange::NotSent> RoutedExchange::findQuarantine() const
 {
-    if (!m_context.promptGuard.isQuarantined(m_metadata.prompt))
-        return std::nullopt;
-    return NotSent { .code = quarantinedCode, .retryAfter = m_context.maxRetryAfter };
+    const auto code = quarantineCode();
+    return code.empty() ? std::nullopt : std::optional(NotSent { .code = code, .retryAfter = m_context.maxRetryAfter });
 }
 
 Task<void> RoutedExchange::refuse(const NotSent& refusal)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -20,7 +20,6 @@
 
 constexpr unsigned unavailable = 503; // This HTTP status promises that the request has not run and will not run.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
-constexpr std::string_view quarantinedCode = "prompt-quarantined"; // The prompt has a part that crashes servers.
 
 } // namespace Internal
 
@@ -97,7 +96,9 @@
     bool mayRetry(const AttemptResult&);
     /** Time at which a silent attempt is ended, or nothing if it is to end now. */
     std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&) const;
-    /** The refusal of a prompt with a part in quarantine. */
+    /** Error code of a request that crashes servers, or a part of its prompt does; empty if it may be sent. */
+    std::string_view quarantineCode() const;
+    /** The refusal of such a request. */
     std::optional<NotSent> findQuarantine() const;
     /**
      * Returns the refusal if the request must not be sent (again), or a retry taken from the budget and nothing. `placement`
@@ -135,6 +136,7 @@
     TimePoint m_deadline; // Arrival plus the shorter of route timeout and caller timeout.
     std::shared_ptr<const RouteTable> m_table; // Active when the request was admitted; owns m_route and m_workspace.
     RequestMetadata m_metadata;
+    std::vector<PromptPartId> m_parts; // Parts that may be in quarantine, the whole request last; filled after admission.
     TimePoint m_startupWaitEnd; // Latest end of the waits for a configuration and for the first server.
     const RouteRule* m_route = nullptr; // Null until the route is found.
     const KeyedWorkspace* m_workspace = nullptr; // Null if the route needs no key.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -6,7 +6,6 @@
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
-#include "placement/RequestParts.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -90,8 +89,7 @@
     }
     if (result.end == AttemptEnd::Failed && result.hasBrokenOff) {
         logBroken(placement, result.cause, monotonicNow() - now);
-        if (!m_metadata.prompt.isEmpty())
-            m_context.promptGuard.recordCrash(m_metadata.prompt, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
+        m_context.promptGuard.recordCrash(m_parts, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
     }
     m_context.selector.endCall(callId, result.outcome, monotonicNow());
     m_context.admissionQueue.placeWaiting(monotonicNow());
@@ -104,8 +102,8 @@
 {
     if (m_workspace && !hasLease())
         return "configuration-unconfirmed";
-    if (m_context.promptGuard.isQuarantined(m_metadata.prompt))
-        return quarantinedCode;
+    if (const auto code = quarantineCode(); !code.empty())
+        return code;
     return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
 }
 
@@ -211,7 +209,7 @@
     }
     result.outcome = CallOutcome::Answered;
     if (head.status < firstRedirect)
-        m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
+        m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
@@ -261,7 +259,7 @@
             if (isComplete || m_events.progressCount() > progressBefore) {
                 recordChunk(callId);
                 firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
-                isSound = isSound || m_context.promptGuard.recordProgress(m_metadata.prompt, *firstEventAt, *m_lastChunkAt);
+                isSound = isSound || m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt);
             }
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
@@ -283,7 +281,7 @@
         if (isComplete)
             break;
     }
-    m_context.promptGuard.recordAnswered(m_metadata.prompt, monotonicNow());
+    m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
     result.end = AttemptEnd::Delivered;
     result.outcome = CallOutcome::Answered;
     result.cause = "none";
@@ -308,10 +306,9 @@
 {
     constexpr std::size_t maxLoggedParts = 8;
     std::string parts;
-    for (std::size_t i = 0; i + 1 < m_metadata.prompt.parts.size() && i < maxLoggedParts; ++i)
-        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_metadata.prompt.parts[i].id.value());
-    const auto whole = wholeRequestOf(m_http.method, m_http.target, m_workspace ? m_workspace->id : WorkspaceId(), m_http.body);
-    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} request={:x} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), whole.value(), parts);
+    for (std::size_t i = 0; i + 1 < m_parts.size() && i < maxLoggedParts; ++i)
+        parts += fmt::format("{}{:x}", i == 0 ? "" : ",", m_parts[i].value());
+    logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} request={:x} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), m_parts.back().value(), parts);
 }
 
 } // namespace HickoryHollow
--- a/src/node/StateInstancePrompts.cpp
+++ b/src/node/StateInstancePrompts.cpp
@@ -8,7 +8,7 @@
 void StateInstance::handlePromptEvidence(const PromptEvidence& evidence)
 {
     for (const auto& it : m_crashSuspects.record(evidence, monotonicNow()))
-        logEvent(LogEvent::PromptReleased, "part={:x} answered_ms_ago={}", it.part.value(), it.age / std::chrono::milliseconds(1));
+        logEvent(LogEvent::PromptReleased, "part={:x} cause=answered answered_ms_ago={}", it.part.value(), it.age / std::chrono::milliseconds(1));
     if (!evidence.quarantined.empty())
         publishPromptFindings();
 }
@@ -16,7 +16,10 @@
 void StateInstance::publishPromptFindings()
 {
     PromptEvidence found;
-    for (const auto& it : m_crashSuspects.update(monotonicNow())) {
+    const auto changes = m_crashSuspects.update(monotonicNow());
+    for (const auto part : changes.released)
+        logEvent(LogEvent::PromptReleased, "part={:x} cause=explained", part.value());
+    for (const auto& it : changes.quarantined) {
         logEvent(LogEvent::PromptQuarantined, "part={:x} crashes={} rounds={} was_answered={}", it.part.value(), it.crashes, it.rounds, it.wasAnswered);
         found.quarantined.push_back(it.part);
     }
--- a/src/placement/CrashSuspects.cpp
+++ b/src/placement/CrashSuspects.cpp
@@ -8,7 +8,8 @@
 
 constexpr std::size_t crashesToSuspect = 2; // One crash happens to every part that is in use.
 // A part that was never answered. In a wave of crashes for another reason all requests were sent before the first crash.
-constexpr std::uint32_t roundsToProve = 3;
+constexpr std::uint32_t roundsToProve = 2;
+constexpr std::size_t crashesToProveInRounds = 3; // A service of a few servers has no fifth one for three seconds after the fourth.
 constexpr std::size_t crashesToProve = 5; // Many requests at once can end all servers in one round.
 constexpr std::uint32_t roundsToProveAnswered = 8; // A shared part is in many requests beside the guilty one.
 constexpr Duration replyTime = std::chrono::milliseconds(600); // Entry instances report whole answers within this time.
@@ -36,12 +37,14 @@
 
 void CrashSuspects::recordCrash(const PromptCrash& crash, TimePoint now)
 {
-    const auto isExplained = std::any_of(crash.parts.begin(), crash.parts.end(), [this](auto part) {
+    const auto quarantined = std::find_if(crash.parts.begin(), crash.parts.end(), [this](auto part) {
         const auto it = m_suspects.find(part);
         return it != m_suspects.end() && it->second.quarantinedUntil;
     });
-    if (isExplained)
+    if (quarantined != crash.parts.end()) {
+        m_suspects[*quarantined].servers.insert(crash.server); // It explains what else ended there.
         return;
+    }
     const auto endedAt = now - crash.age;
     for (const auto part : crash.parts) {
         auto& suspect = m_suspects[part];
@@ -109,28 +112,54 @@
         return false;
     if (suspect.wasAnswered)
         return suspect.rounds >= roundsToProveAnswered;
-    return suspect.rounds >= roundsToProve || suspect.servers.size() >= crashesToProve;
+    return (suspect.rounds >= roundsToProve && suspect.servers.size() >= crashesToProveInRounds) || suspect.servers.size() >= crashesToProve;
+}
+
+bool CrashSuspects::isExplained(const Suspect& suspect) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&suspect](const auto& it) {
+        const auto& other = it.second;
+        return other.quarantinedUntil && other.servers.size() > suspect.servers.size() && std::includes(other.servers.begin(), other.servers.end(), suspect.servers.begin(), suspect.servers.end());
+    });
 }
 
-std::vector<CrashSuspects::NewQuarantine> CrashSuspects::update(TimePoint now)
+CrashSuspects::Changes CrashSuspects::update(TimePoint now)
 {
-    std::vector<NewQuarantine> found;
+    Changes changes;
     std::erase_if(m_cleared, [now](const auto& it) { return now - it.second > clearedTime; });
     std::erase_if(m_suspects, [now](const auto& it) {
         return !it.second.quarantinedUntil && now - it.second.lastCrashAt > suspicionTime + it.second.quarantineTime * 2;
     });
+    std::vector<std::pair<PromptPartId, Suspect*>> proven;
     for (auto& [part, suspect] : m_suspects) {
         if (suspect.quarantinedUntil && now >= *suspect.quarantinedUntil) {
             suspect.quarantinedUntil.reset();
             suspect.servers.clear();
             suspect.rounds = 0;
         }
-        if (suspect.quarantinedUntil || !isProven(suspect, now))
+        if (!suspect.quarantinedUntil && isProven(suspect, now))
+            proven.emplace_back(part, &suspect);
+    }
+    // The part that explains most crashes first.
+    std::sort(proven.begin(), proven.end(), [](const auto& a, const auto& b) { return a.second->servers.size() > b.second->servers.size(); });
+    for (const auto& [part, suspect] : proven) {
+        if (isExplained(*suspect))
             continue;
-        quarantine(suspect, now);
-        found.push_back({ .part = part, .crashes = suspect.servers.size(), .rounds = suspect.rounds, .wasAnswered = suspect.wasAnswered });
+        quarantine(*suspect, now);
+        changes.quarantined.push_back({ .part = part, .crashes = suspect->servers.size(), .rounds = suspect->rounds, .wasAnswered = suspect->wasAnswered });
+    }
+    if (changes.quarantined.empty())
+        return changes;
+    for (const auto& [part, suspect] : m_suspects) {
+        // A quarantine that another instance found has no crashes here.
+        if (suspect.quarantinedUntil && !suspect.servers.empty() && isExplained(suspect))
+            changes.released.push_back(part);
+    }
+    for (const auto part : changes.released) {
+        m_suspects.erase(part);
+        m_cleared[part] = now;
     }
-    return found;
+    return changes;
 }
 
 PromptFindings CrashSuspects::findings() const
--- a/src/placement/CrashSuspects.h
+++ b/src/placement/CrashSuspects.h
@@ -5,7 +5,9 @@
  * It answers requests that share nothing but one such part, come through every instance, and end one engine after the
  * other. A crash ends all answers of its engine, so the parts of innocent prompts are seen in crashes too. What sets the
  * guilty part apart is that no engine ever answers it: a part that was answered after its last crash is cleared, and one
- * that was answered at any time needs more crashes as proof. After a quarantine the part is tried again, and the first crash
+ * that was answered at any time needs more crashes as proof. A sound request that many callers send may be on every server that
+ * ends and be answered by none while the service starts again and again: it is not put in quarantine, or released, once a part
+ * in quarantine explains all its crashes and others beside. After a quarantine the part is tried again, and the first crash
  * leads to another one of twice the length.
  */
 #pragma once
@@ -36,8 +38,14 @@
     bool recordAnswered(PromptPartId part, TimePoint answeredAt, TimePoint now);
     /** Takes over a quarantine that another instance knows of, unless the part was cleared a short time ago. */
     void addQuarantined(PromptPartId part, TimePoint now);
-    /** Puts parts in quarantine, and drops what is too old. Call several times per second. Returns the new quarantines. */
-    std::vector<NewQuarantine> update(TimePoint now);
+    /** What update() changed. */
+    struct Changes {
+        std::vector<NewQuarantine> quarantined;
+        std::vector<PromptPartId> released; ///< Another part explains their crashes.
+    };
+
+    /** Puts parts in quarantine, releases those that others explain, and drops what is too old. Call several times per second. */
+    Changes update(TimePoint now);
     /** Returns what is found at present; the parts are sorted. */
     PromptFindings findings() const;
 
@@ -56,6 +64,8 @@
     /** Returns true if whole answers to the part are to be reported. */
     static bool isSuspected(const Suspect&);
     static void quarantine(Suspect&, TimePoint now);
+    /** Returns true if a part in quarantine was in all crashes of the suspect, and in more. */
+    bool isExplained(const Suspect&) const;
     void dropOldest();
 
     std::unordered_map<PromptPartId, Suspect> m_suspects; // By part; at most maxSuspects.
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -7,33 +7,21 @@
 namespace {
 
 constexpr std::size_t maxCrashes = 256; // The requests of one entry instance at a few servers that crash together.
-constexpr std::size_t maxAnsweredParts = 4096;
+constexpr std::size_t maxAnsweredParts = 8192; // Two minutes of an instance with sixty requests a second, no two alike.
 constexpr Duration soundAfter = std::chrono::seconds(1); // A crashing part ends its engine when the answer begins.
 
-/** Ids of the parts that other requests may share: all but the last one, each once. */
-std::vector<PromptPartId> sharedParts(const Prompt& prompt)
-{
-    std::vector<PromptPartId> parts;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-        parts.push_back(prompt.parts[i].id);
-    std::sort(parts.begin(), parts.end());
-    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
-    return parts;
-}
-
 } // namespace
 
-void PromptGuard::recordCrash(const Prompt& prompt, const BackendId& backend, Incarnation incarnation, Duration sentFor, TimePoint now)
+void PromptGuard::recordCrash(const std::vector<PromptPartId>& parts, const BackendId& backend, Incarnation incarnation, Duration sentFor, TimePoint now)
 {
-    auto parts = sharedParts(prompt);
     if (parts.empty() || m_crashes.size() >= maxCrashes)
         return;
-    m_crashes.push_back({ .report = { .server = serverStartOf(backend, incarnation), .sentFor = sentFor, .age = {}, .parts = std::move(parts) }, .endedAt = now });
+    m_crashes.push_back({ .report = { .server = serverStartOf(backend, incarnation), .sentFor = sentFor, .age = {}, .parts = parts }, .endedAt = now });
 }
 
-void PromptGuard::recordAnswered(const Prompt& prompt, TimePoint now)
+void PromptGuard::recordAnswered(const std::vector<PromptPartId>& parts, TimePoint now)
 {
-    for (const auto part : sharedParts(prompt)) {
+    for (const auto part : parts) {
         if (m_answered.size() >= maxAnsweredParts)
             m_answeredEarlier = std::exchange(m_answered, {});
         m_answered[part] = now;
@@ -42,11 +30,11 @@
     }
 }
 
-bool PromptGuard::recordProgress(const Prompt& prompt, TimePoint firstEventAt, TimePoint now)
+bool PromptGuard::recordProgress(const std::vector<PromptPartId>& parts, TimePoint firstEventAt, TimePoint now)
 {
     if (now - firstEventAt < soundAfter)
         return false;
-    recordAnswered(prompt, now);
+    recordAnswered(parts, now);
     return true;
 }
 
@@ -60,10 +48,9 @@
     }
 }
 
-bool PromptGuard::isQuarantined(const Prompt& prompt) const
+bool PromptGuard::isQuarantined(const std::vector<PromptPartId>& parts) const
 {
-    // The last part is this request's own and is never in quarantine.
-    return !m_quarantined.empty() && std::any_of(prompt.parts.begin(), prompt.parts.end(), [this](const auto& it) { return m_quarantined.contains(it.id); });
+    return !m_quarantined.empty() && std::any_of(parts.begin(), parts.end(), [this](auto it) { return m_quarantined.contains(it); });
 }
 
 PromptEvidence PromptGuard::takeEvidence(TimePoint now)
--- a/src/placement/PromptGuard.h
+++ b/src/placement/PromptGuard.h
@@ -1,11 +1,11 @@
 /** \file
- * One entry instance's part in finding prompts that crash the engines: it reports crashes and whole answers, and refuses
- * prompts with a part in quarantine. See CrashSuspects. Reads no clock.
+ * One entry instance's part in finding requests that crash servers: it reports crashes and whole answers, and refuses requests
+ * with a part in quarantine. Parts are those of the prompt that others may share, and the request as a whole; see RequestParts.h
+ * and CrashSuspects. Reads no clock.
  */
 #pragma once
 
 #include "base/Ids.h"
-#include "placement/Prompt.h"
 #include "placement/PromptEvidence.h"
 
 #include <unordered_map>
@@ -15,19 +15,19 @@
 
 class PromptGuard {
 public:
-    /** The server, which got the prompt `sentFor` before, ended the connection before its answer was whole. */
-    void recordCrash(const Prompt&, const BackendId&, Incarnation, Duration sentFor, TimePoint now);
-    /** A server answered the prompt to the end. */
-    void recordAnswered(const Prompt&, TimePoint now);
+    /** The server, which got the request `sentFor` before, ended the connection before its answer was whole. */
+    void recordCrash(const std::vector<PromptPartId>& parts, const BackendId&, Incarnation, Duration sentFor, TimePoint now);
+    /** A server answered the request to the end. */
+    void recordAnswered(const std::vector<PromptPartId>& parts, TimePoint now);
     /**
      * A stream goes on whose first event came at `firstEventAt`. Once it has lasted for a second, it counts as answered, and
      * true is returned.
      */
-    bool recordProgress(const Prompt&, TimePoint firstEventAt, TimePoint now);
+    bool recordProgress(const std::vector<PromptPartId>& parts, TimePoint firstEventAt, TimePoint now);
     /** Takes over the findings of the state instances, which replace earlier ones. */
     void apply(const PromptFindings&);
-    /** Returns true if the prompt has a part in quarantine. */
-    bool isQuarantined(const Prompt&) const;
+    /** Returns true if any of the parts is in quarantine. */
+    bool isQuarantined(const std::vector<PromptPartId>& parts) const;
     /** Returns, and removes, the observations to report. */
     PromptEvidence takeEvidence(TimePoint now);
     /** Makes the next report include the parts in quarantine, for a state instance that may not know them. */
--- a/src/placement/RequestParts.cpp
+++ b/src/placement/RequestParts.cpp
@@ -24,4 +24,14 @@
     return PromptPartId(hash);
 }
 
+PromptPartId wholeRequestOf(PromptPartId request, const Prompt& prompt)
+{
+    auto hash = XXH64(prompt.model.data(), prompt.model.size(), request.value());
+    for (const auto& it : prompt.parts) {
+        const auto id = it.id.value();
+        hash = XXH64(&id, sizeof id, hash);
+    }
+    return PromptPartId(hash);
+}
+
 } // namespace HickoryHollow
--- a/src/placement/RequestParts.h
+++ b/src/placement/RequestParts.h
@@ -18,4 +18,10 @@
 /** Identifies all requests with this method, path, workspace and body, which is empty where the request needs no key. */
 PromptPartId wholeRequestOf(std::string_view method, std::string_view target, const WorkspaceId&, std::string_view body);
 
+/**
+ * Identifies all requests with this whole request, model and prompt. The body need not hold the prompt, so that requests with
+ * different prompts may be equal without it.
+ */
+PromptPartId wholeRequestOf(PromptPartId request, const Prompt&);
+
 } // namespace HickoryHollow
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -5,6 +5,7 @@
 #include "base/SeededRandom.h"
 #include "placement/CrashSuspects.h"
 #include "placement/PromptGuard.h"
+#include "placement/RequestParts.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
@@ -41,6 +42,8 @@
         double guiltyPerSecond = 5;
         double soundPerSecond = 20;
         std::uint32_t soundParts = 20; ///< First parts that sound prompts, and the crashing ones, begin with.
+        bool isPlain = false; ///< One crashing request that comes again, beside `soundParts` sound ones, all without prompts.
+        double ownEndsPerSecond = 0; ///< Servers that end for reasons of their own.
     };
 
     explicit Fleet(Options options)
@@ -65,7 +68,9 @@
     }
 
     std::uint32_t crashes = 0;
+    std::optional<TimePoint> thirdCrashAt; ///< Of the crashing requests.
     std::optional<TimePoint> fifthCrashAt;
+    std::uint32_t sentAfterThird = 0; ///< Crashing requests that were sent later than 3 s after the third crash.
     std::uint32_t sentLate = 0; ///< Crashing prompts that were sent later than 3 s after the fifth crash.
     std::uint32_t soundRefused = 0;
     std::uint32_t soundSent = 0;
@@ -88,45 +93,54 @@
         if (m_random.below(1000) >= threshold)
             return;
         Prompt prompt;
-        prompt.parts.push_back({ .id = PromptPartId(shared.value() + m_random.below(m_options.soundParts)), .tokens = 10 });
+        if (!m_options.isPlain || !isGuilty)
+            prompt.parts.push_back({ .id = PromptPartId(shared.value() + m_random.below(m_options.soundParts)), .tokens = 10 });
         if (isGuilty)
             prompt.parts.insert(m_random.below(2) == 0 ? prompt.parts.begin() : prompt.parts.end(), { .id = guilty, .tokens = 10 });
         prompt.parts.push_back({ .id = PromptPartId(1000000 + ++m_lastPart), .tokens = 10 });
         const auto instance = static_cast<std::uint32_t>(m_random.below(m_options.instances));
         const auto engine = static_cast<std::uint32_t>(m_random.below(m_options.engines));
-        if (m_guards[instance].isQuarantined(prompt)) {
+        if (m_guards[instance].isQuarantined(sharedPartsOf(prompt))) {
             soundRefused += isGuilty ? 0 : 1;
             return;
         }
         if (m_now < m_downUntil[engine])
             return;
         soundSent += isGuilty ? 0 : 1;
+        sentAfterThird += isGuilty && thirdCrashAt && m_now > *thirdCrashAt + 3s ? 1 : 0;
         sentLate += isGuilty && fifthCrashAt && m_now > *fifthCrashAt + 3s ? 1 : 0;
-        const auto takes = isGuilty ? 50ms + m_random.below(300) * 1ms : 500ms + m_random.below(1500) * 1ms;
+        const auto soundTime = m_options.isPlain ? 20ms + m_random.below(40) * 1ms : 500ms + m_random.below(1500) * 1ms;
+        const auto takes = isGuilty ? 50ms + m_random.below(m_options.isPlain ? 80 : 300) * 1ms : soundTime;
         m_runs.push_back({ .instance = instance, .engine = engine, .isGuilty = isGuilty, .prompt = std::move(prompt), .sentAt = m_now, .endsAt = m_now + takes });
     }
 
     void advance()
     {
         const auto isCrash = [this](const auto& it) { return it.isGuilty && it.endsAt <= m_now; };
+        const auto ends = static_cast<std::uint64_t>(m_options.ownEndsPerSecond * 10);
+        if (ends > 0 && m_random.below(1000) < ends)
+            end(static_cast<std::uint32_t>(m_random.below(m_options.engines)));
         for (auto it = m_runs.begin(); (it = std::find_if(m_runs.begin(), m_runs.end(), isCrash)) != m_runs.end();)
             end(it->engine);
         std::erase_if(m_runs, [this](const auto& it) {
             if (it.endsAt > m_now)
                 return false;
-            m_guards[it.instance].recordAnswered(it.prompt, m_now);
+            m_guards[it.instance].recordAnswered(sharedPartsOf(it.prompt), m_now);
             return true;
         });
     }
 
     void end(std::uint32_t engine)
     {
-        if (++crashes == 5)
+        ++crashes;
+        if (crashes == 3)
+            thirdCrashAt = m_now;
+        if (crashes == 5)
             fifthCrashAt = m_now;
         const BackendId id("engine-" + std::to_string(engine));
         std::erase_if(m_runs, [&](const auto& it) {
             if (it.engine == engine)
-                m_guards[it.instance].recordCrash(it.prompt, id, Incarnation(m_incarnations[engine]), m_now - it.sentAt, m_now);
+                m_guards[it.instance].recordCrash(sharedPartsOf(it.prompt), id, Incarnation(m_incarnations[engine]), m_now - it.sentAt, m_now);
             return it.engine == engine;
         });
         ++m_incarnations[engine];
@@ -279,9 +293,9 @@
     prompt.parts = { { .id = shared, .tokens = 1 }, { .id = PromptPartId(9), .tokens = 1 } };
     PromptGuard guard;
     guard.apply({ .suspects = { shared }, .quarantined = {} });
-    CHECK_FALSE(guard.recordProgress(prompt, start, start + 999ms));
+    CHECK_FALSE(guard.recordProgress(sharedPartsOf(prompt), start, start + 999ms));
     CHECK(guard.takeEvidence(start + 999ms).answered.empty());
-    CHECK(guard.recordProgress(prompt, start, start + 1s));
+    CHECK(guard.recordProgress(sharedPartsOf(prompt), start, start + 1s));
     const auto evidence = guard.takeEvidence(start + 1s);
     REQUIRE(evidence.answered.size() == 1);
     CHECK(evidence.answered[0].part == shared);
@@ -299,10 +313,10 @@
     PromptGuard guard;
     Prompt prompt;
     prompt.parts = { { .id = guilty, .tokens = 1 } };
-    guard.recordCrash(prompt, BackendId("s"), Incarnation(1), 1s, start);
+    guard.recordCrash(sharedPartsOf(prompt), BackendId("s"), Incarnation(1), 1s, start);
     CHECK(guard.takeEvidence(start).isEmpty());
     prompt.parts.push_back({ .id = PromptPartId(9), .tokens = 1 });
-    guard.recordCrash(prompt, BackendId("s"), Incarnation(1), 1s, start);
+    guard.recordCrash(sharedPartsOf(prompt), BackendId("s"), Incarnation(1), 1s, start);
     const auto evidence = guard.takeEvidence(start + 1s);
     REQUIRE(evidence.crashes.size() == 1);
     CHECK(evidence.crashes[0].parts == std::vector<PromptPartId> { guilty });
@@ -330,3 +344,51 @@
     // Half of the sound prompts that share a caller or first part must still be served.
     CHECK(fleet.soundRefused * 10 <= fleet.soundSent);
 }
+
+TEST_CASE("a crashing request that comes again through all instances ends few servers, and sound ones that come as often are served", "[placement]")
+{
+    const auto options = GENERATE(
+        Fleet::Options { .engines = 4, .guiltyPerSecond = 5, .soundPerSecond = 20, .soundParts = 5, .isPlain = true },
+        Fleet::Options { .engines = 4, .guiltyPerSecond = 1, .soundPerSecond = 60, .soundParts = 1, .isPlain = true },
+        // A service with one server.
+        Fleet::Options { .engines = 1, .guiltyPerSecond = 3, .soundPerSecond = 30, .soundParts = 2, .isPlain = true },
+        Fleet::Options { .instances = 300, .engines = 5, .guiltyPerSecond = 20, .soundPerSecond = 90, .soundParts = 30, .isPlain = true });
+    const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 21 }));
+    CAPTURE(seed, options.instances, options.engines, options.guiltyPerSecond, options.soundPerSecond);
+    auto seeded = options;
+    seeded.seed = seed;
+    Fleet fleet(seeded);
+    fleet.run(40s);
+    // Three are allowed once the third crash is 3 s old.
+    CHECK(fleet.sentAfterThird <= 3);
+    CHECK(fleet.soundRefused * 10 <= fleet.soundSent);
+}
+
+TEST_CASE("requests that many callers send are served while servers end for reasons of their own", "[placement]")
+{
+    const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 21 }));
+    CAPTURE(seed);
+    Fleet fleet({ .seed = seed, .engines = 4, .guiltyPerSecond = 0, .soundPerSecond = 80, .soundParts = 2, .isPlain = true, .ownEndsPerSecond = 2 });
+    fleet.run(60s);
+    CHECK(fleet.crashes > 20);
+    CHECK(fleet.soundRefused == 0);
+}
+
+TEST_CASE("a request that was on every server that ended is released once another explains these ends and more", "[placement]")
+{
+    CrashSuspects suspects;
+    const PromptPartId popular(7);
+    for (std::uint64_t i = 0; i < 3; ++i)
+        suspects.recordCrash(crash(i, { popular }), start + i * 1s);
+    CHECK(suspects.update(start + 4s).quarantined.size() == 1);
+    for (std::uint64_t i = 0; i < 4; ++i)
+        suspects.recordCrash(crash(i, { guilty }), start + i * 1s);
+    const auto changes = suspects.update(start + 5s);
+    REQUIRE(changes.quarantined.size() == 1);
+    CHECK(changes.quarantined[0].part == guilty);
+    CHECK(changes.released == std::vector<PromptPartId> { popular });
+    CHECK_FALSE(isQuarantined(suspects, popular));
+    // A report of another instance that has not found it yet does not bring it back.
+    suspects.addQuarantined(popular, start + 5s);
+    CHECK_FALSE(isQuarantined(suspects, popular));
+}
