Tell instances that join of the limits that servers name

A state instance without a confirmation by the leader told a joining entry instance of no limit, and one that lost its memory heard of a limit only with the next request that wanted a permit, so that a restarted entry instance could send at any rate in between. Found by reading, while the table of cases was written; the soak did not show it. Limits now go to every joiner, entry instances report all they know on a new link, and state instances tell each other when their link opens.

--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -70,7 +70,10 @@
                       m_promptGuard.reportQuarantined();
                   return m_promptGuard.takeEvidence(monotonicNow()); },
               .promptFindings = [this](const auto& findings) { m_promptGuard.apply(findings); },
-              .takeLimitReport = [this] { return m_selector.limits().takeReport(monotonicNow()); },
+              .takeLimitReport = [this](bool onNewLink) {
+                  if (onNewLink)
+                      m_selector.limits().reportAll();
+                  return m_selector.limits().takeReport(monotonicNow()); },
               .limits = [this](const auto& update) {
                   m_selector.limits().apply(update, monotonicNow());
                   m_admissionQueue.placeWaiting(monotonicNow()); },
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -47,7 +47,7 @@
     void reportUsage(Link&, bool evenIfUnchanged);
     void reportCachedPrefixes(Link&);
     void reportPromptEvidence(Link&, bool isNewLink);
-    void reportLimits(Link&);
+    void reportLimits(Link&, bool isNewLink);
 
     asio::io_context& loop;
     Options options;
@@ -130,8 +130,8 @@
             poll(*link);
         reportUsage(*link, isPoll);
         reportCachedPrefixes(*link);
-        reportPromptEvidence(*link, std::exchange(isFirst, false));
-        reportLimits(*link);
+        reportPromptEvidence(*link, isFirst);
+        reportLimits(*link, std::exchange(isFirst, false));
         wake.expires_after(nextInterval - monotonicNow());
         co_await wake.async_wait(asTuple);
     }
@@ -181,9 +181,9 @@
     link.send(message);
 }
 
-void StateFeed::State::reportLimits(Link& link)
+void StateFeed::State::reportLimits(Link& link, bool isNewLink)
 {
-    const auto report = events.takeLimitReport();
+    const auto report = events.takeLimitReport(isNewLink);
     if (report.isEmpty())
         return;
     Wire::LinkMessage message;
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -53,8 +53,8 @@
         std::function<PromptEvidence(bool onNewLink)> takePromptEvidence;
         /** Receives the findings from what all entry instances observed; they replace earlier ones. */
         std::function<void(const PromptFindings&)> promptFindings;
-        /** Returns the demand for permits of servers that name limits, and what is new of these limits. */
-        std::function<LimitReport()> takeLimitReport;
+        /** Returns the demand for permits of servers that name limits, and what is new of these limits; `onNewLink` at the first call on a link. */
+        std::function<LimitReport(bool onNewLink)> takeLimitReport;
         /** Receives limits of servers and permits. */
         std::function<void(const LimitUpdate&)> limits;
         /** Receives the number of entry instances in the deployment; at least 1. */
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -57,6 +57,7 @@
                   m_broadcast.remove(id); },
               .stateJoined = [this](const auto& id) {
                   sendRecordsToState(id);
+                  sendLimitsToState(id);
                   sendQuarantinedToState(id); },
               .stateLeft = [this](const auto& id) {
                   m_usage.remove(sourceOf(id));
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -76,8 +76,9 @@
     /** Sends due permits and changed limits to the entry instances, and the demand here to the state instances. */
     void publishLimits(bool isRegular);
     void sendPermits(const std::map<std::string, LimitUpdate>&);
-    /** Sends the limits that servers name to an entry instance that joins. */
+    /** Sends the limits that servers name to an instance that joins. */
     void sendLimitsToEntry(EntryLinkId);
+    void sendLimitsToState(const InstanceId&);
     /** Without a leader that confirms, others may issue the same permits. */
     bool mayIssuePermits() const;
 
--- a/src/node/StateInstanceLimits.cpp
+++ b/src/node/StateInstanceLimits.cpp
@@ -59,8 +59,20 @@
 
 void StateInstance::sendLimitsToEntry(EntryLinkId id)
 {
-    if (!m_limits.isEmpty() && mayIssuePermits())
+    if (!m_limits.isEmpty())
         m_mesh.sendToEntry(id, messageOf(m_limits.known(monotonicNow())));
 }
 
+void StateInstance::sendLimitsToState(const InstanceId& id)
+{
+    if (m_limits.isEmpty())
+        return;
+    LimitReport report;
+    for (const auto& it : m_limits.known(monotonicNow()).grants)
+        report.demands.push_back({ .limit = it.limit });
+    Wire::LinkMessage message;
+    message.__set_limitReport(toWire(report));
+    m_mesh.sendToState(id, message);
+}
+
 } // namespace HickoryHollow
--- a/src/placement/LimitedServers.cpp
+++ b/src/placement/LimitedServers.cpp
@@ -208,6 +208,12 @@
     return wanted;
 }
 
+void LimitedServers::reportAll()
+{
+    for (auto& [server, limit] : m_limits)
+        limit.isUnreported = true;
+}
+
 LimitReport LimitedServers::takeReport(TimePoint now)
 {
     LimitReport report;
--- a/src/placement/LimitedServers.h
+++ b/src/placement/LimitedServers.h
@@ -42,6 +42,8 @@
     /** Returns the time after which a further request can expect a permit; zero for a server without a limit. */
     Duration expectedWait(ServerStartId) const;
 
+    /** Makes the next report include all limits, for a state instance that may not know them. */
+    void reportAll();
     /** Returns the demand, and limits that this instance heard of itself since the last report. */
     LimitReport takeReport(TimePoint now);
     /** Returns true if some request found no permit, or a server changed its limit, since the last report. */
--- a/test/correctness/server_limits.cpp
+++ b/test/correctness/server_limits.cpp
@@ -415,6 +415,20 @@
     CHECK_FALSE(joined.permitUntil(server, 0, start));
 }
 
+TEST_CASE("an instance tells a state instance without memory of the limits that it knows", "[limits]")
+{
+    LimitedServers servers;
+    servers.recordNotice(server, RequestRate(2000), start, start);
+    CHECK(servers.takeReport(start).demands.size() == 1);
+    CHECK(servers.takeReport(start).isEmpty());
+    servers.reportAll();
+    LimitShares replaced;
+    replaced.reportFromEntry("entry-1", servers.takeReport(start + 1s), start + 1s);
+    const auto known = replaced.known(start + 1s).grants;
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].limit.rate == RequestRate(2000));
+}
+
 TEST_CASE("a permit runs out, and a less urgent request may use it only after a while", "[limits]")
 {
     LimitedServers servers;
--- a/test/error/server_limits.cpp
+++ b/test/error/server_limits.cpp
@@ -122,14 +122,44 @@
 TEST_CASE("servers that name a limit of requests a second do not get a burst beyond it", "[routed]")
 {
     RoutedBench bench;
-    const auto limited = GENERATE(RoutedBench::withField(RoutedBench::answer("a"), "Server-Limit", "1"), RoutedBench::withField(RoutedBench::answer("a", 500), "Server-Limit", "1"), RoutedBench::withField(RoutedBench::rejection(), "Server-Limit", "1.0"));
-    bench.upstream.scripts.assign(200, limited);
+    auto stream = RoutedBench::answer("id: 1\ndata: x\n\n");
+    stream.fields.push_back({ .name = "Content-Type", .value = "text/event-stream" });
+    auto broken = RoutedBench::answer("a");
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    const auto answer = GENERATE_COPY(RoutedBench::answer("a"), RoutedBench::answer(""), RoutedBench::answer("a", 500), RoutedBench::answer("a", 404), RoutedBench::rejection(), stream, broken);
+    const auto path = GENERATE(std::string("/order/7"), std::string("/look/7"), std::string("/chat/7"), std::string("/draft/7"));
+    CAPTURE(path);
+    bench.upstream.otherwise = RoutedBench::withField(answer, "Server-Limit", "1");
     for (int i = 0; i < 40; ++i)
-        bench.runAgain(RoutedBench::request("/order/7", "good-key", "60")); // A short wait for a permit.
-    // Two servers, and what the rule allows each in 4 s.
+        bench.runAgain(RoutedBench::request(path, "good-key", "60")); // A short wait for a permit.
+    // What the rule allows each of the two or three servers in 4 s.
     CHECK(bench.upstream.addresses.size() <= 2 * 11);
 }
 
+TEST_CASE("a request that finds no permit at the only servers is refused as not run, with the time until one can be expected", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.otherwise = RoutedBench::withField(RoutedBench::answer("a"), "Server-Limit", "0.5");
+    for (int i = 0; i < 3; ++i)
+        bench.runAgain(RoutedBench::request("/look/7", "good-key", "200"));
+    REQUIRE(bench.upstream.addresses.size() == 2);
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+    CHECK(std::stod(std::string(bench.writer.response->fields.find("Retry-After"))) >= 2);
+}
+
+TEST_CASE("a request is not sent to a server that names a limit while the request waits for a connection", "[routed]")
+{
+    RoutedBench bench;
+    auto slow = RoutedBench::answer("too late");
+    slow.beforeSending = [&bench] { bench.selector.recordLimit(BackendId(bench.upstream.addresses.back()), Incarnation(1), RequestRate(1000), monotonicNow(), monotonicNow()); };
+    bench.upstream.scripts = { slow, RoutedBench::answer("elsewhere") };
+    bench.run(RoutedBench::request("/order/7"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "elsewhere");
+    CHECK(bench.upstream.requests.size() == 1);
+}
+
 TEST_CASE("the requests of all entry instances together keep to the limit that a server names", "[platform][loopback]")
 {
     const auto folder = std::filesystem::temp_directory_path() / ("hickory-limits-" + std::to_string(::getpid()) + "-data");
--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -4,6 +4,7 @@
 #include "http/ResponseWriter.h"
 #include "net/Timer.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace HickoryHollow::Soak {
@@ -53,6 +54,7 @@
     ++m_incarnation;
     m_sequence = 0;
     m_isLeaving = false;
+    m_arrivals.clear();
 }
 
 std::string Backend::heartbeatBody(const std::string& state)
@@ -67,6 +69,39 @@
     return m_random.below(100) < percent;
 }
 
+void Backend::nameLimit(double limit)
+{
+    const std::lock_guard guard(m_mutex);
+    m_limit = limit;
+    m_arrivals.clear();
+}
+
+void Backend::recordArrival(HttpFields& fields)
+{
+    const std::lock_guard guard(m_mutex);
+    if (!m_limit)
+        return;
+    m_arrivals.push_back(Clock::now());
+    fields.add("Server-Limit", fmt::format("{}", *m_limit));
+}
+
+// The bound of the users' rule. It counts the requests of all entry instances, though the rule excuses some.
+void Backend::endLimit()
+{
+    constexpr std::chrono::seconds window { 4 };
+    constexpr std::chrono::seconds settlingTime { 3 }; // From the first answer that named the limit.
+    const std::lock_guard guard(m_mutex);
+    const auto allowed = 1.5 * m_limit.value_or(0) * std::chrono::duration<double>(window).count() + 5;
+    m_limit.reset();
+    std::ptrdiff_t most = 0;
+    for (auto it = m_arrivals.begin(); it != m_arrivals.end(); ++it) {
+        if (*it >= m_arrivals.front() + settlingTime)
+            most = std::max(most, std::upper_bound(it, m_arrivals.end(), *it + window) - it);
+    }
+    if (static_cast<double>(most) > allowed)
+        m_checker.recordViolation("named limits are kept", fmt::format("backend{} got {} requests in {} s, allowed {}", m_options.number, most, window.count(), allowed));
+}
+
 Task<void> Backend::handle(const HttpRequest& request, ResponseWriter& writer)
 {
     const std::string id(request.fields.find("Attempt-Id"));
@@ -81,6 +116,8 @@
             response.fields.add("Retry-After", "0.5");
         if (!isOtherIncarnation && m_isLeaving)
             response.fields.add("Server-Leaving", "1");
+        if (!isOtherIncarnation)
+            recordArrival(response.fields);
         co_await writer.send(std::move(response));
         co_return;
     }
@@ -97,6 +134,7 @@
     fields.add("Runner-Seal", "seal-" + id);
     if (m_isLeaving)
         fields.add("Server-Leaving", "1");
+    recordArrival(fields);
     if (kind == RequestKind::Stream)
         fields.add("Content-Type", "text/event-stream");
     if (kind == RequestKind::Stream)
--- a/test/soak/Backend.h
+++ b/test/soak/Backend.h
@@ -13,8 +13,10 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace HickoryHollow {
 class HttpServer;
@@ -45,8 +47,14 @@
     void beginNewIncarnation();
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     bool isLeaving() const { return m_isLeaving; }
+    /** Names this limit of requests a second in all answers until endLimit(). */
+    void nameLimit(double);
+    /** Names no limit any more, and reports windows in which more requests came than it allowed. */
+    void endLimit();
 
 private:
+    /** Counts an arrival, and adds the limit to the answer's fields if there is one. */
+    void recordArrival(HttpFields&);
     Task<void> sendBody(const std::string& id, const HttpFields&, ResponseWriter&);
     Task<void> sendStream(const HttpRequest&, const std::string& id, const HttpFields&, ResponseWriter&);
     /** Draws a random number; returns true with the given probability in percent. */
@@ -54,10 +62,12 @@
 
     Options m_options;
     GuaranteeChecker& m_checker;
-    mutable std::mutex m_mutex; // Guards the random generator, the incarnation and the sequence number.
+    mutable std::mutex m_mutex; // Guards the random generator, the incarnation, the sequence number, the limit and the arrivals.
     SeededRandom m_random;
     std::uint64_t m_incarnation = 1; // Number of starts; part of the name.
     std::uint64_t m_sequence = 0; // Number of heartbeats of this incarnation.
+    std::optional<double> m_limit;
+    std::vector<Clock::time_point> m_arrivals; // Since the limit was named first.
     std::atomic<bool> m_isLeaving = false;
     EventLoops m_loops { 1 };
     std::unique_ptr<HttpServer> m_server;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -106,7 +106,7 @@
     {
         ++m_faultCount;
         const auto number = static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_deployment.processCount())));
-        switch (m_random.below(9)) {
+        switch (m_random.below(10)) {
         case 0:
             return kill(number, false);
         case 1:
@@ -122,6 +122,8 @@
             return fillDisk(static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_deployment.options().states))));
         case 7:
             return replaceBackend();
+        case 8:
+            return nameLimit();
         default:
             return killAllStates();
         }
@@ -235,6 +237,21 @@
         schedule(length, [this, number] { m_deployment.process(number).setDiskFull(false); });
     }
 
+    void nameLimit()
+    {
+        const auto number = static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_deployment.options().backends)));
+        if (std::exchange(m_isLimited[number], true))
+            return;
+        const auto limit = 1 + static_cast<double>(m_random.below(8));
+        const auto length = randomDuration(1000, 9000);
+        logFault(fmt::format("backend{} names a limit of {} a second for {} ms", number, limit, length.count()));
+        m_deployment.backend(number).nameLimit(limit);
+        schedule(length, [this, number] {
+            m_deployment.backend(number).endLimit();
+            m_isLimited[number] = false;
+        });
+    }
+
     void replaceBackend()
     {
         const auto number = static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_deployment.options().backends)));
@@ -252,6 +269,7 @@
     std::multimap<Clock::time_point, std::function<void()>> m_pendingActions; // Ordered by due time.
     std::map<int, bool> m_isInterrupted; // Instances that a fault stops: down, draining or frozen.
     std::map<int, Clock::time_point> m_unavailableUntil; // Only state instances; includes the time to catch up.
+    std::map<int, bool> m_isLimited; // Backend servers that name a limit.
     int m_faultCount = 0;
 };
 
