Count whole answers below 500 as proof that a request crashes no server

A request that is always answered with 404 was never counted as answered, so that servers ending for other reasons could put it in quarantine. The callers' case: a sound request that many send. A signed 5xx still proves nothing: a failing server answers so before it has begun. Tests of the report for each kind of request and answer come with it.

In the soak, one caller sends a request that crashes its server through any instance, again and again; more than three servers ended later than 3 s after the third are a broken promise.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -208,8 +208,7 @@
         co_return result;
     }
     result.outcome = CallOutcome::Answered;
-    if (head.status < firstRedirect)
-        m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
--- a/test/error/crashing_plain_requests.cpp
+++ b/test/error/crashing_plain_requests.cpp
@@ -6,6 +6,7 @@
 #include "http/HttpServer.h"
 #include "http/ResponseWriter.h"
 #include "net/EventLoops.h"
+#include "test/fakes/RoutedBench.h"
 #include "test/fakes/RunningInstance.h"
 
 #include <atomic>
@@ -111,8 +112,78 @@
     return isDone;
 }
 
+/** Returns the parts that the bench reports after its request was broken off. */
+std::vector<PromptPartId> partsOfCrash(RoutedBench& bench, const HttpRequest& request)
+{
+    bench.runAgain(request);
+    const auto evidence = bench.promptGuard.takeEvidence(monotonicNow());
+    return evidence.crashes.empty() ? std::vector<PromptPartId> {} : evidence.crashes.back().parts;
+}
+
 } // namespace
 
+TEST_CASE("a request that a server broke off is reported as a whole, whatever its kind and its answer", "[routed]")
+{
+    RoutedBench bench;
+    auto insideBody = RoutedBench::answer("x");
+    insideBody.bodyError = make_error_code(RouterError::UpstreamBroken);
+    const auto crash = GENERATE_COPY(RoutedBench::failure(RouterError::UpstreamBroken, Verdict::MayHaveRun), insideBody);
+    const auto path = GENERATE(std::string("/order/7"), std::string("/look/7"), std::string("/chat/7"), std::string("/draft/7"), std::string("/open/7"));
+    CAPTURE(path);
+    bench.upstream.otherwise = crash;
+    const auto request = RoutedBench::request(path);
+    const auto parts = partsOfCrash(bench, request);
+    REQUIRE(parts.size() == 1);
+    CHECK(partsOfCrash(bench, request) == parts);
+    auto otherBody = request;
+    otherBody.body = "bodies";
+    auto longBody = request;
+    longBody.body = std::string(1 << 20, 'b');
+    auto otherMethod = request;
+    otherMethod.method = "PUT";
+    for (const auto& other : { otherBody, longBody, otherMethod, RoutedBench::request(path + "?a=1") })
+        CHECK(partsOfCrash(bench, other) != parts);
+
+    bench.promptGuard.apply({ .suspects = {}, .quarantined = parts });
+    const auto sent = bench.upstream.requests.size();
+    bench.runAgain(request);
+    CHECK(bench.upstream.requests.size() == sent);
+    CHECK(bench.writer.response->status == 503);
+    CHECK(bench.writer.response->body.find("request-quarantined") != std::string::npos);
+    bench.runAgain(otherBody);
+    CHECK(bench.upstream.requests.size() > sent);
+}
+
+TEST_CASE("a request is the same as a whole only if its prompt is, also where the body does not hold the prompt", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.otherwise = RoutedBench::failure(RouterError::UpstreamBroken, Verdict::MayHaveRun);
+    auto first = RoutedBench::request("/chat/7");
+    first.fields.add("Prefix-Hash", "a1:10,b1:10");
+    auto second = RoutedBench::request("/chat/7");
+    second.fields.add("Prefix-Hash", "a1:10,b2:10");
+    const auto partsOfFirst = partsOfCrash(bench, first);
+    const auto partsOfSecond = partsOfCrash(bench, second);
+    // The shared part of the prompt, the request with its prompt, and the request without it.
+    REQUIRE(partsOfFirst.size() == 3);
+    REQUIRE(partsOfSecond.size() == 3);
+    CHECK(partsOfFirst[0] == partsOfSecond[0]);
+    CHECK(partsOfFirst[1] != partsOfSecond[1]);
+    CHECK(partsOfFirst[2] == partsOfSecond[2]);
+}
+
+TEST_CASE("an answer with an error status of the caller's making shows that the request crashes no server", "[routed]")
+{
+    RoutedBench bench;
+    bench.upstream.scripts = { RoutedBench::failure(RouterError::UpstreamBroken, Verdict::MayHaveRun), RoutedBench::answer("none", 404) };
+    const auto parts = partsOfCrash(bench, RoutedBench::request("/order/7"));
+    bench.promptGuard.apply({ .suspects = parts, .quarantined = {} });
+    bench.runAgain(RoutedBench::request("/order/7"));
+    const auto evidence = bench.promptGuard.takeEvidence(monotonicNow());
+    REQUIRE(evidence.answered.size() == 1);
+    CHECK(evidence.answered[0].part == parts[0]);
+}
+
 TEST_CASE("a request without a prompt that crashes every server is refused at every instance, also at one that starts later", "[platform][loopback]")
 {
     const auto path = GENERATE(std::string("/t/7"), std::string("/u/7"));
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -80,7 +80,7 @@
         .takeLocalPrefixes = [] { return std::vector<CachedPrefixReport> {}; },
         .takePromptEvidence = [](bool) { return PromptEvidence {}; },
         .promptFindings = [](const auto&) {},
-        .takeLimitReport = [] { return LimitReport(); },
+        .takeLimitReport = [](bool) { return LimitReport(); },
         .limits = [](const auto&) {},
         .entryInstances = [](auto) {},
     };
--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -125,6 +125,16 @@
     const auto kind = path.starts_with("/t/") ? RequestKind::Stream : path.starts_with("/r/") ? RequestKind::Repeatable
                                                                                               : RequestKind::Once;
     m_checker.recordExecution(id, kind);
+    if (request.body == crashingBody) {
+        m_checker.recordCrash(name());
+        beginNewIncarnation();
+        HttpFields header;
+        header.add("Attempt-Id", id);
+        header.add("Runner-Seal", "seal-" + id);
+        co_await writer.startStream(ok, header);
+        writer.abandon();
+        co_return;
+    }
     if (id.starts_with("f"))
         m_checker.checkRevocableKey(id, keyLease);
     if (request.fields.count("Authorization") > 0 || request.fields.find("Tenant").empty())
--- a/test/soak/Backend.h
+++ b/test/soak/Backend.h
@@ -78,6 +78,8 @@
 std::string expectedBody(const std::string& id);
 
 constexpr int eventsPerStream = 6;
+/** Body of the request that crashes every server. */
+inline const std::string crashingBody = "crash";
 /** API key that the operator revokes and grants again. The ids of requests with it begin with `f`. */
 inline const std::string revocableKey = "fickle-key";
 /** API key that stays valid. */
--- a/test/soak/Clients.cpp
+++ b/test/soak/Clients.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned ok = 200;
 constexpr auto callerTimeout = 4s;
 constexpr auto requestPause = 20ms; // Between the answer to a request and the caller's next request.
+constexpr int crashingInterval = 10; // Requests of a caller between two that crash servers.
 constexpr auto changePause = 400ms; // Between the end of a change and the read that checks it.
 constexpr auto heartbeatInterval = 400ms;
 constexpr auto operatorTimeout = 1s;
@@ -102,6 +103,12 @@
             client = std::make_unique<BlockingHttpClient>(deployment.callerAddress(static_cast<int>(random.below(entries))), callerTimeout);
         const auto usesRevocableKey = random.below(4) == 0;
         const auto kind = static_cast<RequestKind>(random.below(3));
+        // One caller sends the request that crashes servers again and again, through any instance.
+        if (number == 0 && request % crashingInterval == 0) {
+            client->call("POST", pathFor(RequestKind::Repeatable), { { "Host", "h.example" }, { "Attempt-Id", fmt::format("c-{}", request) }, { "Deadline-Ms", "4000" }, { "Authorization", "Bearer " + permanentKey } }, crashingBody);
+            client.reset();
+            continue;
+        }
         if (!sendRequest(*client, m_checker, fmt::format("{}{}-{}", usesRevocableKey ? 'f' : 's', number, request), kind))
             client.reset();
         std::this_thread::sleep_for(requestPause);
--- a/test/soak/GuaranteeChecker.cpp
+++ b/test/soak/GuaranteeChecker.cpp
@@ -55,6 +55,21 @@
         m_violations.push_back("revoked keys are rejected: " + id + " was sent " + std::to_string((sentAt - *m_revocationAcknowledgedAt) / std::chrono::milliseconds(1)) + " ms after the revocation was acknowledged and ran");
 }
 
+void GuaranteeChecker::recordCrash(const std::string& server)
+{
+    constexpr std::chrono::seconds bound { 3 };
+    std::uint32_t late = 0;
+    {
+        const std::lock_guard guard(m_mutex);
+        if (++m_crashes == 3)
+            m_thirdCrashAt = Clock::now();
+        m_lateCrashes += m_crashes > 3 && Clock::now() > m_thirdCrashAt + bound ? 1 : 0;
+        late = m_lateCrashes;
+    }
+    if (late == 4)
+        recordViolation("requests that crash servers are stopped", server + " is the fourth server that ended later than the bound after the third");
+}
+
 void GuaranteeChecker::recordViolation(const std::string& guarantee, const std::string& details)
 {
     const std::lock_guard guard(m_mutex);
--- a/test/soak/GuaranteeChecker.h
+++ b/test/soak/GuaranteeChecker.h
@@ -49,6 +49,8 @@
      * revocation was acknowledged; until then an entry instance may still accept the key.
      */
     void checkRevocableKey(const std::string& id, std::chrono::milliseconds keyLease);
+    /** A server ends under the crashing request. Reports more than three such ends later than the bound after the third one. */
+    void recordCrash(const std::string& server);
     /** Reports a violation of `guarantee`. */
     void recordViolation(const std::string& guarantee, const std::string& details);
 
@@ -70,6 +72,9 @@
     std::map<std::string, Request> m_requests;
     std::vector<std::string> m_violations;
     RequestCounts m_counts;
+    std::uint32_t m_crashes = 0;
+    std::uint32_t m_lateCrashes = 0;
+    Clock::time_point m_thirdCrashAt {};
     std::optional<Clock::time_point> m_revocationAcknowledgedAt; // Empty while the key is valid.
 };
 
