--- a/test/error/crashing_plain_requests.cpp
+++ b/test/error/crashing_plain_requests.cpp
@@ -2,35 +2,23 @@
  * Requests without a prompt that crash every server and come again, through a state instance, several entry instances and their
  * servers on loopback: they stop reaching servers at every entry instance, and requests that differ from them are served.
  */
-#include "http/HttpHandler.h"
-#include "http/HttpServer.h"
 #include "http/ResponseWriter.h"
-#include "net/EventLoops.h"
+#include "test/fakes/LoopbackDeployment.h"
 #include "test/fakes/RoutedBench.h"
-#include "test/fakes/RunningInstance.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <thread>
-#include <unistd.h>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Fakes;
 
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr int linkPort = 7871;
-constexpr int controlPort = 7872;
-constexpr int firstEntryPort = 7880; // Each entry instance takes three.
-constexpr int firstServerPort = 7890;
+constexpr int firstPort = 7840;
 constexpr int servers = 4;
 // Far more than are sent while the instances learn of the crashes.
 constexpr int maxRequests = 20000;
 
-const std::string commonSettings = "[membership]\nseeds = 127.0.0.1:7872\nseed-port = 7871\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = 0.8\nkey-lease-ms = 5000\nannounce-ms = 20000\n";
 const std::string configuration = R"({"version":3,"routes":[{"name":"t","host":"h.example","path-prefix":"/t/","type":"safe","timeout-ms":5000,"slo-ms":1000,"service":"s","public":false,"max-attempts":2},
 {"name":"u","host":"h.example","path-prefix":"/u/","type":"unsafe","timeout-ms":5000,"slo-ms":1000,"service":"s","public":false,"max-attempts":1}],
 "services":[{"name":"s"}],"tenants":[{"name":"w","api-keys":["good-key"]},{"name":"v","api-keys":["other-key"]}]})";
@@ -57,58 +45,25 @@
     std::atomic<int> crashes = 0;
 };
 
-class Servers {
-public:
-    explicit Servers(HttpHandler& service)
-    {
-        for (int i = 0; i < servers; ++i)
-            m_listeners.push_back(std::make_unique<HttpServer>(m_loops, service, HttpServerOptions { .address = "127.0.0.1:" + std::to_string(firstServerPort + i) }));
-        m_thread = std::thread([this] { m_loops.run(); });
-    }
-    ~Servers()
-    {
-        m_loops.stop();
-        m_thread.join();
-    }
-    Servers(const Servers&) = delete;
-    Servers& operator=(const Servers&) = delete;
-
-private:
-    EventLoops m_loops { 1 };
-    std::vector<std::unique_ptr<HttpServer>> m_listeners;
-    std::thread m_thread;
-};
-
-std::string entrySettings(int number)
-{
-    const auto port = firstEntryPort + 3 * number;
-    return "[instance]\nname = e" + std::to_string(number) + "\nfailure-domain = a\n[listen]\nlinks = 127.0.0.1:" + std::to_string(port + 2) + "\ncallers = 127.0.0.1:" + std::to_string(port) + "\nready = 127.0.0.1:" + std::to_string(port + 1) + "\n" + commonSettings;
-}
-
-Answer ask(int entry, const std::string& path, const std::string& body, const std::string& key = "good-key")
-{
-    return call(firstEntryPort + 3 * entry, http::verb::post, path, body, key);
-}
-
 bool isRefused(const Answer& answer)
 {
     return answer.status == 503 && answer.body.find("quarantined") != std::string::npos;
 }
 
-bool isRefusedSoon(int entry, const std::string& path)
+bool isRefusedSoon(const LoopbackDeployment& deployment, int entry, const std::string& path)
 {
     auto isDone = false;
     for (int i = 0; i < maxRequests && !isDone; ++i)
-        isDone = isRefused(ask(entry, path, "bad"));
+        isDone = isRefused(deployment.ask(entry, path, "bad"));
     return isDone;
 }
 
 /** Repeats a sound request until it is served: for some seconds the crashes count as load of the servers. */
-bool isServedSoon(int entry, const std::string& path, const std::string& body, const std::string& key = "good-key")
+bool isServedSoon(const LoopbackDeployment& deployment, int entry, const std::string& path, const std::string& body, const std::string& key = "good-key")
 {
     auto isDone = false;
     for (int i = 0; i < maxRequests && !isDone; ++i)
-        isDone = ask(entry, path, body, key).status == 200;
+        isDone = deployment.ask(entry, path, body, key).status == 200;
     return isDone;
 }
 
@@ -187,37 +142,21 @@
 TEST_CASE("a request without a prompt that crashes every server is refused at every instance, also at one that starts later", "[platform][loopback]")
 {
     const auto path = GENERATE(std::string("/t/7"), std::string("/u/7"));
-    const auto folder = std::filesystem::temp_directory_path() / ("hickory-crashing-plain-" + std::to_string(::getpid()) + "-data");
-    std::filesystem::create_directories(folder);
     CrashingService service;
-    const Servers running(service);
-    {
-        const RunningInstance state("[instance]\nname = s1\nfailure-domain = a\ndata-folder = " + folder.string() + "\n[listen]\nlinks = 127.0.0.1:" + std::to_string(linkPort) + "\ncontrol = 127.0.0.1:" + std::to_string(controlPort) + "\n" + commonSettings, "-plain-state.ini");
-        const RunningInstance first(entrySettings(0), "-plain-entry-0.ini");
-        const RunningInstance second(entrySettings(1), "-plain-entry-1.ini");
-        Answer submitted;
-        for (int i = 0; i < 20 && submitted.status != 200; ++i)
-            submitted = call(controlPort, http::verb::post, "/config/replace", configuration);
-        REQUIRE(submitted.status == 200);
-        for (int i = 0; i < servers; ++i) {
-            const auto report = R"({"service":"s","address":"127.0.0.1:)" + std::to_string(firstServerPort + i) + R"(","zone":"a","version":"v1","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
-            REQUIRE(call(controlPort, http::verb::post, "/instances/i-" + std::to_string(i) + "/heartbeat", report).status == 200);
-        }
-        REQUIRE(ask(0, path, "good").status == 200);
-
-        CHECK(isRefusedSoon(0, path));
-        CHECK(isRefusedSoon(1, path));
-        CHECK(service.crashes >= 3);
-        const auto before = service.crashes.load();
-        for (int i = 0; i < 20; ++i)
-            CHECK(isRefused(ask(i % 2, path, "bad")));
-        CHECK(isServedSoon(0, path, "good"));
-        CHECK(isServedSoon(1, path + "0", "bad"));
-        CHECK(isServedSoon(1, path, "bad", "other-key"));
-
-        const RunningInstance third(entrySettings(2), "-plain-entry-2.ini");
-        CHECK(isRefused(ask(2, path, "bad")));
-        CHECK(service.crashes == before);
-    }
-    std::filesystem::remove_all(folder);
+    LoopbackDeployment deployment({ .name = "plain", .firstPort = firstPort, .configuration = configuration, .servers = std::vector<HttpHandler*>(servers, &service) });
+    REQUIRE(deployment.ask(0, path, "good").status == 200);
+
+    CHECK(isRefusedSoon(deployment, 0, path));
+    CHECK(isRefusedSoon(deployment, 1, path));
+    CHECK(service.crashes >= 3);
+    const auto before = service.crashes.load();
+    for (int i = 0; i < 20; ++i)
+        CHECK(isRefused(deployment.ask(i % 2, path, "bad")));
+    CHECK(isServedSoon(deployment, 0, path, "good"));
+    CHECK(isServedSoon(deployment, 1, path + "0", "bad"));
+    CHECK(isServedSoon(deployment, 1, path, "bad", "other-key"));
+
+    deployment.addEntry();
+    CHECK(isRefused(deployment.ask(2, path, "bad")));
+    CHECK(service.crashes == before);
 }
--- a/test/error/server_limits.cpp
+++ b/test/error/server_limits.cpp
@@ -2,19 +2,13 @@
  * A server that names the requests a second that it takes from all instances together: one entry instance alone, and several
  * with a state instance and servers on loopback.
  */
-#include "http/HttpHandler.h"
-#include "http/HttpServer.h"
 #include "http/ResponseWriter.h"
-#include "net/EventLoops.h"
+#include "test/fakes/LoopbackDeployment.h"
 #include "test/fakes/RoutedBench.h"
-#include "test/fakes/RunningInstance.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <filesystem>
 #include <mutex>
-#include <thread>
-#include <unistd.h>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Fakes;
@@ -22,12 +16,7 @@
 
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr int linkPort = 7971;
-constexpr int controlPort = 7972;
-constexpr int firstEntryPort = 7980; // Each entry instance takes three.
-constexpr int firstServerPort = 7990;
+constexpr int firstPort = 7970;
 constexpr int servers = 3;
 constexpr double namedLimit = 2; // Requests a second of the first server.
 constexpr Duration settlingTime = 3s; // `contact-ms` of the smaller deployments.
@@ -35,7 +24,6 @@
 // What the users' rule allows in a window.
 constexpr double maxInWindow = 1.5 * namedLimit * 4 + 5;
 
-const std::string commonSettings = "[membership]\nseeds = 127.0.0.1:7972\nseed-port = 7971\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = 0.8\nkey-lease-ms = 5000\nannounce-ms = 20000\n";
 const std::string configuration = R"({"version":3,"routes":[{"name":"t","host":"h.example","path-prefix":"/t/","type":"safe","timeout-ms":5000,"slo-ms":1000,"service":"s","public":false,"max-attempts":2}],
 "services":[{"name":"s"}],"tenants":[{"name":"w","api-keys":["good-key"]}]})";
 
@@ -74,38 +62,6 @@
     std::vector<TimePoint> m_arrivals;
 };
 
-class Servers {
-public:
-    Servers()
-    {
-        for (int i = 0; i < servers; ++i) {
-            handlers.push_back(std::make_unique<LimitedServer>(i == 0 ? std::to_string(namedLimit) : ""));
-            m_listeners.push_back(std::make_unique<HttpServer>(m_loops, *handlers.back(), HttpServerOptions { .address = "127.0.0.1:" + std::to_string(firstServerPort + i) }));
-        }
-        m_thread = std::thread([this] { m_loops.run(); });
-    }
-    ~Servers()
-    {
-        m_loops.stop();
-        m_thread.join();
-    }
-    Servers(const Servers&) = delete;
-    Servers& operator=(const Servers&) = delete;
-
-    std::vector<std::unique_ptr<LimitedServer>> handlers;
-
-private:
-    EventLoops m_loops { 1 };
-    std::vector<std::unique_ptr<HttpServer>> m_listeners;
-    std::thread m_thread;
-};
-
-std::string entrySettings(int number)
-{
-    const auto port = firstEntryPort + 3 * number;
-    return "[instance]\nname = e" + std::to_string(number) + "\nfailure-domain = a\n[listen]\nlinks = 127.0.0.1:" + std::to_string(port + 2) + "\ncallers = 127.0.0.1:" + std::to_string(port) + "\nready = 127.0.0.1:" + std::to_string(port + 1) + "\n" + commonSettings;
-}
-
 /** Largest number of arrivals in any window that begins later than `settlingTime` after the first arrival. */
 std::size_t mostInWindow(const std::vector<TimePoint>& arrivals)
 {
@@ -162,29 +118,17 @@
 
 TEST_CASE("the requests of all entry instances together keep to the limit that a server names", "[platform][loopback]")
 {
-    const auto folder = std::filesystem::temp_directory_path() / ("hickory-limits-" + std::to_string(::getpid()) + "-data");
-    std::filesystem::create_directories(folder);
-    const Servers running;
-    {
-        const RunningInstance state("[instance]\nname = s1\nfailure-domain = a\ndata-folder = " + folder.string() + "\n[listen]\nlinks = 127.0.0.1:" + std::to_string(linkPort) + "\ncontrol = 127.0.0.1:" + std::to_string(controlPort) + "\n" + commonSettings, "-limit-state.ini");
-        const RunningInstance first(entrySettings(0), "-limit-entry-0.ini");
-        const RunningInstance second(entrySettings(1), "-limit-entry-1.ini");
-        Answer submitted;
-        for (int i = 0; i < 20 && submitted.status != 200; ++i)
-            submitted = call(controlPort, http::verb::post, "/config/replace", configuration);
-        REQUIRE(submitted.status == 200);
-        for (int i = 0; i < servers; ++i) {
-            const auto report = R"({"service":"s","address":"127.0.0.1:)" + std::to_string(firstServerPort + i) + R"(","zone":"a","version":"v1","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
-            REQUIRE(call(controlPort, http::verb::post, "/instances/i-" + std::to_string(i) + "/heartbeat", report).status == 200);
-        }
-        const auto end = monotonicNow() + settlingTime + 2 * window;
-        std::size_t refused = 0;
-        for (int i = 0; monotonicNow() < end; ++i)
-            refused += call(firstEntryPort + 3 * (i % 2), http::verb::get, "/t/1", "", "good-key").status == 200 ? 0 : 1;
-        CHECK(refused == 0);
-        const auto arrivals = running.handlers[0]->arrivals();
-        REQUIRE(!arrivals.empty());
-        CHECK(static_cast<double>(mostInWindow(arrivals)) <= maxInWindow);
-    }
-    std::filesystem::remove_all(folder);
+    LimitedServer limited(std::to_string(namedLimit));
+    LimitedServer unlimited("");
+    std::vector<HttpHandler*> handlers(servers, &unlimited);
+    handlers[0] = &limited;
+    const LoopbackDeployment deployment({ .name = "limits", .firstPort = firstPort, .configuration = configuration, .servers = handlers });
+    const auto end = monotonicNow() + settlingTime + 2 * window;
+    std::size_t refused = 0;
+    for (int i = 0; monotonicNow() < end; ++i)
+        refused += deployment.ask(i % 2, "/t/1", "").status == 200 ? 0 : 1;
+    CHECK(refused == 0);
+    const auto arrivals = limited.arrivals();
+    REQUIRE(!arrivals.empty());
+    CHECK(static_cast<double>(mostInWindow(arrivals)) <= maxInWindow);
 }
