--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -128,7 +128,8 @@
     void recordActivity(CallId, TimePoint now);
     /**
      * Returns the server with the lowest cost for the request, at random if several have it; nothing if there is no
-     * candidate, or all candidates want no request at present or have a limit and no permit. Ejected servers are selected only if no other is left, and
+     * candidate, or all candidates want no request at present or have a limit and no permit. Ejected servers are selected only if
+     * no other is left, and
      * lapsed ones after those. A lapsed server that answered within the last 3 s is treated as serving.
      */
     std::optional<Placement> select(const PlacementRequest&, TimePoint now);
