Find named limits and permits in one place each

permitUntil() and takePermit() searched the same batches with the same loop, so that one could have found a permit that the other did not take; five functions repeated the look-up of a server that names a limit, four the description of a limit for a message. Each stands once now.

--- a/src/placement/LimitShares.cpp
+++ b/src/placement/LimitShares.cpp
@@ -130,7 +130,7 @@
         }
     }
     for (const auto& [source, permits] : granted)
-        updates[source].grants.push_back({ .limit = { .server = server, .rate = limit.rate, .age = now - limit.saidAt }, .permits = permits, .wantedByAll = wantedByAll });
+        updates[source].grants.push_back({ .limit = limit.describe(server, now), .permits = permits, .wantedByAll = wantedByAll });
 }
 
 void LimitShares::issueLimit(ServerStartId server, Limit& limit, bool mayIssue, std::size_t states, std::map<std::string, LimitUpdate>& updates, TimePoint now)
@@ -171,7 +171,7 @@
     for (auto& [server, limit] : m_limits) {
         const auto wanted = wantedBy(limit.entries);
         if (std::exchange(limit.isUnreported, false) || totalOf(wanted) > 0)
-            report.demands.push_back({ .limit = { .server = server, .rate = limit.rate, .age = now - limit.saidAt }, .wanted = wanted, .unused = 0 });
+            report.demands.push_back({ .limit = limit.describe(server, now), .wanted = wanted, .unused = 0 });
     }
     return report;
 }
@@ -187,7 +187,7 @@
         limit.publishedRate = limit.rate;
         limit.isPublished = true;
         limit.publishedAt = now;
-        changes.grants.push_back({ .limit = { .server = server, .rate = limit.rate, .age = now - limit.saidAt }, .permits = {}, .wantedByAll = 0 });
+        changes.grants.push_back({ .limit = limit.describe(server, now), .permits = {}, .wantedByAll = 0 });
     }
     return changes;
 }
@@ -196,7 +196,7 @@
 {
     LimitUpdate update;
     for (const auto& [server, limit] : m_limits)
-        update.grants.push_back({ .limit = { .server = server, .rate = limit.rate, .age = now - limit.saidAt }, .permits = {}, .wantedByAll = 0 });
+        update.grants.push_back({ .limit = limit.describe(server, now), .permits = {}, .wantedByAll = 0 });
     return update;
 }
 
--- a/src/placement/LimitShares.h
+++ b/src/placement/LimitShares.h
@@ -51,6 +51,9 @@
     using Demands = std::map<std::string, Demand>;
 
     struct Limit {
+        /** Returns the limit as messages carry it. */
+        ServerLimit describe(ServerStartId server, TimePoint now) const { return { .server = server, .rate = rate, .age = now - saidAt }; }
+
         std::optional<RequestRate> rate;
         TimePoint saidAt {};
         bool isUnreported = false; ///< Not told to the other state instances yet.
--- a/src/placement/LimitedServers.cpp
+++ b/src/placement/LimitedServers.cpp
@@ -1,6 +1,7 @@
 #include "placement/LimitedServers.h"
 
 #include <cmath>
+#include <utility>
 
 namespace HickoryHollow {
 
@@ -16,11 +17,6 @@
 constexpr std::size_t maxBatches = 16; // A state instance sends ten a second.
 constexpr std::size_t maxLimits = 1024; // Starts of servers; each takes at most 1 KB.
 
-Duration toDuration(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 void LimitedServers::update(ServerStartId server, std::optional<RequestRate> rate, TimePoint saidAt, TimePoint now)
@@ -85,11 +81,32 @@
 }
 
 bool LimitedServers::isLimited(ServerStartId server) const
+{
+    return findNamed(server) != nullptr;
+}
+
+const LimitedServers::Limit* LimitedServers::findNamed(ServerStartId server) const
 {
     if (m_limits.empty())
-        return false;
+        return nullptr;
     const auto it = m_limits.find(server);
-    return it != m_limits.end() && it->second.rate;
+    return it != m_limits.end() && it->second.rate ? &it->second : nullptr;
+}
+
+LimitedServers::Limit* LimitedServers::findNamed(ServerStartId server)
+{
+    return const_cast<Limit*>(std::as_const(*this).findNamed(server));
+}
+
+std::optional<LimitedServers::Permit> LimitedServers::findPermit(Limit& limit, std::uint32_t priority, TimePoint now)
+{
+    for (auto& batch : limit.batches) {
+        const auto first = now - batch.issuedAt < reservedTime ? permitLevelOf(priority) : 0;
+        const auto found = std::find_if(batch.permits.begin() + static_cast<std::ptrdiff_t>(first), batch.permits.end(), [](auto n) { return n > 0; });
+        if (found != batch.permits.end())
+            return Permit { .count = *found, .until = batch.issuedAt + permitLifetime };
+    }
+    return std::nullopt;
 }
 
 bool LimitedServers::hasIssuer(TimePoint now) const
@@ -107,16 +124,13 @@
 
 std::optional<TimePoint> LimitedServers::permitUntil(ServerStartId server, std::uint32_t priority, TimePoint now)
 {
-    const auto it = m_limits.find(server);
-    if (it == m_limits.end() || !it->second.rate)
+    auto* named = findNamed(server);
+    if (!named)
         return std::nullopt;
-    auto& limit = it->second;
+    auto& limit = *named;
     dropExpired(limit, now);
-    for (const auto& batch : limit.batches) {
-        const auto first = now - batch.issuedAt < reservedTime ? permitLevelOf(priority) : 0;
-        if (std::any_of(batch.permits.begin() + static_cast<std::ptrdiff_t>(first), batch.permits.end(), [](auto n) { return n > 0; }))
-            return batch.issuedAt + permitLifetime;
-    }
+    if (const auto permit = findPermit(limit, priority, now))
+        return permit->until;
     if (hasIssuer(now)) {
         limit.spareAt = now;
         return std::nullopt;
@@ -129,19 +143,13 @@
 
 void LimitedServers::takePermit(ServerStartId server, std::uint32_t priority, TimePoint now)
 {
-    const auto it = m_limits.find(server);
-    if (it == m_limits.end() || !it->second.rate)
+    auto* limit = findNamed(server);
+    if (!limit)
         return;
-    auto& limit = it->second;
-    for (auto& batch : limit.batches) {
-        const auto first = now - batch.issuedAt < reservedTime ? permitLevelOf(priority) : 0;
-        const auto found = std::find_if(batch.permits.begin() + static_cast<std::ptrdiff_t>(first), batch.permits.end(), [](auto n) { return n > 0; });
-        if (found == batch.permits.end())
-            continue;
-        --*found;
-        return;
-    }
-    limit.spare = std::max(0.0, limit.spare - 1);
+    if (const auto permit = findPermit(*limit, priority, now))
+        --permit->count;
+    else
+        limit->spare = std::max(0.0, limit->spare - 1);
 }
 
 void LimitedServers::advanceWindow(Limit& limit, TimePoint now) const
@@ -156,21 +164,21 @@
 
 void LimitedServers::recordDemand(ServerStartId server, std::uint32_t priority, TimePoint now)
 {
-    const auto it = m_limits.find(server);
-    if (it == m_limits.end() || !it->second.rate)
+    auto* limit = findNamed(server);
+    if (!limit)
         return;
-    advanceWindow(it->second, now);
-    ++it->second.demand[permitLevelOf(priority)];
-    const auto& batches = it->second.batches;
+    advanceWindow(*limit, now);
+    ++limit->demand[permitLevelOf(priority)];
+    const auto& batches = limit->batches;
     m_isReportDue = m_isReportDue || std::none_of(batches.begin(), batches.end(), [](const auto& batch) { return totalOf(batch.permits) > 0; });
 }
 
 void LimitedServers::recordWaiting(ServerStartId server, std::uint32_t priority)
 {
-    const auto it = m_limits.find(server);
-    if (it == m_limits.end() || !it->second.rate)
+    auto* limit = findNamed(server);
+    if (!limit)
         return;
-    ++it->second.waiting[permitLevelOf(priority)];
+    ++limit->waiting[permitLevelOf(priority)];
     m_isReportDue = true;
 }
 
@@ -182,11 +190,11 @@
 
 Duration LimitedServers::expectedWait(ServerStartId server) const
 {
-    const auto it = m_limits.find(server);
-    if (it == m_limits.end() || !it->second.rate)
+    const auto* limit = findNamed(server);
+    if (!limit)
         return Duration::zero();
-    const auto ahead = std::max(it->second.wantedByAll, totalOf(it->second.waiting));
-    return toDuration((ahead + 1.0) / perSecond(*it->second.rate));
+    const auto ahead = std::max(limit->wantedByAll, totalOf(limit->waiting));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((ahead + 1.0) / perSecond(*limit->rate)));
 }
 
 // Half a second of demand, and the requests that wait, less the permits at hand.
--- a/src/placement/LimitedServers.h
+++ b/src/placement/LimitedServers.h
@@ -69,6 +69,17 @@
         TimePoint spareAt {}; ///< Time up to which `spare` has grown.
     };
 
+    /** A permit at hand. */
+    struct Permit {
+        std::uint32_t& count; ///< Where it is counted.
+        TimePoint until; ///< It holds before this time.
+    };
+
+    /** Returns the limit of a server that names one at present, or null. */
+    const Limit* findNamed(ServerStartId) const;
+    Limit* findNamed(ServerStartId);
+    /** Returns the oldest permit that a request of this priority may use. */
+    static std::optional<Permit> findPermit(Limit&, std::uint32_t priority, TimePoint now);
     void update(ServerStartId, std::optional<RequestRate>, TimePoint saidAt, TimePoint now);
     void dropExpired(Limit&, TimePoint now) const;
     void advanceWindow(Limit&, TimePoint now) const;
