review: case 2, sound streams are cut when their server is silent for 1.6 s

Cause: an attempt is given up for silence before it is known whether another server can take the request.

--- a/review/standins/Caller.h
+++ b/review/standins/Caller.h
@@ -13,14 +13,16 @@
 /** Limits of the desired state as in the sheet. */
 constexpr int maxBodyBytes = 4194304;
 
-/** A desired state with one service for plain requests: an unsafe route below /u/ and a safe one below /s/. */
+/** A desired state with one service for plain requests: an unsafe route below /u/, a safe one below /s/ and resumable streams below /t/. */
 inline std::string desiredState(int version, int timeoutMs)
 {
     const auto route = [timeoutMs](const std::string& name, const std::string& type, int attempts) {
+        const std::string isStream = type == "streaming" ? "true" : "false";
         return "{\"name\":\"" + name + "\",\"host\":\"" + host + "\",\"path-prefix\":\"/" + name + "/\",\"type\":\"" + type + "\",\"timeout-ms\":" + std::to_string(timeoutMs)
-            + ",\"slo-ms\":300,\"priority\":2,\"service\":\"orders\",\"max-attempts\":" + std::to_string(attempts) + ",\"public\":false,\"sticky\":false,\"resumable\":false}";
+            + ",\"slo-ms\":300,\"priority\":2,\"service\":\"orders\",\"max-attempts\":" + std::to_string(attempts) + ",\"public\":false,\"sticky\":false,\"resumable\":" + isStream
+            + (type == "streaming" ? ",\"itl-target-ms\":150}" : "}");
     };
-    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route("u", "unsafe", 1) + "," + route("s", "safe", 2)
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + route("u", "unsafe", 1) + "," + route("s", "safe", 2) + "," + route("t", "streaming", 2)
         + "],\"services\":[{\"name\":\"orders\",\"health-path\":\"/healthz\",\"max-conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
           "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":"
         + std::to_string(maxBodyBytes) + ",\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"tenant-a\",\"api-keys\":[\"" + apiKey + "\"]}]}";
--- a/review/standins/Server.h
+++ b/review/standins/Server.h
@@ -1,6 +1,6 @@
 /** \file
- * Stand-in for a server of a service without an engine: announces itself, runs a bounded number of requests at once, queues a few
- * more, and seals its answers. It drops a request whose connection closes.
+ * Stand-in for a server: announces itself, runs a bounded number of requests at once, queues a few more, and seals its answers. It
+ * drops a request whose connection closes. Requests below /t/ get a stream of events; a stream goes on after `Last-Event-Id`.
  */
 #pragma once
 
@@ -23,7 +23,8 @@
         std::size_t queue = 24;
         Milliseconds work { 60 };
         Milliseconds longWork { 60 }; ///< Of requests whose path contains `long`.
-        bool logsRuns = true;
+        Milliseconds eventGap { 50 }; ///< Between two events of a stream.
+        int eventsOfStream = 60;
     };
 
     Server(Options options, Deployment& deployment, Record& record)
@@ -48,6 +49,12 @@
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
+    /** Makes the next event of every stream wait, as while the engine reads in a long prompt. */
+    void pause(Milliseconds length)
+    {
+        m_record.line("server %s makes no event for %lld ms", m_options.id.c_str(), static_cast<long long>(length.count()));
+        m_pausedUntil = Clock::now() + length;
+    }
     bool isListening() const { return m_listener.isOpen(); }
     /** Number of requests of each id that have begun to run. */
     std::map<std::string, int> runs() const
@@ -101,15 +108,16 @@
         ++m_running;
         ++m_runs[id];
         lock.unlock();
-        if (m_options.logsRuns)
-            m_record.line("server %s runs %s", m_options.id.c_str(), id.c_str());
+        m_record.line("server %s runs %s", m_options.id.c_str(), id.c_str());
+        if (request.word(1).starts_with("/t/")) {
+            const auto isWhole = stream(socket, id, std::atoi(request.field("Last-Event-Id").c_str()));
+            endRun();
+            return isWhole;
+        }
         auto isWanted = true;
         for (const auto end = Clock::now() + (request.word(1).find("long") == std::string::npos ? m_options.work : m_options.longWork); Clock::now() < end && isWanted && !m_isStopping; isWanted = !socket.hasPeerClosed())
             std::this_thread::sleep_for(Milliseconds(5));
-        lock.lock();
-        --m_running;
-        lock.unlock();
-        m_slotFree.notify_all();
+        endRun();
         if (!isWanted) {
             m_record.line("server %s drops %s, whose connection was closed", m_options.id.c_str(), id.c_str());
             return false;
@@ -119,6 +127,36 @@
         return socket.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nRunner-Seal: seal-" + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + (isHead ? "" : body));
     }
 
+    void endRun()
+    {
+        {
+            const std::lock_guard guard(m_mutex);
+            --m_running;
+        }
+        m_slotFree.notify_all();
+    }
+
+    bool stream(const Socket& socket, const std::string& id, int last)
+    {
+        auto isSent = socket.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nRunner-Seal: seal-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (auto event = last + 1; event <= m_options.eventsOfStream && isSent; ++event) {
+            const auto due = Clock::now() + m_options.eventGap;
+            while ((Clock::now() < due || Clock::now() < m_pausedUntil.load()) && isSent && !m_isStopping) {
+                std::this_thread::sleep_for(Milliseconds(5));
+                isSent = !socket.hasPeerClosed();
+            }
+            const auto text = "id: " + std::to_string(event) + "\ndata: " + id + " " + std::to_string(event) + "\n\n";
+            char length[16];
+            std::snprintf(length, sizeof(length), "%zx\r\n", text.size());
+            isSent = isSent && socket.send(length + text + "\r\n");
+            if (!isSent)
+                m_record.line("server %s drops %s before event %d, as its connection was closed", m_options.id.c_str(), id.c_str(), event);
+        }
+        if (isSent)
+            m_record.line("server %s ends %s with event %d", m_options.id.c_str(), id.c_str(), m_options.eventsOfStream);
+        return isSent && socket.send("0\r\n\r\n");
+    }
+
     bool reject(const Socket& socket, const std::string& id, const std::string& status)
     {
         m_record.line("server %s rejects %s: %s", m_options.id.c_str(), id.c_str(), status.c_str());
@@ -146,6 +184,7 @@
     int m_running = 0;
     std::size_t m_waiting = 0;
     std::map<std::string, int> m_runs;
+    std::atomic<Clock::time_point> m_pausedUntil = Clock::time_point {};
     std::atomic<int> m_connections = 0;
     std::atomic<bool> m_isStopping = false;
     std::vector<std::thread> m_threads;
