--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 cd "$folder/../.." || exit 2
 program=review/bin/case-$(basename "$folder")
 [ -x "$program" ] && [ -x target/platform/hickoryhollowd-platform ] || exit 2
-timeout -k 2 110 "$program" "${TROUBLE:-1}" "$folder/record.txt" >/dev/null 2>&1
+timeout -k 2 114 "$program" "${TROUBLE:-1}" "$folder/record.txt" >/dev/null 2>&1
 result=$?
 [ "$result" -le 1 ] && exit "$result"
 exit 2
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <sstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 
@@ -27,6 +28,7 @@
 constexpr int readyPort = 8220;
 constexpr int firstLinkPort = 7340;
 constexpr int serverPort = 8080;
+constexpr rlim_t maxDescriptors = 4100; ///< `max-fds` of the sheet, which limits each process.
 
 /** Values of `bounds` and `limits` of a settings file; those of the sheet of zema-addis. */
 struct Bounds {
@@ -55,7 +57,8 @@
         char folder[] = "/tmp/hickory-review-XXXXXX";
         m_folder = ::mkdtemp(folder);
         const auto number = static_cast<int>(::getpid());
-        m_network = "127." + std::to_string(64 + number % 120) + "." + std::to_string(1 + number / 120 % 250) + ".";
+        m_network = "127." + std::to_string(64 + number % 60) + "." + std::to_string(1 + number / 60 % 250) + ".";
+        m_serverNetwork = "127." + std::to_string(124 + number % 60) + ".";
     }
     ~Deployment()
     {
@@ -71,7 +74,8 @@
     Address controlAddress(int i) const { return { machineIp(stateName(i)), controlPort }; }
     Address callerAddress(int i) const { return { machineIp(entryName(i)), callerPort }; }
     Address readyAddress(int i) const { return { machineIp(entryName(i)), readyPort }; }
-    Address serverAddress(int i) const { return { m_network + std::to_string(100 + i), serverPort }; }
+    /** Address of a server; each start of a server may have one of its own. */
+    Address serverAddress(int i) const { return { m_serverNetwork + std::to_string(i / 200) + "." + std::to_string(1 + i % 200), serverPort }; }
     const std::filesystem::path& folder() const { return m_folder; }
 
     /** Starts all machines with empty disks. */
@@ -94,6 +98,8 @@
             const auto fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(fd, STDOUT_FILENO);
             ::dup2(fd, STDERR_FILENO);
+            const rlimit descriptors { .rlim_cur = maxDescriptors, .rlim_max = maxDescriptors };
+            ::setrlimit(RLIMIT_NOFILE, &descriptors);
             ::setenv("HICKORYHOLLOW_CONFIG", settings.c_str(), 1);
             // The command of the deploy file, with the settings of this machine.
             ::execl("target/platform/hickoryhollowd-platform", "target/platform/hickoryhollowd-platform", settings.c_str(), nullptr);
@@ -149,6 +155,14 @@
         return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
     }
 
+    /** Number of open descriptors of the process. */
+    std::size_t openDescriptors(const std::string& name) const
+    {
+        std::error_code ec;
+        const std::filesystem::directory_iterator files("/proc/" + std::to_string(pid(name)) + "/fd", ec);
+        return ec ? 0 : static_cast<std::size_t>(std::distance(begin(files), end(files)));
+    }
+
     /** Answer of the machine's readiness: a status, or 0. */
     int readiness(int entry) const
     {
@@ -255,7 +269,8 @@
     Options m_options;
     Record& m_record;
     std::filesystem::path m_folder;
-    std::string m_network;
+    std::string m_network; ///< First three numbers of the machines' addresses.
+    std::string m_serverNetwork; ///< First two numbers of the servers' addresses.
     std::map<std::string, pid_t> m_pids;
 };
 
--- a/review/standins/Server.h
+++ b/review/standins/Server.h
@@ -25,6 +25,7 @@
         Milliseconds longWork { 60 }; ///< Of requests whose path contains `long`.
         Milliseconds eventGap { 50 }; ///< Between two events of a stream.
         int eventsOfStream = 60;
+        bool logsRuns = true;
     };
 
     Server(Options options, Deployment& deployment, Record& record)
@@ -55,6 +56,10 @@
         m_record.line("server %s makes no event for %lld ms", m_options.id.c_str(), static_cast<long long>(length.count()));
         m_pausedUntil = Clock::now() + length;
     }
+    /** Begins a planned shutdown: the next heartbeats say `draining`. It serves on until it is destroyed. */
+    void leave() { m_isLeaving = true; }
+    /** True once a heartbeat that says `draining` was acknowledged. */
+    bool hasLeaveAcknowledged() const { return m_isLeaveAcknowledged; }
     bool isListening() const { return m_listener.isOpen(); }
     /** Number of requests of each id that have begun to run. */
     std::map<std::string, int> runs() const
@@ -108,7 +113,8 @@
         ++m_running;
         ++m_runs[id];
         lock.unlock();
-        m_record.line("server %s runs %s", m_options.id.c_str(), id.c_str());
+        if (m_options.logsRuns)
+            m_record.line("server %s runs %s", m_options.id.c_str(), id.c_str());
         if (request.word(1).starts_with("/t/")) {
             const auto isWhole = stream(socket, id, std::atoi(request.field("Last-Event-Id").c_str()));
             endRun();
@@ -119,7 +125,8 @@
             std::this_thread::sleep_for(Milliseconds(5));
         endRun();
         if (!isWanted) {
-            m_record.line("server %s drops %s, whose connection was closed", m_options.id.c_str(), id.c_str());
+            if (m_options.logsRuns)
+                m_record.line("server %s drops %s, whose connection was closed", m_options.id.c_str(), id.c_str());
             return false;
         }
         const std::string body = "answer to " + id;
@@ -166,11 +173,13 @@
     void announce()
     {
         for (auto sequence = 1; !m_isStopping; ++sequence) {
-            m_deployment.callControl("POST", "/instances/" + m_options.id + "/heartbeat",
+            const bool isLeaving = m_isLeaving;
+            const auto isAcknowledged = m_deployment.callControl("POST", "/instances/" + m_options.id + "/heartbeat",
                 "{\"service\":\"" + m_options.service + "\",\"address\":\"" + m_options.address.text() + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" + std::to_string(m_options.slots)
-                    + ",\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":" + std::to_string(sequence) + ",\"born\":1700000000000}",
+                    + ",\"state\":\"" + (isLeaving ? "draining" : "ready") + "\",\"cold-left-ms\":0,\"seq\":" + std::to_string(sequence) + ",\"born\":1700000000000}",
                 Milliseconds(1000));
-            for (auto i = 0; i < 12 && !m_isStopping; ++i)
+            m_isLeaveAcknowledged = m_isLeaveAcknowledged || (isLeaving && isAcknowledged);
+            for (auto i = 0; i < 12 && !m_isStopping && m_isLeaving == isLeaving; ++i)
                 std::this_thread::sleep_for(Milliseconds(100));
         }
     }
@@ -186,6 +195,8 @@
     std::map<std::string, int> m_runs;
     std::atomic<Clock::time_point> m_pausedUntil = Clock::time_point {};
     std::atomic<int> m_connections = 0;
+    std::atomic<bool> m_isLeaving = false;
+    std::atomic<bool> m_isLeaveAcknowledged = false;
     std::atomic<bool> m_isStopping = false;
     std::vector<std::thread> m_threads;
 };
