Refuse requests that could outlast a planned stop, and cut none without an answer

Cause: a request was admitted in a drain if its answer could be expected before the end, and for each request that is no stream an answer was expected within 1.5 s (4.5 s for a stream), whatever its time limit. Nobody asked again after a wait (for a place, a connection, a second attempt), and at the end the process stopped with requests in progress.

A longer grace or a shorter exit margin only moves the moment: the request may last 4 s.

Change: `DrainPolicy` starts a request if its own time limit ends before the drain does, or if the durations measured for its route leave little doubt: n requests, none longer than a k-th of what is left, n k >= 600 (20 where the caller may repeat it). While the balancer still sends callers (3 s), what is usual decides, as a refused caller could come back here. It is asked at admission, when a server is granted, before a second attempt and right before the first byte. Requests still in progress at the end get 504 (503 if nothing was sent) in place of a closed connection, on the interface for completions too (504 `stopped_waiting`). Found on the same path: a pipelined request was dropped behind an answer with `Connection: close`; a request that had arrived when idle connections were closed was reset; a drain could end while a body arrived.

--- a/src/base/RouterError.cpp
+++ b/src/base/RouterError.cpp
@@ -44,6 +44,7 @@
     ErrorRow { RouterError::AnswerNotKept, "answer_not_kept", 409, "the request ran, but its response was too large to record" },
     ErrorRow { RouterError::SendForbidden, "send_forbidden", 503, "the request must not be sent any more" },
     ErrorRow { RouterError::RequestQuarantined, "request_quarantined", 503, "requests like this one crashed several backend servers" },
+    ErrorRow { RouterError::StoppedWaiting, "stopped_waiting", 504, "this instance shut down before the backend server had answered" },
 };
 
 const ErrorRow& rowOf(RouterError error)
--- a/src/base/RouterError.h
+++ b/src/base/RouterError.h
@@ -39,6 +39,7 @@
     AnswerNotKept,
     SendForbidden,
     RequestQuarantined,
+    StoppedWaiting,
 };
 
 /** Category of RouterError. */
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -14,12 +14,14 @@
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
 #include "net/EventLoops.h"
+#include "net/Interrupts.h"
 #include "net/Timer.h"
 #include "scheduling/BaselineChoices.h"
 #include "settings/FileText.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
@@ -31,6 +33,7 @@
 constexpr std::chrono::milliseconds tickInterval { 20 };
 constexpr int ticksPerFleetTick = 5; // A tick of the fleet view visits every known backend server, so it runs less often.
 constexpr std::chrono::milliseconds drainPollInterval { 20 };
+constexpr Duration answerTimeAtEnd = std::chrono::milliseconds(400); // For the answers to requests that the end of a drain gives up.
 constexpr std::size_t maxOperatorBodyBytes = 16U << 20U;
 constexpr std::size_t maxAnnouncementBodyBytes = 64U << 10U;
 
@@ -89,7 +92,9 @@
 
     std::unique_ptr<Cluster> makeCluster();
     DumpSections dumpSections();
-    UpstreamClient& upstreamOfThisLoop();
+    std::size_t indexOfThisLoop();
+    /** Answers the requests in progress with an error and waits until these answers are written. */
+    Task<void> giveUpRequests();
     Task<void> tickLoop();
     Task<void> signalLoop();
     Task<void> drain();
@@ -106,6 +111,7 @@
     UnavailableIdempotencyLedger unavailableLedger;
     std::unique_ptr<Cluster> cluster; // Null if the settings come from files.
     std::vector<std::unique_ptr<UpstreamClient>> upstreams; // One for each event loop, in the order of `loops`.
+    std::vector<std::unique_ptr<Interrupts>> interrupts; // Likewise.
     CallerApi callerApi;
     BackendApi backendApi;
     OperatorApi operatorApi;
@@ -123,7 +129,7 @@
     , dispatcher({ .scheduler = { .ownDomain = settings.failureDomain, .limits = {}, .features = featuresOf(settings.experiment) }, .seed = incarnation }, makeBackendChoice(settings.experiment.choice))
     , fleet({ .self = settings.instance }, dispatcher)
     , cluster(makeCluster())
-    , callerApi({ .dispatcher = dispatcher, .ledger = cluster ? cluster->ledger() : unavailableLedger, .metrics = metrics, .settings = activeSettings, .processIncarnation = incarnation, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return upstreamOfThisLoop(); } })
+    , callerApi({ .dispatcher = dispatcher, .ledger = cluster ? cluster->ledger() : unavailableLedger, .metrics = metrics, .settings = activeSettings, .processIncarnation = incarnation, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return *upstreams.at(indexOfThisLoop()); }, .interruptsOfThisLoop = [this]() -> Interrupts& { return *interrupts.at(indexOfThisLoop()); } })
     , backendApi(fleet, settings.backendKeySha256)
     , operatorApi({ .keySha256 = settings.operatorKeySha256, .instance = settings.instance.value(), .settings = activeSettings, .store = cluster ? cluster->settingsStore() : unavailableSettingsStore, .sections = dumpSections(), .isDraining = [this] { return callerApi.isDraining(); }, .formState = [this] { return cluster ? cluster->formState() : std::string("this instance reads its settings from files and keeps no replicated state"); } })
     , callerServer(loops, callerApi, serverOptions(settings, settings.callerListen, settings.maxBodyBytes))
@@ -131,8 +137,10 @@
     , operatorServer(loops, operatorApi, serverOptions(settings, settings.operatorListen, maxOperatorBodyBytes))
     , signals(loops.at(0).get_executor(), SIGTERM, SIGINT)
 {
-    for (std::size_t i = 0; i < loops.size(); ++i)
+    for (std::size_t i = 0; i < loops.size(); ++i) {
         upstreams.push_back(makeUpstreamClient(loops.at(i), {}));
+        interrupts.push_back(std::make_unique<Interrupts>());
+    }
 }
 
 std::unique_ptr<Cluster> Daemon::Components::makeCluster()
@@ -158,14 +166,14 @@
     return sections;
 }
 
-UpstreamClient& Daemon::Components::upstreamOfThisLoop()
+std::size_t Daemon::Components::indexOfThisLoop()
 {
     for (std::size_t i = 0; i < loops.size(); ++i) {
         if (loops.at(i).get_executor().running_in_this_thread())
-            return *upstreams.at(i);
+            return i;
     }
     internalAssert(false, "a request runs on an event loop");
-    return *upstreams.front();
+    return 0;
 }
 
 void Daemon::Components::applySettings(std::shared_ptr<const RoutingSettings> routing)
@@ -196,6 +204,18 @@
     }
 }
 
+Task<void> Daemon::Components::giveUpRequests()
+{
+    for (std::size_t i = 0; i < loops.size(); ++i)
+        asio::post(loops.at(i), [it = interrupts.at(i).get()] { it->interruptAll(); });
+    const auto end = monotonicNow() + answerTimeAtEnd;
+    Timer timer(loops.at(0).get_executor());
+    while (callerServer.requestsInProgress() > 0 && monotonicNow() < end) {
+        timer.expires_after(drainPollInterval);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
 Task<void> Daemon::Components::drain()
 {
     logEvent(LogEvent::DrainStarted, "in_progress={}", callerServer.requestsInProgress());
@@ -207,8 +227,11 @@
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asTuple);
     }
+    const auto givenUp = callerServer.requestsInProgress();
+    if (givenUp > 0)
+        co_await giveUpRequests();
     abortedRequests = callerServer.requestsInProgress();
-    logEvent(abortedRequests == 0 ? LogEvent::DrainFinished : LogEvent::DrainCut, "cut={}", abortedRequests);
+    logEvent(abortedRequests == 0 ? LogEvent::DrainFinished : LogEvent::DrainCut, "given_up={} cut={}", givenUp, abortedRequests);
     loops.stop();
 }
 
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -88,6 +88,7 @@
         .upstream = m_options.upstreamOfThisLoop(),
         .ledger = m_options.ledger,
         .metrics = m_options.metrics,
+        .interrupts = m_options.interruptsOfThisLoop(),
         .processIncarnation = m_options.processIncarnation,
     };
     RequestRunner runner(context, std::get<CallerRequest>(parsed), request, writer);
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -69,10 +69,17 @@
     , m_request(request)
     , m_http(http)
     , m_writer(writer)
+    , m_interruption(context.interrupts)
     , m_metrics(context.metrics.forClass(request.requestClass->id))
 {
 }
 
+void RequestRunner::setInterruption(std::function<void()> callback)
+{
+    m_interruption.set(callback);
+    m_writer.onCallerDisconnect(std::move(callback));
+}
+
 Task<void> RequestRunner::run()
 {
     ++m_metrics.requests;
@@ -197,13 +204,14 @@
 Task<RequestRunner::AttemptResult> RequestRunner::runOneAttempt(std::set<BackendId>& triedBackends)
 {
     const auto id = m_context.dispatcher.nextId();
-    m_writer.onCallerDisconnect([this, id] { m_context.dispatcher.cancel(id); });
+    setInterruption([this, id] { m_context.dispatcher.cancel(id); });
     const auto queuedAt = monotonicNow();
     const auto decision = co_await m_context.dispatcher.acquire(makeJob(id, triedBackends));
     m_metrics.queueing.add(monotonicNow() - queuedAt);
     AttemptResult result;
     if (decision.kind == Decision::Kind::Refuse) {
-        result.failure = failure(decision.error, Verdict::NotRun, fmt::format("class `{}`", m_request.requestClass->id.value()));
+        const auto error = m_context.interrupts.isInterrupted() ? RouterError::Draining : decision.error;
+        result.failure = failure(error, Verdict::NotRun, fmt::format("class `{}`", m_request.requestClass->id.value()));
         result.failure->retryAfter = decision.retryAfter;
         co_return result;
     }
@@ -257,7 +265,7 @@
 Task<RequestRunner::AttemptResult> RequestRunner::callBackend(RequestId id, const BackendId& backend)
 {
     const auto call = m_context.upstream.open(backend.value(), makeTimeouts());
-    m_writer.onCallerDisconnect([&call = *call] { call.cancel(); });
+    setInterruption([&call = *call] { call.cancel(); });
     const auto sentAt = monotonicNow();
     const auto executor = co_await asio::this_coro::executor;
     const DeadlineWatch watch(executor, m_request.hasCallerDeadline ? std::optional(m_request.deadline) : std::nullopt, *call);
@@ -273,12 +281,15 @@
             result = co_await readCompleteAnswer(*call, head);
     }
     // The callback refers to the call, which is destroyed at the end of this function.
-    m_writer.onCallerDisconnect({});
+    setInterruption({});
+    const auto isGivenUp = result.failure && m_context.interrupts.isInterrupted();
+    if (isGivenUp)
+        result.failure->error = result.failure->verdict == Verdict::NotRun ? RouterError::Draining : RouterError::StoppedWaiting;
     if (result.failure && watch.hasPassed())
         result.failure->error = RouterError::DeadlinePassed;
     if (result.failure && m_writer.isCallerDisconnected())
         result.failure->error = RouterError::CallerGone;
-    const auto isCrash = result.hasBrokenOff && !watch.hasPassed() && !m_writer.isCallerDisconnected();
+    const auto isCrash = result.hasBrokenOff && !isGivenUp && !watch.hasPassed() && !m_writer.isCallerDisconnected();
     if (isCrash)
         m_context.dispatcher.recordBroken(m_request, backend, monotonicNow() - sentAt);
     co_return result;
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -6,6 +6,7 @@
 #include "entry/CallerRequest.h"
 #include "http/HttpMessage.h"
 #include "http/Refusal.h"
+#include "net/Interrupts.h"
 #include "net/Task.h"
 #include "scheduling/Decision.h"
 
@@ -30,6 +31,7 @@
     UpstreamClient& upstream; ///< Client of the event loop that runs the request.
     IdempotencyLedger& ledger;
     Metrics& metrics;
+    Interrupts& interrupts; ///< Of the event loop that runs the request.
     std::uint64_t processIncarnation = 0; ///< Makes attempt ids unique across restarts.
 };
 
@@ -60,6 +62,8 @@
     Task<void> abortStream(const Refusal&); // Sends an error event and closes the connection.
     Task<void> answer(AttemptResult);
 
+    /** Sets what ends the present wait if the caller disconnects or the process stops. */
+    void setInterruption(std::function<void()>);
     Job makeJob(RequestId, const std::set<BackendId>& triedBackends) const;
     HttpRequest makeUpstreamRequest(RequestId) const;
     bool mayRetry(const AttemptResult&) const;
@@ -73,6 +77,7 @@
     const CallerRequest& m_request;
     const HttpRequest& m_http;
     ResponseWriter& m_writer;
+    Interrupts::Subscription m_interruption;
     ClassMetrics& m_metrics;
     bool m_isRepeat = false;
     bool m_sawFirstToken = false;
--- /dev/null
+++ b/src/forwarding/DrainPolicy.h
@@ -0,0 +1,39 @@
+/** \file
+ * Decides which requests a stopping instance still starts. Does no I/O and reads no clock.
+ *
+ * A request that is still running when the process ends leaves its caller in doubt whether it ran; a request that is refused at
+ * once is repeated at another instance. So a request is started only if its answer comes before the end, as far as its time
+ * limits and the durations measured for its route tell.
+ */
+#pragma once
+
+#include "base/Time.h"
+
+#include <optional>
+
+namespace HickoryHollow {
+
+class RouteDurations;
+struct RouteRule;
+
+class DrainPolicy {
+public:
+    /** Begins a drain in which answers must be complete `answerTime` from now. */
+    void start(TimePoint now, Duration answerTime);
+    bool hasStarted() const { return m_startedAt.has_value(); }
+    /** Time at which requests still in progress are given up. Call only after start(). */
+    TimePoint end() const { return *m_startedAt + m_answerTime; }
+    /** Returns true if a request that has to end by `deadline` may be sent to a server now. Always true without a drain. */
+    bool mayStart(const RouteRule&, TimePoint deadline, const RouteDurations&, TimePoint now) const;
+
+private:
+    /** Time that requests of the route usually take. */
+    static Duration usualTime(const RouteRule&, const RouteDurations&, TimePoint now);
+    /** Time that a request of the route does not exceed, or so rarely that a refusal is worse; nothing if none is known. */
+    static std::optional<Duration> reliableTime(const RouteRule&, const RouteDurations&, TimePoint now);
+
+    std::optional<TimePoint> m_startedAt;
+    Duration m_answerTime {};
+};
+
+} // namespace HickoryHollow
--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -5,13 +5,15 @@
 
 #include "base/Time.h"
 #include "forwarding/BufferBudget.h"
+#include "forwarding/DrainPolicy.h"
+#include "forwarding/RouteDurations.h"
 #include "metrics/Metrics.h"
+#include "net/Interrupts.h"
 #include "net/Task.h"
 #include "placement/RetryWindow.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 
 namespace HickoryHollow {
 
@@ -38,7 +40,9 @@
     std::map<ServiceId, RetryWindow> retryWindows = {}; ///< Created with `retryOptions` at the first request for a service.
     std::uint32_t entryInstances = 1; ///< Entry instances that share the retry budget; last count from the state instances.
     TimePoint startedAt = monotonicNow(); ///< Start of this process.
-    std::optional<TimePoint> drainEnd = {}; ///< Time by which a draining process ends; empty unless it is draining.
+    DrainPolicy drain = {}; ///< Decides which requests are still started while the process stops.
+    RouteDurations durations = {}; ///< Of the requests that were sent to a server.
+    Interrupts interrupts = {}; ///< Gives up the exchanges in progress at the end of a drain.
     BufferBudget answerBytes = BufferBudget(); ///< Bytes of answers that are held until they are complete.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Upper limit of the retry-after time sent to shed requests.
 };
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -38,6 +38,7 @@
     : m_context(context)
     , m_http(http)
     , m_writer(writer)
+    , m_interruption(context.interrupts)
     , m_arrival(monotonicNow())
     , m_deadline(m_arrival)
     , m_table(context.routing.table())
@@ -97,7 +98,7 @@
             co_await refuse(*quarantine);
             co_return;
         }
-        const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { m_writer.onCallerDisconnect(std::move(cancelWait)); });
+        const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
         if (m_writer.isCallerDisconnected()) {
             if (grant)
                 m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
@@ -132,6 +133,17 @@
     }
 }
 
+bool RoutedExchange::mayStart() const
+{
+    return m_context.drain.mayStart(*m_route, m_deadline, m_context.durations, monotonicNow());
+}
+
+void RoutedExchange::setInterruption(std::function<void()> callback)
+{
+    m_interruption.set(callback);
+    m_writer.onCallerDisconnect(std::move(callback));
+}
+
 std::string_view RoutedExchange::quarantineCode() const
 {
     if (!m_context.promptGuard.isQuarantined(m_parts))
@@ -159,6 +171,8 @@
 std::optional<RoutedExchange::NotSent> RoutedExchange::findRefusal(const Placement* placement, RetryWindow& window)
 {
     const auto now = monotonicNow();
+    if (!mayStart())
+        return NotSent { .code = "draining", .retryAfter = drainRetryAfter };
     if (const auto quarantine = findQuarantine())
         return quarantine;
     if (!placement)
@@ -219,7 +233,7 @@
         co_await respondWithError(badGateway, result.cause, {});
         co_return;
     case AttemptEnd::NotRun:
-        co_await refuse({ .code = result.cause, .retryAfter = timeToServer() });
+        co_await refuse({ .code = result.cause, .retryAfter = result.cause == "draining" ? drainRetryAfter : timeToServer() });
         co_return;
     case AttemptEnd::DeadlinePassed:
         co_await respondWithError(m_possibleRuns == 0 ? unavailable : gatewayTimeout, result.cause, shortRetryAfter);
@@ -266,6 +280,8 @@
 {
     const auto now = monotonicNow();
     countOutcome(status, outcome, now - m_arrival);
+    if (m_possibleRuns > 0 && status > 0)
+        m_context.durations.add(m_route->id, now - m_arrival, now);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
     logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
         m_metadata.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -20,6 +20,7 @@
 
 constexpr unsigned unavailable = 503; // This HTTP status promises that the request has not run and will not run.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
+constexpr Duration drainRetryAfter = std::chrono::milliseconds(50); // Another instance can take the request at once.
 
 } // namespace Internal
 
@@ -76,6 +77,10 @@
     const ServiceId& pickService() const;
     /** Queueing priority of the request within its service; 0 is the most urgent. */
     std::uint32_t priority() const;
+    /** False if the process stops and the answer would not come before its end. */
+    bool mayStart() const;
+    /** Sets what ends the present wait if the caller disconnects or the process stops; an empty function unsets it. */
+    void setInterruption(std::function<void()>);
 
     // Attempts.
     Task<void> runAttempts();
@@ -132,6 +137,7 @@
     ForwardingContext& m_context;
     const HttpRequest& m_http;
     ResponseWriter& m_writer;
+    Interrupts::Subscription m_interruption;
     TimePoint m_arrival;
     TimePoint m_deadline; // Arrival plus the shorter of route timeout and caller timeout.
     std::shared_ptr<const RouteTable> m_table; // Active when the request was admitted; owns m_route and m_workspace.
--- a/src/forwarding/RoutedExchangeAdmission.cpp
+++ b/src/forwarding/RoutedExchangeAdmission.cpp
@@ -14,10 +14,6 @@
 
 constexpr unsigned notFound = 404;
 constexpr unsigned unauthorized = 401;
-constexpr Duration streamAnswerTime = std::chrono::milliseconds(4500); // Time in which a busy engine finishes a long stream.
-// Several times the processing time of a request without a prompt.
-constexpr Duration wholeAnswerTime = std::chrono::milliseconds(1500);
-constexpr Duration drainRetryAfter = std::chrono::milliseconds(50); // Another instance can take the request at once.
 constexpr Duration startupTime = std::chrono::seconds(6); // Time in which a new process receives configuration and servers.
 constexpr Duration maxInterruption = std::chrono::seconds(2); // Time of a leader election and the poll that follows it.
 constexpr Duration startupPollInterval = std::chrono::milliseconds(40);
@@ -53,7 +49,7 @@
     Timer pause(m_context.loop.get_executor());
     while (!canDecideAdmission() && !m_writer.isCallerDisconnected()) {
         const auto now = monotonicNow();
-        if (now >= m_startupWaitEnd || !isConfigurationExpected(now))
+        if (now >= m_startupWaitEnd || !isConfigurationExpected(now) || m_context.interrupts.isInterrupted())
             break;
         pause.expires_after(startupPollInterval);
         co_await pause.async_wait(asTuple);
@@ -82,9 +78,7 @@
             return refusal(unauthorized, "unknown-key", {});
     }
     m_deadline = m_arrival + std::min(m_route->timeout, m_metadata.callerTimeout.value_or(m_route->timeout));
-    // A request that arrives too late in a drain goes to another instance, so that its answer is not cut off.
-    const auto answerTime = m_route->isStream() ? streamAnswerTime : wholeAnswerTime;
-    if (m_context.drainEnd && std::min(m_deadline, m_arrival + answerTime) > *m_context.drainEnd)
+    if (!mayStart())
         return refusal(unavailable, "draining", drainRetryAfter);
     return std::nullopt;
 }
@@ -94,7 +88,7 @@
     Timer pause(m_context.loop.get_executor());
     while (!m_context.selector.hasCandidate(m_placementRequest) && !m_writer.isCallerDisconnected()) {
         const auto now = monotonicNow();
-        if (now >= m_startupWaitEnd || m_placements > 0 || now - m_context.startedAt > startupTime)
+        if (now >= m_startupWaitEnd || m_placements > 0 || now - m_context.startedAt > startupTime || m_context.interrupts.isInterrupted())
             co_return;
         pause.expires_after(startupPollInterval);
         co_await pause.async_wait(asTuple);
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -65,7 +65,7 @@
     const auto mayTryElsewhere = m_route->mayRunAgain() && m_possibleRuns + 1 < m_route->maxAttempts;
     const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
     const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
-    m_writer.onCallerDisconnect([&call = *call] { call.cancel(); });
+    setInterruption([&call = *call] { call.cancel(); });
     AttemptResult result;
     {
         const auto executor = m_context.loop.get_executor();
@@ -79,9 +79,15 @@
         } else if (!isWhole && silence.hasPassed()) {
             result.cause = "server-silent";
             result.hasBrokenOff = false;
+        } else if (!isWhole && result.end != AttemptEnd::NotRun && m_context.interrupts.isInterrupted()) {
+            // The caller may not be left without an answer because this process ends; the server is not to blame.
+            result.end = AttemptEnd::DeadlinePassed;
+            result.cause = "drain-over";
+            result.outcome = CallOutcome::Rejected;
+            result.hasBrokenOff = false;
         }
     }
-    m_writer.onCallerDisconnect({});
+    setInterruption({});
     if (result.end != AttemptEnd::Delivered && m_writer.isCallerDisconnected()) {
         result.end = AttemptEnd::CallerGone;
         // A disconnecting caller must not count against the server's health.
@@ -97,9 +103,11 @@
 }
 
 // A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the key may have been
-// revoked, the prompt put in quarantine, and the server may have said that it takes no requests.
+// revoked, the prompt put in quarantine, the process been told to stop, and the server may have said that it takes no requests.
 std::string_view RoutedExchange::findObstacle(const Placement& placement) const
 {
+    if (!mayStart())
+        return "draining";
     if (m_workspace && !hasLease())
         return "configuration-unconfirmed";
     if (const auto code = quarantineCode(); !code.empty())
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace HickoryHollow {
@@ -30,6 +31,7 @@
     std::atomic<bool> isDraining = false;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> requests = 0;
+    std::atomic<std::size_t> arriving = 0; // Requests that have arrived in part.
     std::atomic<std::uint64_t> requestsRead = 0;
     std::mutex mutex;
     std::set<Stream::socket_type*> idle; // Sockets of connections that wait for a request; guarded by mutex.
@@ -61,7 +63,15 @@
     {
     }
 
+    /** True if the peer has sent more than the request in progress. */
+    bool hasFurtherInput()
+    {
+        boost::system::error_code ec;
+        return buf.size() > 0 || (stream.socket().is_open() && stream.socket().available(ec) > 0);
+    }
+
     Stream stream;
+    beast::flat_buffer buf; // Bytes that were read and not parsed yet.
     std::function<void()> disconnectCallback;
     bool isDisconnected = false;
     bool isWatchingPeer = false;
@@ -183,8 +193,9 @@
         message.result(status);
         for (const auto& it : fields.all())
             message.set(it.name, it.value);
-        // During a drain, the header is the last place to tell the peer that this connection takes no further request.
-        if (m_isDraining)
+        // During a drain, the header is the last place to tell the peer that this connection takes no further request. A request
+        // that has arrived already would be lost with the connection.
+        if (m_isDraining && !m_state->hasFurtherInput())
             m_keepAlive = false;
         message.keep_alive(m_keepAlive);
     }
@@ -270,18 +281,24 @@
 }
 
 // Waits for the first byte of the next request. Returns false if the connection ends or stays idle for too long.
-Task<bool> waitForRequest(ConnectionState& state, beast::flat_buffer& buf, Duration idleTimeout)
+Task<bool> waitForRequest(ConnectionState& state, Duration idleTimeout)
 {
+    auto& buf = state.buf;
     if (buf.size() > 0)
         co_return true;
-    state.stream.expires_after(idleTimeout);
-    const auto [ec, n] = co_await state.stream.async_read_some(buf.prepare(firstReadBytes), asTuple);
-    buf.commit(n);
-    co_return !ec;
+    for (;;) {
+        state.stream.expires_after(idleTimeout);
+        const auto [ec, n] = co_await state.stream.async_read_some(buf.prepare(firstReadBytes), asTuple);
+        buf.commit(n);
+        // closeIdleConnections() may cancel the wait when a request has arrived and has not been read yet.
+        if (ec != asio::error::operation_aborted || !state.hasFurtherInput())
+            co_return !ec;
+    }
 }
 
-Task<boost::system::error_code> readRequest(ConnectionState& state, beast::flat_buffer& buf, Parser& parser, const HttpLimits& limits)
+Task<boost::system::error_code> readRequest(ConnectionState& state, Parser& parser, const HttpLimits& limits)
 {
+    auto& buf = state.buf;
     state.stream.expires_after(limits.headerTimeout);
     const auto [headEc, headBytes] = co_await http::async_read_header(state.stream, buf, parser, asTuple);
     if (headEc)
@@ -320,7 +337,6 @@
     const CountGuard guard(shared->connections);
     boost::system::error_code ignored;
     state->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    beast::flat_buffer buf;
     auto isOpen = true;
     while (isOpen) {
         Parser parser;
@@ -328,11 +344,12 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
         shared->setIdle(state->stream.socket(), true);
-        const auto hasRequest = co_await waitForRequest(*state, buf, limits.idleTimeout);
+        const auto hasRequest = co_await waitForRequest(*state, limits.idleTimeout);
         shared->setIdle(state->stream.socket(), false);
         if (!hasRequest)
             break;
-        const auto ec = co_await readRequest(*state, buf, parser, limits);
+        std::optional<CountGuard> arrivingGuard(std::in_place, shared->arriving);
+        const auto ec = co_await readRequest(*state, parser, limits);
         const auto overload = shared->connections > shared->options.maxConnections;
         ConnectionWriter writer(state, shared->options, shared->isDraining, parser.get().version(), !ec && !overload && parser.keep_alive());
         if (ec && !isRequestError(ec))
@@ -345,6 +362,7 @@
             break;
         }
         const CountGuard requestGuard(shared->requests);
+        arrivingGuard.reset();
         ++shared->requestsRead;
         const auto request = toRequest(parser.release());
         co_await shared->handler.handle(request, writer);
@@ -359,6 +377,9 @@
         }
     }
     stopWatchingPeer(*state);
+    // The answer says that the connection closes, but the caller may have sent its next request already.
+    if (!state->isDisconnected && state->hasFurtherInput())
+        co_await discardInput(*state);
     state->stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
     state->stream.close();
 }
@@ -410,6 +431,11 @@
     return m_shared->requestsRead;
 }
 
+bool HttpServer::hasRequests() const
+{
+    return m_shared->requests + m_shared->arriving > 0;
+}
+
 std::size_t HttpServer::requestsInProgress() const
 {
     return m_shared->requests;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -46,12 +46,17 @@
 
     /** Makes every response that starts from now on close its connection. New connections are still accepted. */
     void startDrain();
-    /** Closes connections that have no request in progress. Only for a server with one loop; call it on that loop. */
+    /**
+     * Closes connections on which no byte of a request has arrived; other requests are still served. Only for a server with one
+     * loop; call it on that loop.
+     */
     void closeIdleConnections();
     /** Number of requests that were read completely since the server started. */
     std::uint64_t requestsRead() const;
     /** Number of requests that were read completely and whose handler has not finished. */
     std::size_t requestsInProgress() const;
+    /** True if requests are in progress or have arrived in part. */
+    bool hasRequests() const;
 
 private:
     struct Shared;
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -18,10 +18,12 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(250);
 constexpr Duration queuePumpInterval = std::chrono::milliseconds(40); // While the admission queue is not empty.
 constexpr Duration drainPollInterval = std::chrono::milliseconds(100);
+constexpr Duration drainEndPollInterval = std::chrono::milliseconds(20);
 // Two failed health checks, 1 s apart, and one in flight.
 constexpr Duration balancerDetectionTime = std::chrono::milliseconds(3500);
 // Part of the drain time that is left for the process to exit.
 constexpr Duration exitMargin = std::chrono::milliseconds(700);
+constexpr Duration answerTimeAtEnd = std::chrono::milliseconds(400); // For the answers to requests that the end gives up.
 constexpr Duration idleBeforeClose = std::chrono::milliseconds(800); // A drain ends after this time without a request.
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 constexpr Duration upstreamSilenceLimit = std::chrono::milliseconds(2000);
@@ -229,13 +231,9 @@
     }
 }
 
-Task<std::size_t> EntryInstance::drain()
+// New connections keep coming until the load balancer has noticed, and callers keep using their open connections.
+Task<void> EntryInstance::serveUntilIdle(TimePoint startedAt)
 {
-    m_isDraining = true;
-    m_context.drainEnd = monotonicNow() + m_settings.bounds.drainTime - exitMargin;
-    m_server.startDrain();
-    const auto startedAt = monotonicNow();
-    logEvent(LogEvent::DrainStarted, "in_progress={}", m_server.requestsInProgress());
     auto requestsRead = m_server.requestsRead();
     auto idleSince = startedAt;
     Timer timer(m_loop.get_executor());
@@ -244,15 +242,38 @@
         co_await timer.async_wait(asTuple);
         const auto now = monotonicNow();
         const auto total = m_server.requestsRead();
-        if (std::exchange(requestsRead, total) != total || m_server.requestsInProgress() > 0)
+        if (std::exchange(requestsRead, total) != total || m_server.hasRequests())
             idleSince = now;
         const auto isIdle = now - startedAt > balancerDetectionTime && now - idleSince > idleBeforeClose;
-        if (isIdle || now - startedAt > m_settings.bounds.drainTime - exitMargin)
-            break;
+        if (isIdle || now >= m_context.drain.end())
+            co_return;
     }
+}
+
+Task<void> EntryInstance::awaitRequests(TimePoint end)
+{
+    Timer timer(m_loop.get_executor());
+    while (m_server.hasRequests() && monotonicNow() < end) {
+        timer.expires_after(drainEndPollInterval);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+Task<std::size_t> EntryInstance::drain()
+{
+    m_isDraining = true;
+    const auto startedAt = monotonicNow();
+    m_context.drain.start(startedAt, m_settings.bounds.drainTime - exitMargin);
+    m_server.startDrain();
+    logEvent(LogEvent::DrainStarted, "in_progress={}", m_server.requestsInProgress());
+    co_await serveUntilIdle(startedAt);
     m_server.closeIdleConnections();
+    co_await awaitRequests(m_context.drain.end()); // Requests that crossed the closing of their connections.
+    const auto givenUp = m_server.requestsInProgress();
+    m_context.interrupts.interruptAll();
+    co_await awaitRequests(std::max(m_context.drain.end(), monotonicNow()) + answerTimeAtEnd);
     const auto aborted = m_server.requestsInProgress();
-    logEvent(aborted == 0 ? LogEvent::DrainFinished : LogEvent::DrainCut, "cut={}", aborted);
+    logEvent(aborted == 0 ? LogEvent::DrainFinished : LogEvent::DrainCut, "given_up={} cut={}", givenUp, aborted);
     co_return aborted;
 }
 
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -36,8 +36,8 @@
     /** True if the load balancer may send new connections: not draining, and the lease on the configuration is valid. */
     bool isReady() const;
     /**
-     * Continues to serve connected callers until they are idle or the drain time is over. Returns the number of requests
-     * still in progress then, which the end of the process aborts.
+     * Continues to serve connected callers until they are idle or the drain time is over. Requests still in progress then are
+     * answered with an error. Returns the number of those whose answers could not be written, which the end of the process cuts.
      */
     Task<std::size_t> drain();
 
@@ -46,6 +46,10 @@
 
 private:
     Task<void> tickLoop();
+    /** Returns when the callers have been idle for a while, or at the end of the drain. */
+    Task<void> serveUntilIdle(TimePoint startedAt);
+    /** Returns when no request is in progress or arrives, or at `end`. */
+    Task<void> awaitRequests(TimePoint end);
     void applyRouting(const RoutingDocument&);
     void applyUsage(const UsageReport& total);
     std::vector<CachedPrefixReport> takeLocalPrefixes();
--- /dev/null
+++ b/test/error/http_drain.cpp
@@ -0,0 +1,158 @@
+/** \file
+ * The HTTP server while its process stops: requests that have reached it, also in part or behind another one, are answered before
+ * their connection is closed.
+ */
+#include "http/HttpHandler.h"
+#include "http/HttpServer.h"
+#include "http/ResponseWriter.h"
+#include "net/EventLoops.h"
+#include "net/Timer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+using namespace HickoryHollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned short port = 7927;
+const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n";
+
+/** Answers with the body of the request, `h` only once released. */
+class HoldingHandler final : public HttpHandler {
+public:
+    Task<void> handle(const HttpRequest& request, ResponseWriter& writer) override
+    {
+        Timer pause(co_await asio::this_coro::executor);
+        while (request.body == "h" && !isReleased) {
+            pause.expires_after(1ms);
+            co_await pause.async_wait(asTuple);
+        }
+        co_await writer.send(jsonResponse(200, request.body));
+    }
+
+    std::atomic<bool> isReleased = false;
+};
+
+class DrainedServer {
+public:
+    DrainedServer()
+        : m_server(m_loops, handler, { .address = "127.0.0.1:" + std::to_string(port) })
+        , m_thread([this] { m_loops.run(); })
+    {
+    }
+    ~DrainedServer()
+    {
+        m_loops.stop();
+        m_thread.join();
+    }
+    DrainedServer(const DrainedServer&) = delete;
+    DrainedServer& operator=(const DrainedServer&) = delete;
+
+    /** Does something with the server on its loop. */
+    template <typename Function>
+    auto on(Function function)
+    {
+        std::packaged_task<decltype(function(m_server))()> task([&] { return function(m_server); });
+        auto result = task.get_future();
+        asio::post(m_loops.at(0), [&] { task(); });
+        return result.get();
+    }
+
+    /** Returns once the condition holds; the test's own time limit ends it otherwise. */
+    template <typename Condition>
+    void await(Condition condition)
+    {
+        while (!on(condition))
+            std::this_thread::yield();
+    }
+
+    HoldingHandler handler;
+
+private:
+    EventLoops m_loops { 1 };
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+class Client {
+public:
+    Client()
+        : m_socket(m_loop)
+    {
+        m_socket.connect({ boost::asio::ip::address_v4::loopback(), port });
+    }
+
+    void send(std::string_view bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    std::string readAll()
+    {
+        std::string bytes;
+        boost::system::error_code ec;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(bytes), ec);
+        return bytes;
+    }
+
+private:
+    boost::asio::io_context m_loop;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace
+
+// Guards against pipelined requests that were dropped behind an answer with `Connection: close`.
+TEST_CASE("in a drain a request behind another one on its connection is answered, then the connection is closed", "[http][loopback][drain]")
+{
+    DrainedServer server;
+    Client client;
+    client.send(head + "h" + head + "b");
+    server.await([](auto& it) { return it.requestsInProgress() == 1; });
+    server.on([](auto& it) { it.startDrain(); return true; });
+    server.handler.isReleased = true;
+    const auto answers = client.readAll();
+    const auto first = answers.find("\r\n\r\nh");
+    REQUIRE(first != std::string::npos);
+    CHECK(answers.find("Connection: close") > first);
+    CHECK(answers.ends_with("\r\n\r\nb"));
+}
+
+TEST_CASE("in a drain a request whose body still arrives keeps its connection until it is answered", "[http][loopback][drain]")
+{
+    DrainedServer server;
+    Client arriving;
+    Client idle;
+    arriving.send(head);
+    server.await([](auto& it) { return it.hasRequests(); });
+    CHECK(server.on([](auto& it) { return it.requestsInProgress(); }) == 0);
+    server.on([](auto& it) {
+        it.startDrain();
+        it.closeIdleConnections();
+        return true;
+    });
+    CHECK(idle.readAll().empty());
+    arriving.send("b");
+    CHECK(arriving.readAll().ends_with("\r\n\r\nb"));
+    server.await([](auto& it) { return !it.hasRequests(); });
+}
+
+TEST_CASE("a request that has arrived when idle connections are closed is answered", "[http][loopback][drain]")
+{
+    DrainedServer server;
+    Client client;
+    client.send(head + "a");
+    server.await([](auto& it) { return it.requestsRead() == 1; });
+    server.await([](auto& it) { return it.requestsInProgress() == 0; });
+    // The loop is held up while the request arrives, as by a suspension, so that it is not read yet.
+    server.on([&client](auto& it) {
+        it.startDrain();
+        client.send(head + "b");
+        it.closeIdleConnections();
+        return true;
+    });
+    CHECK(client.readAll().ends_with("\r\n\r\nb"));
+}
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -278,7 +278,7 @@
 TEST_CASE("a request that arrives late in a drain is refused as not run", "[routed]")
 {
     RoutedBench bench;
-    bench.context.drainEnd = monotonicNow() + 1s;
+    bench.context.drain.start(monotonicNow(), 1s);
     const auto* path = GENERATE("/draft/1", "/order/7");
     bench.run(RoutedBench::request(path));
     CHECK(bench.upstream.requests.empty());
@@ -288,7 +288,7 @@
 TEST_CASE("a request that arrives early in a drain is served", "[routed]")
 {
     RoutedBench bench;
-    bench.context.drainEnd = monotonicNow() + 7s;
+    bench.context.drain.start(monotonicNow(), 7s);
     bench.upstream.scripts = { RoutedBench::answer("served") };
     bench.run(RoutedBench::request("/order/7"));
     CHECK(bench.writer.response->body == "served");
--- a/test/fakes/RequestBench.h
+++ b/test/fakes/RequestBench.h
@@ -23,7 +23,7 @@
 struct RequestBench {
     RequestBench()
         : dispatcher({ .scheduler = { .ownDomain = FailureDomainId("a") }, .seed = 1 }, std::make_unique<EstimatedLoadChoice>())
-        , api({ .dispatcher = dispatcher, .ledger = ledger, .metrics = metrics, .settings = activeSettings, .processIncarnation = 7, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return upstream; } })
+        , api({ .dispatcher = dispatcher, .ledger = ledger, .metrics = metrics, .settings = activeSettings, .processIncarnation = 7, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return upstream; }, .interruptsOfThisLoop = [this]() -> Interrupts& { return interrupts; } })
     {
         Diagnostics diagnostics;
         activeSettings.apply(parseRoutingSettings({ .inventory = inventoryText, .rules = rulesText }, SettingsVersion(1), diagnostics));
@@ -69,6 +69,7 @@
     FakeUpstream upstream;
     RecordingWriter writer;
     MemoryLedger ledger;
+    Interrupts interrupts;
     Metrics metrics;
     ActiveSettings activeSettings;
     Dispatcher dispatcher;
