Bound the memory of request bodies, and hold each body once

Cause, two parts. Nothing bounded the bodies that a process holds: each connection read its body whole, whatever the others held. And a body in progress was held four times: the request, the temporary of `makeUpstreamRequest()`, the copy that `SocketCall::begin()` checks, and the message that is written.

Ruled out: passing bodies on while they arrive (a request could not be sent again, and a slow sender would hold a server's slot); refusing before the body is read (permitted bodies would be turned away though they fit one after the other); a constant.

Change: a body takes room before its bytes are read; without room the connection is not read, so the rest stays with the sender. A chunked body takes room for the longest permitted one once it exceeds 16 KiB. Room follows from `[limits] memory-mb` (the platform's figure; 88, the smallest, if it names none): 26% for bodies over 64 KiB, 8% for others, so that small requests never wait for large ones. One workspace holds at most 80%; of those that wait, whoever holds least goes first; a body larger than the room goes alone. A wait ends with 503 at half of the caller's time (a third, or 1 s, where it may repeat), and the number of those who wait is bounded. `RequestBody` shares its bytes among all copies and gives the room back with the last. The time of a request counts from its header, as its caller's does. Read buffers shrink after each request, receive buffers of callers' connections don't grow, and large freed buffers go back to the kernel. The same holds for the state instances' control interface and for our own interface.

Tests: `hickory-tests "[memory]"`, 17 cases.

Found on the way: g++ 12 destroys a temporary of `co_await f(c ? a() : b())` twice; the response is a named variable now.

--- a/src/base/Digest.h
+++ b/src/base/Digest.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,8 @@
 
 /** Lower-case hexadecimal SHA-256 of `text`. */
 std::string sha256Hex(std::string_view text);
+/** The same of the parts one after the other, which are not copied. */
+std::string sha256Hex(std::initializer_list<std::string_view> parts);
 /** Compares in a time that depends on the lengths only, so that a secret cannot be guessed byte by byte. */
 bool equalConstantTime(std::string_view a, std::string_view b);
 
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -25,6 +25,7 @@
     RoutedEnd = 2101,
     RoutedRetry = 2102,
     RoutedBroken = 2103,
+    BodyRefused = 2104,
     BackendJoined = 3001,
     BackendLeaving = 3002,
     BackendLapsed = 3003,
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -10,7 +10,9 @@
 #include "entry/DumpSection.h"
 #include "entry/FleetView.h"
 #include "entry/OperatorApi.h"
+#include "http/BodyBudget.h"
 #include "http/HttpServer.h"
+#include "http/MemoryPlan.h"
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
 #include "net/EventLoops.h"
@@ -75,11 +77,19 @@
     return routing;
 }
 
-HttpServerOptions serverOptions(const DaemonSettings& settings, const std::string& address, std::size_t bodyBytes)
+std::shared_ptr<BodyBudget> makeBodyBudget(const DaemonSettings& settings)
+{
+    constexpr std::size_t bytesPerMb = 1'000'000;
+    const auto memory = planMemory(settings.memoryMb * bytesPerMb);
+    return std::make_shared<BodyBudget>(BodyBudget::Options { .smallBytes = memory.smallBodies, .largeBytes = memory.largeBodies });
+}
+
+HttpServerOptions serverOptions(const DaemonSettings& settings, const std::string& address, std::size_t bodyBytes, const std::shared_ptr<BodyBudget>& bodies)
 {
     return {
         .address = address,
         .limits = [limits = HttpLimits { .headerBytes = settings.maxHeaderBytes, .bodyBytes = bodyBytes, .headerTimeout = settings.idleTimeout, .idleTimeout = settings.idleTimeout }] { return limits; },
+        .bodies = bodies,
         .maxConnections = settings.maxConnections,
         .writeTimeout = settings.slowReaderTimeout,
     };
@@ -102,6 +112,7 @@
 
     DaemonSettings settings;
     std::uint64_t incarnation = startTime();
+    std::shared_ptr<BodyBudget> bodies; // Of all servers of the process.
     EventLoops loops;
     Metrics metrics;
     ActiveSettings activeSettings;
@@ -125,6 +136,7 @@
 
 Daemon::Components::Components(const DaemonSettings& daemonSettings)
     : settings(daemonSettings)
+    , bodies(makeBodyBudget(settings))
     , loops(daemonSettings.threads)
     , dispatcher({ .scheduler = { .ownDomain = settings.failureDomain, .limits = {}, .features = featuresOf(settings.experiment) }, .seed = incarnation }, makeBackendChoice(settings.experiment.choice))
     , fleet({ .self = settings.instance }, dispatcher)
@@ -132,9 +144,9 @@
     , callerApi({ .dispatcher = dispatcher, .ledger = cluster ? cluster->ledger() : unavailableLedger, .metrics = metrics, .settings = activeSettings, .processIncarnation = incarnation, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return *upstreams.at(indexOfThisLoop()); }, .interruptsOfThisLoop = [this]() -> Interrupts& { return *interrupts.at(indexOfThisLoop()); } })
     , backendApi(fleet, settings.backendKeySha256)
     , operatorApi({ .keySha256 = settings.operatorKeySha256, .instance = settings.instance.value(), .settings = activeSettings, .store = cluster ? cluster->settingsStore() : unavailableSettingsStore, .sections = dumpSections(), .isDraining = [this] { return callerApi.isDraining(); }, .formState = [this] { return cluster ? cluster->formState() : std::string("this instance reads its settings from files and keeps no replicated state"); } })
-    , callerServer(loops, callerApi, serverOptions(settings, settings.callerListen, settings.maxBodyBytes))
-    , backendServer(loops, backendApi, serverOptions(settings, settings.backendListen, maxAnnouncementBodyBytes))
-    , operatorServer(loops, operatorApi, serverOptions(settings, settings.operatorListen, maxOperatorBodyBytes))
+    , callerServer(loops, callerApi, serverOptions(settings, settings.callerListen, settings.maxBodyBytes, bodies))
+    , backendServer(loops, backendApi, serverOptions(settings, settings.backendListen, maxAnnouncementBodyBytes, bodies))
+    , operatorServer(loops, operatorApi, serverOptions(settings, settings.operatorListen, maxOperatorBodyBytes, bodies))
     , signals(loops.at(0).get_executor(), SIGTERM, SIGINT)
 {
     for (std::size_t i = 0; i < loops.size(); ++i) {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
  * Entry point of hickoryhollowd: reads the settings file and runs the daemon.
  */
 #include "base/LogEvent.h"
+#include "base/MemoryPolicy.h"
 #include "daemon/Daemon.h"
 #include "settings/DaemonCommandLine.h"
 #include "settings/DaemonSettings.h"
@@ -31,6 +32,7 @@
 int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    HickoryHollow::returnFreedMemory();
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%f %v");
     return HickoryHollow::runDaemonCommand(argc, argv, { .name = "hickoryhollowd", .purpose = "Routes language-model traffic with service levels and priorities." }, runDaemon);
 }
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -45,6 +45,15 @@
         co_await serveRequest(request, writer);
 }
 
+BodyTerms CallerApi::bodyTerms(const HttpRequest& request) const
+{
+    BodyTerms terms;
+    const auto settings = m_options.settings.current(monotonicNow());
+    if (const auto* workspace = settings ? findWorkspace(request, settings->inventory) : nullptr)
+        terms.owner = workspace->id.value();
+    return terms;
+}
+
 HttpResponse CallerApi::readiness() const
 {
     if (m_isDraining)
--- a/src/entry/CallerApi.h
+++ b/src/entry/CallerApi.h
@@ -27,6 +27,7 @@
     explicit CallerApi(Options);
 
     Task<void> handle(const HttpRequest&, ResponseWriter&) override;
+    BodyTerms bodyTerms(const HttpRequest&) const override;
     /** From now on refuses new requests as not run and reports the instance as not ready. */
     void startDrain() { m_isDraining = true; }
     bool isDraining() const { return m_isDraining; }
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -80,7 +80,7 @@
 std::optional<Refusal> readModelBody(const HttpRequest& request, CallerRequest& parsed)
 {
     boost::json::error_code ec;
-    const auto body = boost::json::parse(request.body, ec);
+    const auto body = boost::json::parse(request.body.text(), ec);
     if (ec || !body.is_object())
         return notRunRefusal(RouterError::MalformedRequest, "the body is not a JSON object");
     const auto& object = body.get_object();
@@ -134,7 +134,7 @@
 std::uint64_t fingerprintOf(const HttpRequest& request, const CallerRequest& parsed)
 {
     const auto head = fmt::format("{}\n{}\n{}\n{}", parsed.workspace->id.value(), request.method, request.target, parsed.key ? parsed.key->value() : "");
-    return XXH64(request.body.data(), request.body.size(), XXH64(head.data(), head.size(), 0));
+    return XXH64(request.body.text().data(), request.body.size(), XXH64(head.data(), head.size(), 0));
 }
 
 } // namespace
--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -96,7 +96,7 @@
 std::optional<SettingsChange> OperatorApi::readChange(const HttpRequest& request) const
 {
     json::error_code ec;
-    const auto body = json::parse(request.body, ec);
+    const auto body = json::parse(request.body.text(), ec);
     if (ec || !body.is_object())
         return std::nullopt;
     const auto& object = body.get_object();
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -108,7 +108,7 @@
 
 Task<void> RequestRunner::runClaimed()
 {
-    const ClaimKey key { .workspace = m_request.workspace->id, .service = m_request.service->id, .key = *m_request.key, .requestDigest = sha256Hex(m_http.method + "\n" + m_http.target + "\n" + m_http.body) };
+    const ClaimKey key { .workspace = m_request.workspace->id, .service = m_request.service->id, .key = *m_request.key, .requestDigest = sha256Hex({ m_http.method, "\n", m_http.target, "\n", m_http.body }) };
     const auto claim = co_await m_context.ledger.claim(key);
     AttemptResult result;
     switch (claim.kind) {
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -39,7 +39,7 @@
     , m_http(http)
     , m_writer(writer)
     , m_interruption(context.interrupts)
-    , m_arrival(monotonicNow())
+    , m_arrival(http.receivedAt == TimePoint() ? monotonicNow() : http.receivedAt)
     , m_deadline(m_arrival)
     , m_table(context.routing.table())
     , m_metadata(context.codec.parseRequest(http))
--- a/src/forwarding/RoutedHandler.h
+++ b/src/forwarding/RoutedHandler.h
@@ -17,6 +17,8 @@
     }
 
     Task<void> handle(const HttpRequest&, ResponseWriter&) override;
+    BodyTerms bodyTerms(const HttpRequest&) const override;
+    HttpResponse refuseBody(const HttpRequest&) const override;
 
 private:
     ForwardingContext& m_context;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -3,6 +3,9 @@
  */
 #pragma once
 
+#include "base/Time.h"
+#include "http/RequestBody.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,7 +41,8 @@
     std::string method;
     std::string target;
     HttpFields fields;
-    std::string body;
+    RequestBody body;
+    TimePoint receivedAt {}; ///< When its header had arrived, from which its caller's time limit counts; not set for own requests.
 
     /** The target without its query. */
     std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "http/BodyBudget.h"
 #include "http/HttpHandler.h"
 #include "http/HttpMessage.h"
 #include "http/Refusal.h"
@@ -17,6 +18,7 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace HickoryHollow {
 
@@ -52,6 +54,7 @@
 
 constexpr std::chrono::milliseconds discardTimeout { 1000 };
 constexpr std::size_t firstReadBytes = 4096; // Large enough for the header of most requests.
+constexpr std::size_t firstChunkedBytes = 16UL << 10U; // Room for a chunked body until it turns out to be longer.
 constexpr std::size_t discardChunkBytes = 4096;
 constexpr std::size_t maxDiscardedBytes = 16UL << 20U;
 constexpr std::chrono::milliseconds acceptRetryDelay { 50 }; // If file descriptors run out, gives connections time to close.
@@ -232,14 +235,14 @@
     std::atomic<std::size_t>& m_count;
 };
 
-HttpRequest toRequest(Parser::value_type&& message)
+/** The request without its body. */
+HttpRequest toRequest(const Parser::value_type& message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto& it : message)
         request.fields.add(std::string(it.name_string()), std::string(it.value()));
-    request.body = std::move(message.body());
     return request;
 }
 
@@ -296,24 +299,60 @@
     }
 }
 
-Task<boost::system::error_code> readRequest(ConnectionState& state, Parser& parser, const HttpLimits& limits)
+using BodyShares = std::vector<std::shared_ptr<BodyBudget::Share>>;
+
+Task<boost::system::error_code> readHead(ConnectionState& state, Parser& parser, const HttpLimits& limits)
 {
-    auto& buf = state.buf;
     state.stream.expires_after(limits.headerTimeout);
-    const auto [headEc, headBytes] = co_await http::async_read_header(state.stream, buf, parser, asTuple);
-    if (headEc)
-        co_return headEc;
-    if (!findFramingError(parser.get()).empty())
+    const auto [ec, n] = co_await http::async_read_header(state.stream, state.buf, parser, asTuple);
+    if (!ec && !findFramingError(parser.get()).empty())
         co_return make_error_code(http::error::bad_transfer_encoding);
+    co_return ec;
+}
+
+// Takes room for a body of this size, or returns false. An unlimited budget has room for all.
+Task<bool> takeRoom(BodyBudget* budget, std::size_t size, const BodyTerms& terms, BodyShares& shares)
+{
+    if (!budget)
+        co_return true;
+    auto share = co_await budget->reserve(size, terms);
+    const auto hasRoom = share != nullptr;
+    shares.push_back(std::move(share));
+    co_return hasRoom;
+}
+
+// Reads the body into one string that is not moved as it grows. Its room is taken before its bytes are read, so that what does not
+// fit stays with the sender. Returns http::error::buffer_overflow if there is no room in time.
+Task<boost::system::error_code> readBody(ConnectionState& state, Parser& parser, const HttpLimits& limits, BodyBudget* budget, const BodyTerms& terms, BodyShares& shares)
+{
+    const auto length = parser.content_length();
+    const auto isGranted = co_await takeRoom(budget, length ? static_cast<std::size_t>(*length) : firstChunkedBytes, terms, shares);
+    if (!isGranted)
+        co_return make_error_code(http::error::buffer_overflow);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> message { http::status::continue_, parser.get().version() };
         co_await http::async_write(state.stream, message, asTuple);
     }
-    if (parser.is_done())
-        co_return headEc;
+    const auto& body = parser.get().body();
+    if (!length)
+        parser.get().body().reserve(2 * firstChunkedBytes);
+    auto isLarge = length.has_value();
     state.stream.expires_after(limits.idleTimeout);
-    const auto [ec, n] = co_await http::async_read(state.stream, buf, parser, asTuple);
-    co_return ec;
+    while (!parser.is_done()) {
+        if (!isLarge && body.size() > firstChunkedBytes) {
+            // How long it becomes is not known, so there must be room for the longest.
+            const auto isLongGranted = co_await takeRoom(budget, limits.bodyBytes, terms, shares);
+            if (!isLongGranted)
+                co_return make_error_code(http::error::buffer_overflow);
+            parser.get().body().reserve(limits.bodyBytes);
+            isLarge = true;
+            state.stream.expires_after(limits.idleTimeout);
+        }
+        const auto [ec, n] = co_await http::async_read_some(state.stream, state.buf, parser, asTuple);
+        if (ec)
+            co_return ec;
+    }
+    co_return boost::system::error_code();
 }
 
 // Reads and drops what the peer still sends. Closing a socket with unread bytes would reset the connection, and the peer
@@ -343,13 +382,27 @@
         const auto limits = shared->options.limits();
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
+        // A body leaves the buffer as large as its reads were; many idle connections would keep that.
+        state->buf.shrink_to_fit();
         shared->setIdle(state->stream.socket(), true);
         const auto hasRequest = co_await waitForRequest(*state, limits.idleTimeout);
         shared->setIdle(state->stream.socket(), false);
         if (!hasRequest)
             break;
         std::optional<CountGuard> arrivingGuard(std::in_place, shared->arriving);
-        const auto ec = co_await readRequest(*state, parser, limits);
+        auto ec = co_await readHead(*state, parser, limits);
+        HttpRequest request;
+        BodyShares shares;
+        auto hasRoom = true;
+        if (!ec) {
+            request = toRequest(parser.get());
+            request.receivedAt = monotonicNow();
+            if (!parser.is_done()) {
+                const auto terms = shared->handler.bodyTerms(request);
+                ec = co_await readBody(*state, parser, limits, shared->options.bodies.get(), terms, shares);
+            }
+            hasRoom = ec != http::error::buffer_overflow;
+        }
         const auto overload = shared->connections > shared->options.maxConnections;
         ConnectionWriter writer(state, shared->options, shared->isDraining, parser.get().version(), !ec && !overload && parser.keep_alive());
         if (ec && !isRequestError(ec))
@@ -357,14 +410,17 @@
         if (ec || overload) {
             Refusal refusal;
             refusal.error = ec ? toRouterError(ec) : RouterError::Overloaded;
-            co_await writer.send(toResponse(refusal));
+            auto response = hasRoom ? toResponse(refusal) : shared->handler.refuseBody(request);
+            shares.clear();
+            co_await writer.send(std::move(response));
             co_await discardInput(*state);
             break;
         }
         const CountGuard requestGuard(shared->requests);
         arrivingGuard.reset();
         ++shared->requestsRead;
-        const auto request = toRequest(parser.release());
+        if (!parser.get().body().empty())
+            request.body = RequestBody(std::move(parser.get().body()), std::make_shared<BodyShares>(std::move(shares)));
         co_await shared->handler.handle(request, writer);
         stopWatchingPeer(*state);
         isOpen = writer.keepAlive() && !state->isDisconnected;
@@ -407,7 +463,12 @@
 {
     for (std::size_t i = 0; i < loops.size(); ++i) {
         auto& loop = loops.at(i);
-        asio::co_spawn(loop, acceptLoop(m_shared, openListener(loop, m_shared->options.address)), asio::detached);
+        auto acceptor = openListener(loop, m_shared->options.address);
+        boost::system::error_code ignored;
+        // Left to itself, the kernel keeps megabytes for a peer whose bytes are not read.
+        if (m_shared->options.bodies)
+            acceptor.set_option(asio::socket_base::receive_buffer_size(BodyBudget::receiveBufferBytes), ignored);
+        asio::co_spawn(loop, acceptLoop(m_shared, std::move(acceptor)), asio::detached);
     }
 }
 
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -14,6 +14,7 @@
 
 namespace HickoryHollow {
 
+class BodyBudget;
 class EventLoops;
 class HttpHandler;
 
@@ -31,6 +32,8 @@
     std::string address; ///< `ip:port` to listen on.
     /** Called before each request, so that changed limits apply to connections that are already open. */
     std::function<HttpLimits()> limits = [] { return HttpLimits {}; };
+    /** Memory for the bodies of requests; null sets no limit. Where there is no room, bodies are not read. */
+    std::shared_ptr<BodyBudget> bodies = nullptr;
     std::size_t maxConnections = 20'000; ///< While there are more, requests are answered 503 and their connections closed.
     /** Maximum time for one write: a complete response, or the header or one chunk of a stream. */
     Duration writeTimeout = std::chrono::seconds(20);
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -121,7 +121,7 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
-        auto checked = request;
+        auto checked = request; // Shares the body.
         if (m_beforeSend && !m_beforeSend(checked)) {
             m_pool->put(m_address, std::move(m_connection));
             head.ec = make_error_code(RouterError::SendForbidden);
@@ -134,7 +134,7 @@
         if (checked.body.size() > maxSynchronousBodyBytes) {
             startWrite();
         } else {
-            const auto [writeEc, written] = co_await http::async_write(m_connection->stream, *m_message, asTuple);
+            const auto [writeEc, written] = co_await http::async_write(m_connection->stream, m_request->message, asTuple);
             if (writeEc) {
                 head.ec = timeoutOr(writeEc, RouterError::UpstreamBroken);
                 co_return head;
@@ -195,7 +195,12 @@
     }
 
 private:
-    using Message = http::request<http::string_body>;
+    /** A request as it is written; the message refers to the bytes of the body. */
+    struct Outgoing {
+        http::request<http::span_body<const char>> message;
+        RequestBody body;
+    };
+
     using Parser = http::response_parser<http::buffer_body>;
 
     static constexpr std::size_t readBufferBytes = 4096;
@@ -242,26 +247,28 @@
 
     void fillMessage(const HttpRequest& request)
     {
-        m_message = std::make_shared<Message>();
-        m_message->method_string(request.method);
-        m_message->target(request.target);
-        m_message->set(http::field::host, m_address);
+        m_request = std::make_shared<Outgoing>();
+        auto& message = m_request->message;
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, m_address);
         for (const auto& it : request.fields.all()) {
             if (beast::iequals(it.name, "Host"))
-                m_message->set(http::field::host, it.value);
+                message.set(http::field::host, it.value);
             else
-                m_message->insert(it.name, it.value);
+                message.insert(it.name, it.value);
         }
-        m_message->body() = request.body;
-        if (!request.body.empty() || m_message->method() == http::verb::post || m_message->method() == http::verb::put)
-            m_message->content_length(request.body.size());
+        m_request->body = request.body;
+        message.body() = { m_request->body.text().data(), m_request->body.size() };
+        if (!request.body.empty() || message.method() == http::verb::post || message.method() == http::verb::put)
+            message.content_length(request.body.size());
     }
 
     void startWrite()
     {
         m_isWriting = std::make_shared<bool>(true);
-        // The call may end before the write does, so the handler keeps the connection and the message alive.
-        http::async_write(m_connection->stream, *m_message, [connection = m_connection, message = m_message, isWriting = m_isWriting](const boost::system::error_code& ec, std::size_t) {
+        // The call may end before the write does, so the handler keeps the connection and the request alive.
+        http::async_write(m_connection->stream, m_request->message, [connection = m_connection, outgoing = m_request, isWriting = m_isWriting](const boost::system::error_code& ec, std::size_t) {
             if (!ec)
                 *isWriting = false;
         });
@@ -271,7 +278,7 @@
     {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
-        m_parser->skip(m_message->method() == http::verb::head);
+        m_parser->skip(m_request->message.method() == http::verb::head);
         const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buf, *m_parser, asTuple);
         if (ec)
             co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
@@ -331,7 +338,7 @@
     std::string m_address;
     UpstreamTimeouts m_timeouts;
     std::shared_ptr<Connection> m_connection; // Null before begin and after the response was read to its end.
-    std::shared_ptr<Message> m_message; // Also owned by an asynchronous write.
+    std::shared_ptr<Outgoing> m_request; // Also owned by an asynchronous write.
     std::optional<Parser> m_parser;
     IsMismatchedResponse m_isMismatched;
     BeforeSend m_beforeSend;
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "base/SeededRandom.h"
+#include "http/MemoryPlan.h"
 #include "net/EventLoops.h"
 #include "net/Timer.h"
 #include "routing/RoutingDecoder.h"
@@ -41,7 +42,7 @@
 
 } // namespace
 
-EntryInstance::EntryInstance(EventLoops& loops, const NodeSettings& settings, const RoutingDecoder& decoder, const RequestCodec& codec)
+EntryInstance::EntryInstance(EventLoops& loops, const NodeSettings& settings, const RoutingDecoder& decoder, const RequestCodec& codec, std::shared_ptr<BodyBudget> bodies)
     : m_loop(loops.at(0))
     , m_settings(settings)
     , m_decoder(decoder)
@@ -53,7 +54,7 @@
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
     , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
-    , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .maxConnections = 3000 })
+    , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
           {
               .routing = [this](const auto& document) { applyRouting(document); },
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -20,13 +20,14 @@
 
 namespace HickoryHollow {
 
+class BodyBudget;
 class EventLoops;
 class RoutingDecoder;
 
 class EntryInstance {
 public:
     /** Opens the callers' listener; throws UserError. All references outlive the instance. */
-    EntryInstance(EventLoops&, const NodeSettings&, const RoutingDecoder&, const RequestCodec&);
+    EntryInstance(EventLoops&, const NodeSettings&, const RoutingDecoder&, const RequestCodec&, std::shared_ptr<BodyBudget>);
     ~EntryInstance();
     EntryInstance(const EntryInstance&) = delete;
     EntryInstance& operator=(const EntryInstance&) = delete;
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -3,9 +3,11 @@
 #include "base/BoundedLog.h"
 #include "base/Check.h"
 #include "base/LogEvent.h"
+#include "http/BodyBudget.h"
 #include "http/HttpHandler.h"
 #include "http/HttpMessage.h"
 #include "http/HttpServer.h"
+#include "http/MemoryPlan.h"
 #include "http/ResponseWriter.h"
 #include "net/Timer.h"
 #include "node/ControlPlane.h"
@@ -100,6 +102,7 @@
 
     Options options;
     EventLoops loops { 1 };
+    std::shared_ptr<BodyBudget> bodies; // Of all servers of the process.
     std::unique_ptr<EntryInstance> entry; // Null on a state instance.
     std::unique_ptr<StateInstance> state; // Null on an entry instance.
     std::unique_ptr<HttpHandler> controlApi;
@@ -121,8 +124,10 @@
     , loadedVersion(versionOf(options.settingsFile))
 {
     const auto& settings = options.settings;
+    const auto memory = planMemory(settings.memoryBytes);
+    bodies = std::make_shared<BodyBudget>(BodyBudget::Options { .smallBytes = memory.smallBodies, .largeBytes = memory.largeBodies });
     if (settings.isEntry())
-        entry = std::make_unique<EntryInstance>(loops, settings, options.decoder, options.codec);
+        entry = std::make_unique<EntryInstance>(loops, settings, options.decoder, options.codec, bodies);
     else
         state = std::make_unique<StateInstance>(loops.at(0), settings, options.decoder);
     const HttpLimits statusLimits { .headerBytes = 16UL << 10U, .bodyBytes = 64UL << 10U };
@@ -132,7 +137,7 @@
         metricsServer = std::make_unique<HttpServer>(loops, statusApi, HttpServerOptions { .address = settings.metricsListen, .limits = [statusLimits] { return statusLimits; } });
     if (state) {
         controlApi = options.makeControlApi(*state);
-        controlServer = std::make_unique<HttpServer>(loops, *controlApi, HttpServerOptions { .address = settings.controlListen, .limits = [] { return HttpLimits { .bodyBytes = maxControlBodyBytes }; }, .maxConnections = maxControlConnections });
+        controlServer = std::make_unique<HttpServer>(loops, *controlApi, HttpServerOptions { .address = settings.controlListen, .limits = [] { return HttpLimits { .bodyBytes = maxControlBodyBytes }; }, .bodies = bodies, .maxConnections = maxControlConnections });
     }
 }
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr double maxMemoryMb = 1e6;
 constexpr NumberRange millisecondsRange { .min = 1, .max = 3'600'000 }; // Up to one hour.
 
 double readNonNegative(SectionReader& reader, std::string_view key, double fallback)
@@ -66,6 +67,18 @@
     reader.rejectUnknownKeys();
 }
 
+void readLimits(SectionReader reader, NodeSettings& settings)
+{
+    constexpr double bytesPerMb = 1e6;
+    constexpr double leastMb = 32; // With less, the program itself and one body of the usual limit do not fit.
+    const auto mb = readNonNegative(reader, "memory-mb", static_cast<double>(settings.memoryBytes) / bytesPerMb);
+    if (mb < leastMb || mb > maxMemoryMb)
+        reader.addDiagnostic("memory-mb", fmt::format("{} is not between {} and {} MB", mb, leastMb, maxMemoryMb));
+    else
+        settings.memoryBytes = static_cast<std::size_t>(mb * bytesPerMb);
+    reader.rejectUnknownKeys();
+}
+
 void readBounds(SectionReader reader, NodeBounds& bounds)
 {
     bounds.drainTime = readSeconds(reader, "drain-s", bounds.drainTime);
@@ -93,10 +106,12 @@
             readListen(reader, settings);
         else if (section.name == "membership")
             readMembership(reader, settings);
+        else if (section.name == "limits")
+            readLimits(reader, settings);
         else if (section.name == "bounds")
             readBounds(reader, settings.bounds);
         else
-            diagnostics.push_back({ .file = file, .line = section.line, .section = section.name, .key = {}, .message = "the section is unknown; permitted: instance, listen, membership, bounds" });
+            diagnostics.push_back({ .file = file, .line = section.line, .section = section.name, .key = {}, .message = "the section is unknown; permitted: instance, listen, membership, limits, bounds" });
     }
     const auto addDiagnostic = [&](std::string section, std::string key, std::string message) {
         diagnostics.push_back({ .file = file, .line = 0, .section = std::move(section), .key = std::move(key), .message = std::move(message) });
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -41,6 +41,8 @@
 
     bool isFirstStart = false; ///< The whole deployment starts for the first time, with empty data folders.
     std::uint32_t toleratedLosses = 2; ///< Number of state instances whose simultaneous loss is survived.
+    /** Memory that the process may use, in bytes. The default is that of the smallest instances. */
+    std::size_t memoryBytes = 88'000'000;
     NodeBounds bounds;
 
     bool isEntry() const { return !callerListen.empty(); }
--- a/src/settings/DaemonSettings.cpp
+++ b/src/settings/DaemonSettings.cpp
@@ -59,6 +59,7 @@
     settings.maxHeaderBytes = reader.number("header-bytes", settings.maxHeaderBytes, { .min = 1024, .max = 1 << 20 });
     settings.maxBodyBytes = reader.number("body-bytes", settings.maxBodyBytes, { .min = 1024, .max = 1 << 30 });
     settings.maxConnections = reader.number("connections", settings.maxConnections, { .min = 1, .max = 1'000'000 });
+    settings.memoryMb = reader.number("memory-mb", settings.memoryMb, { .min = 64, .max = 1'000'000 });
     settings.idleTimeout = reader.milliseconds("idle-ms", settings.idleTimeout, timeoutRangeMs);
     settings.slowReaderTimeout = reader.milliseconds("slow-reader-ms", settings.slowReaderTimeout, timeoutRangeMs);
     settings.drainTimeout = reader.milliseconds("drain-ms", settings.drainTimeout, timeoutRangeMs);
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -56,6 +56,7 @@
     std::size_t maxHeaderBytes = 16UL * 1024;
     std::size_t maxBodyBytes = 8UL * 1024 * 1024; ///< Only for callers.
     std::size_t maxConnections = 20'000;
+    std::size_t memoryMb = 1024; ///< Memory that the process may use, in units of 10^6 bytes; bounds the bodies held at once.
     Duration idleTimeout = std::chrono::seconds(60); ///< Also bounds the time to receive a request header.
     Duration slowReaderTimeout = std::chrono::seconds(20); ///< For the peer to accept one write of a response.
     Duration drainTimeout = std::chrono::seconds(120); ///< Running requests are aborted after this time.
--- a/test/error/http_drain.cpp
+++ b/test/error/http_drain.cpp
@@ -34,7 +34,7 @@
             pause.expires_after(1ms);
             co_await pause.async_wait(asTuple);
         }
-        co_await writer.send(jsonResponse(200, request.body));
+        co_await writer.send(jsonResponse(200, std::string(request.body)));
     }
 
     std::atomic<bool> isReleased = false;
--- a/test/error/http_limits.cpp
+++ b/test/error/http_limits.cpp
@@ -24,7 +24,7 @@
 public:
     Task<void> handle(const HttpRequest& request, ResponseWriter& writer) override
     {
-        co_await writer.send(jsonResponse(200, request.body));
+        co_await writer.send(jsonResponse(200, std::string(request.body)));
     }
 };
 
--- a/test/error/settings_diagnostics.cpp
+++ b/test/error/settings_diagnostics.cpp
@@ -1,6 +1,7 @@
 /** \file
  * Invalid settings are reported with file, line, section, key and the permitted values or limit.
  */
+#include "node/NodeSettings.h"
 #include "settings/DaemonSettings.h"
 #include "settings/RoutingSettings.h"
 
@@ -70,3 +71,19 @@
     parseRules("r.ini", "[class a]\ntier = 1\ntier = 2\n", diagnostics);
     CHECK(toString(diagnostics).find("r.ini:3: [class a] tier: the key is given twice") != std::string::npos);
 }
+
+TEST_CASE("the memory of an instance is read from its settings, and impossible values are rejected", "[settings][memory]")
+{
+    const std::string text = "[instance]\nname = e1\nfailure-domain = a\n[listen]\nlinks = 10.0.0.1:1\ncallers = 10.0.0.1:2\nready = 10.0.0.1:3\n[membership]\nseeds = 10.0.0.2:4\nseed-port = 5\n[limits]\n";
+    const auto memoryOf = [&text](const std::string& line) -> std::size_t {
+        Diagnostics diagnostics;
+        const auto settings = parseNodeSettings("s.ini", text + line, diagnostics);
+        CHECK(settings.has_value() == diagnostics.empty());
+        return settings ? settings->memoryBytes : 0;
+    };
+    CHECK(memoryOf("") == 88'000'000);
+    CHECK(memoryOf("memory-mb = 260\n") == 260'000'000);
+    CHECK(memoryOf("memory-mb = 110.5\n") == 110'500'000);
+    for (const auto* line : { "memory-mb = 0\n", "memory-mb = -1\n", "memory-mb = 31\n", "memory-mb = 1e300\n", "memory-mb = much\n", "memory = 88\n" })
+        CHECK(memoryOf(line) == 0);
+}
--- a/test/standin/StandInEngine.cpp
+++ b/test/standin/StandInEngine.cpp
@@ -127,7 +127,7 @@
 
 Task<void> StandInEngine::handleCompletion(const HttpRequest& request, ResponseWriter& writer)
 {
-    const auto body = json::parse(request.body).as_object();
+    const auto body = json::parse(request.body.text()).as_object();
     const auto nonce = stringField(body, "standin_nonce", "w");
     const auto tokens = static_cast<std::uint64_t>(integerField(body, "standin_tokens", defaultTokenCount));
     const auto priorityText = std::string(request.fields.find("X-Hickory-Priority"));
@@ -194,7 +194,7 @@
 
 HttpResponse StandInEngine::applyControl(const HttpRequest& request)
 {
-    const auto body = json::parse(request.body).as_object();
+    const auto body = json::parse(request.body.text()).as_object();
     m_slowdownFactor = static_cast<double>(integerField(body, "slowness_percent", static_cast<std::int64_t>(m_slowdownFactor * 100))) / 100;
     m_breakAfterTokens = integerField(body, "break_after_tokens", m_breakAfterTokens);
     m_refusesAsNotRun = integerField(body, "refuses", m_refusesAsNotRun) != 0;
