Count the whole memory of held answers, and derive its bound from the instance's memory

Part of the table for the memory of an instance (whole answers, events without end). Cause: `BufferBudget` counted the bytes in an answer, not the capacity of its buffer nor the second buffer while it grows; its 32 MB were a constant; up to 64 KiB each was permitted without any bound on the sum; a server's error answer that is kept during a second attempt was not counted.

Change: `HeldAnswer` counts its buffers and takes the announced length at once; the budget is 16% of the instance's memory, a fifth of it for answers up to 64 KiB; the kept error answer stays counted. A share that becomes smaller is always permitted, so the part of the small ones can be exceeded by memory that was freed elsewhere.

Costs: an answer over 11 MB is refused with 502 on an instance of 88 MB, over 13 MB on one of 110 MB (16 MiB before on all).

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -4,6 +4,7 @@
 #include "base/RandomSource.h"
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
+#include "forwarding/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 #include "placement/RequestParts.h"
@@ -123,8 +124,10 @@
         m_placementRequest.excluded.insert(grant->placement.backend);
         m_sends += result.wasSent ? 1 : 0;
         m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
-        if (result.end == AttemptEnd::ServerError)
+        if (result.end == AttemptEnd::ServerError) {
             m_serverError = std::move(result.answer);
+            m_heldError = std::move(result.held);
+        }
         if (!mayRetry(result)) {
             co_await finish(result);
             co_return;
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -25,6 +25,7 @@
 } // namespace Internal
 
 class DeadlineWatch;
+class HeldAnswer;
 class ResponseWriter;
 class UpstreamCall;
 struct UpstreamHead;
@@ -55,6 +56,7 @@
         std::string_view cause; ///< One-word cause for logs and error codes.
         bool hasBrokenOff = false; ///< The server ended the connection before its answer was whole, as a crash does.
         HttpResponse answer; ///< The server's answer if `end` is ServerError.
+        std::shared_ptr<HeldAnswer> held; ///< Counts the memory of `answer`.
     };
 
     /** Why the request is not sent (again). */
@@ -157,6 +159,7 @@
     Duration m_longestPause {}; // Longest time between two chunks of the stream.
     std::string_view m_lastCause = "none"; // Cause of the last attempt.
     std::optional<HttpResponse> m_serverError; // Last signed 5xx answer of a server.
+    std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
     // Finds whole events in the stream; holds the id of the last one that was relayed, over all attempts.
     EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -3,11 +3,13 @@
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
+#include "forwarding/HeldAnswer.h"
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace HickoryHollow {
@@ -20,7 +22,8 @@
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned firstServerError = 500;
 
-constexpr std::size_t maxWholeAnswerBytes = 16U << 20U;
+// Held twice for a moment, with the bytes that follow it.
+constexpr std::size_t copiesOfEvent = 2;
 constexpr Duration minSilenceTimeout = std::chrono::milliseconds(1200); // A paused or slowed server can be silent this long.
 constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
@@ -28,6 +31,14 @@
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
 constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
 
+std::size_t announcedLength(const UpstreamHead& head)
+{
+    const auto text = head.fields.find("Content-Length");
+    std::size_t length = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return ec == std::errc() && end == text.data() + text.size() ? length : 0;
+}
+
 } // namespace
 
 HttpRequest RoutedExchange::makeUpstreamRequest(const Placement& placement) const
@@ -197,18 +208,17 @@
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
-    BufferBudget::Share held(m_context.answerBytes);
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, announcedLength(head));
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
-        const auto size = result.answer.body.size() + chunk.bytes.size();
-        if (chunk.ec || size > maxWholeAnswerBytes || !held.resize(size)) {
+        if (chunk.ec || !result.held->append(chunk.bytes)) {
             result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
-        result.answer.body.append(chunk.bytes);
         isLast = chunk.isLast;
     }
+    result.answer.body = result.held->take();
     if (head.status >= firstServerError) {
         result.end = AttemptEnd::ServerError;
         result.outcome = CallOutcome::ServerError;
@@ -249,7 +259,7 @@
         }
         const auto progressBefore = m_events.progressCount();
         auto bytes = m_events.feed(chunk.bytes);
-        if (m_events.isOversized() || !held.resize(m_events.incompleteEvent().size())) {
+        if (m_events.isOversized() || !held.resize(copiesOfEvent * m_events.incompleteEvent().size())) {
             result.cause = "event-oversized";
             co_return result;
         }
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -52,7 +52,7 @@
         if (m_selector.limits().isReportDue())
             m_feed.reportNow(); })
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .maxRetryAfter = settings.bounds.maxRetryAfter }
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
     , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -2,6 +2,7 @@
  * Failures at each step of a request on a configured route: what the caller receives, and which requests are never sent a
  * second time.
  */
+#include "forwarding/HeldAnswer.h"
 #include "http/EventStreamScanner.h"
 #include "test/fakes/RoutedBench.h"
 
@@ -575,3 +576,50 @@
         CHECK(bench.promptGuard.takeEvidence(monotonicNow()).isEmpty());
     }
 }
+
+// Guards against a budget that counted the bytes of an answer but not its buffer, nor the old buffer while a larger one is filled.
+TEST_CASE("the memory of answers counts their whole buffers, also while they grow", "[routed][memory]")
+{
+    constexpr std::size_t limit = 1UL << 20U;
+    BufferBudget budget(limit);
+    const std::string chunk(4096, 'x');
+    std::size_t most = 0;
+    {
+        HeldAnswer growing(budget, 0);
+        std::size_t held = 0;
+        while (growing.append(chunk)) {
+            held += chunk.size();
+            most = std::max(most, budget.used());
+            REQUIRE(budget.used() >= held);
+            REQUIRE(budget.used() <= limit);
+        }
+        // Two buffers, one twice as large as the other, must fit.
+        CHECK(held >= limit / 3);
+    }
+    CHECK(budget.used() == 0);
+    HeldAnswer announced(budget, limit);
+    for (std::size_t held = 0; held + chunk.size() < limit; held += chunk.size())
+        REQUIRE(announced.append(chunk));
+    CHECK(budget.used() >= limit - chunk.size());
+    for (const auto length : { std::size_t(1) << 62U, std::numeric_limits<std::size_t>::max() }) {
+        HeldAnswer tooLong(budget, length);
+        CHECK_FALSE(tooLong.append(chunk));
+    }
+}
+
+TEST_CASE("many small answers are bounded together", "[routed][memory]")
+{
+    BufferBudget budget(1UL << 20U);
+    std::vector<std::unique_ptr<BufferBudget::Share>> shares;
+    do {
+        shares.push_back(std::make_unique<BufferBudget::Share>(budget));
+    } while (shares.back()->resize(BufferBudget::maxSmallShare));
+    CHECK(shares.size() == 5);
+    CHECK(budget.used() == 256UL << 10U);
+    // One that grows beyond a small share moves to the part of the large ones, and back.
+    REQUIRE(shares[0]->resize(512UL << 10U));
+    CHECK(shares[4]->resize(BufferBudget::maxSmallShare));
+    CHECK(shares[0]->resize(100));
+    shares.clear();
+    CHECK(budget.used() == 0);
+}
