Believe a refusal without an id only on a connection that served no other request

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection; the next caller is told that its request has not run although it runs.

Ruled out: believing none without an id (servers rightly answer 400 without one); skipping them and reading on (a true refusal would then hold its caller until the deadline); remembering whether the connection carried a refusal before (the copy may be of another connection's).

Change: a refusal that names no request is believed on a new connection only, where it cannot be a copy. On one that served another request it leaves open whether this one ran: 502, no second server unless the request may run again, and the connection is closed. On the interface for completions, a verdict `not-run` is believed by the same rule.

--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -271,7 +271,7 @@
     const DeadlineWatch watch(executor, m_request.hasCallerDeadline ? std::optional(m_request.deadline) : std::nullopt, *call);
     const auto head = co_await call->begin(makeUpstreamRequest(id));
     AttemptResult result;
-    result.failure = classifyHead(id, head);
+    result.failure = classifyHead(id, head, call->reusedConnection());
     result.hasBrokenOff = head.ec == RouterError::UpstreamBroken && head.verdict != Verdict::NotRun;
     if (!result.failure) {
         const auto isEventStream = head.fields.find("Content-Type").starts_with("text/event-stream");
@@ -295,7 +295,7 @@
     co_return result;
 }
 
-std::optional<Refusal> RequestRunner::classifyHead(RequestId id, const UpstreamHead& head) const
+std::optional<Refusal> RequestRunner::classifyHead(RequestId id, const UpstreamHead& head, bool reusedConnection) const
 {
     if (head.ec)
         return failure(routerErrorOf(head.ec), head.verdict, {});
@@ -304,7 +304,9 @@
         return failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, "the answer carries the id of another attempt");
     if (!isGatewayError(head.status))
         return std::nullopt;
-    const auto saysNotRun = head.fields.find("X-Hickory-Verdict") == toString(Verdict::NotRun);
+    // Without an id, it may be a late copy of a refusal of another request on the same connection.
+    const auto isNamed = !echo.empty() || !reusedConnection;
+    const auto saysNotRun = isNamed && head.fields.find("X-Hickory-Verdict") == toString(Verdict::NotRun);
     return failure(RouterError::UpstreamBroken, saysNotRun ? Verdict::NotRun : Verdict::MayHaveRun, fmt::format("the backend server answered with status {}", head.status));
 }
 
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -67,7 +67,7 @@
     Job makeJob(RequestId, const std::set<BackendId>& triedBackends) const;
     HttpRequest makeUpstreamRequest(RequestId) const;
     bool mayRetry(const AttemptResult&) const;
-    std::optional<Refusal> classifyHead(RequestId, const UpstreamHead&) const;
+    std::optional<Refusal> classifyHead(RequestId, const UpstreamHead&, bool reusedConnection) const;
     void recordFirstToken(RequestId);
     void recordOutcome(const AttemptResult&);
     std::string attemptId(RequestId) const;
--- a/src/forwarding/RequestCodec.h
+++ b/src/forwarding/RequestCodec.h
@@ -40,6 +40,8 @@
     Authentic, ///< The addressed server's own response to this request, with any status.
     NotRun, ///< The server refused the request before it executed any of it.
     OtherServer, ///< Another server now has the address; it did not execute the request.
+    /** A refusal like the two above that names no request: on a connection that served another one, it may be a late copy. */
+    UnnamedRefusal,
     OtherRequest, ///< The response answers another request.
     Unverified, ///< The response lacks the server's signature or was altered on the way.
 };
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -20,6 +20,7 @@
 
 // HTTP statuses.
 constexpr unsigned firstRedirect = 300;
+constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned firstServerError = 500;
 
 // Held twice for a moment, with the bytes that follow it.
@@ -160,12 +161,18 @@
         co_return result;
     }
     const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
-    if (kind == ResponseKind::NotRun || kind == ResponseKind::Authentic)
+    // A faulty server may write an earlier refusal once more; this request may be running then. On a new connection there was none.
+    if (kind == ResponseKind::UnnamedRefusal && call.reusedConnection()) {
+        result.cause = "refusal-not-named";
+        co_return result;
+    }
+    if (kind == ResponseKind::NotRun || kind == ResponseKind::UnnamedRefusal || kind == ResponseKind::Authentic)
         applyNotice(placement, head, sentAt);
-    if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer) {
+    if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer || kind == ResponseKind::UnnamedRefusal) {
+        const auto isOtherServer = kind == ResponseKind::OtherServer || (kind == ResponseKind::UnnamedRefusal && head.status == misdirectedRequest);
         result.end = AttemptEnd::NotRun;
-        result.outcome = kind == ResponseKind::NotRun ? CallOutcome::Rejected : CallOutcome::Unreachable;
-        result.cause = kind == ResponseKind::NotRun ? "server-rejected" : "address-reused";
+        result.outcome = isOtherServer ? CallOutcome::Unreachable : CallOutcome::Rejected;
+        result.cause = isOtherServer ? "address-reused" : "server-rejected";
         co_return result;
     }
     if (kind != ResponseKind::Authentic) {
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -29,6 +29,7 @@
     bool saysNotRun = false; ///< The response header has the verdict `not-run`.
     std::function<void()> beforeSending; ///< Runs once a connection is open, before the check that precedes the request.
     std::function<void()> afterSending; ///< Runs once the request was sent, before its response.
+    bool reusesConnection = false; ///< The connection served another request before.
     bool isStalled = false; ///< No header is received until the call is cancelled.
     std::vector<HttpField> fields; ///< Additional header fields.
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
@@ -103,6 +104,7 @@
             co_return chunk;
         }
 
+        bool reusedConnection() const override { return m_script.reusesConnection; }
         void checkBeforeSending(const BeforeSend& check) override { m_check = check; }
 
         void cancel() override
