Continue a stream only with events of the same status, and take no crash for its end

Report of other operators: a stream begins and breaks off, and the next server's error, its text or its head, reaches the caller inside the stream, or the stream ends as if it were complete. Two forms were not: an event stream with another status below 300 was joined; and a resumed stream whose connection ended right behind the header, with neither length nor chunks, was finished as complete although events were missing.

Change: a continuation has the status of the stream; within one response, a continuation without any event and without framing is a broken one. A stream that its caller resumes keeps the rule it had (its test is unchanged).

Ruled out: buffering the next server's first event before the join is decided (the header decides already).

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -161,6 +161,7 @@
     std::optional<HttpResponse> m_serverError; // Last signed 5xx answer of a server.
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
+    unsigned m_streamStatus = 0; // Its status, once it was sent.
     // Finds whole events in the stream; holds the id of the last one that was relayed, over all attempts.
     EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
 };
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -182,8 +182,8 @@
     const auto type = head.fields.find("Content-Type");
     const auto isEventStream = type.starts_with("text/event-stream");
     const auto isStream = m_route->isStream() && head.status < firstRedirect && (isEventStream || type.empty());
-    // Once the caller has received events of the stream, only an event stream can continue them.
-    if (m_streamStarted && !(isStream && isEventStream)) {
+    // Once the caller has received events of the stream, only an event stream of the same status can continue them.
+    if (m_streamStarted && !(isStream && isEventStream && head.status == m_streamStatus)) {
         result.cause = "no-stream";
         co_return result;
     }
@@ -244,6 +244,7 @@
     if (m_streamStarted)
         co_return std::error_code();
     m_streamStarted = true;
+    m_streamStatus = head.status;
     co_return co_await m_writer.startStream(head.status, m_context.codec.fieldsForCaller(head.fields));
 }
 
@@ -270,8 +271,9 @@
             result.cause = "event-oversized";
             co_return result;
         }
-        // Only a resumed stream may have no event left.
-        const auto isEmpty = m_events.progressCount() == 0 && !last && !m_metadata.lastEventId;
+        // A stream that its caller resumes may have no event left. One that was cut here is not taken for complete: after a crash
+        // right behind the header it looks the same.
+        const auto isEmpty = m_events.progressCount() == 0 && (m_streamStarted || !m_metadata.lastEventId);
         const auto isComplete = chunk.isLast && !m_events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
         std::string lastBytes;
         if (isComplete && !m_events.incompleteEvent().empty()) {
