--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -99,6 +99,7 @@
     Task<void> drain();
     void startDrain();
     void reload(std::string_view cause);
+    void logUnusableSeeds() const;
 
     Options options;
     EventLoops loops { 1 };
@@ -164,6 +165,7 @@
         return;
     }
     options.settings = *settings;
+    logUnusableSeeds();
     if (entry)
         entry->setSeeds(settings->seeds);
     if (state)
@@ -171,6 +173,12 @@
     logEvent(LogEvent::SettingsReloaded, "cause={} seeds={}", cause, settings->seeds.size());
 }
 
+void NodeProcess::Impl::logUnusableSeeds() const
+{
+    for (const auto& it : options.settings.unusableSeeds)
+        logEvent(LogEvent::SettingsInvalid, "file={} cause=\"the seed `{}` is no address; the others are used\"", options.settingsFile, it);
+}
+
 Task<void> NodeProcess::Impl::housekeeping()
 {
     Timer timer(loops.at(0).get_executor());
@@ -243,6 +251,7 @@
     if (impl.state)
         impl.state->start();
     logEvent(LogEvent::DaemonStarted, "instance={} role={} callers={} control={} links={} seeds={}", settings.instance.value(), impl.entry ? "entry" : "state", settings.callerListen, settings.controlListen, settings.linkListen, settings.seeds.size());
+    impl.logUnusableSeeds();
     impl.loops.run();
     logEvent(LogEvent::DaemonStopped, "instance={} cut={}", settings.instance.value(), impl.aborted);
     flushLog();
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -56,12 +56,15 @@
 {
     const auto port = reader.number("seed-port", 0, { .min = 1, .max = 65535 });
     for (const auto& it : reader.list("seeds")) {
-        const auto colon = it.rfind(':');
-        if (!isAddress(it) || port == 0)
-            reader.addDiagnostic("seeds", fmt::format("`{}` is not `ip:port` with a numeric IP address, or `seed-port` is missing", it));
+        if (isAddress(it))
+            settings.seeds.emplace_back(fmt::format("{}:{}", it.substr(0, it.rfind(':')), port));
         else
-            settings.seeds.emplace_back(fmt::format("{}:{}", it.substr(0, colon), port));
+            settings.unusableSeeds.push_back(it);
     }
+    if (settings.seeds.empty() && !settings.unusableSeeds.empty())
+        reader.addDiagnostic("seeds", fmt::format("`{}` is not `ip:port` with a numeric IP address, and no other seed is", settings.unusableSeeds.front()));
+    if (!settings.seeds.empty() && port == 0)
+        reader.addDiagnostic("seed-port", "the key is missing");
     settings.isFirstStart = reader.boolean("first-start", false);
     settings.toleratedLosses = static_cast<std::uint32_t>(reader.number("bearable-losses", settings.toleratedLosses, { .min = 0, .max = 100 }));
     reader.rejectUnknownKeys();
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -30,6 +30,7 @@
     InstanceId instance;
     FailureDomainId failureDomain;
     std::vector<InstanceId> seeds; ///< Link addresses of state instances, `ip:port`; at least one.
+    std::vector<std::string> unusableSeeds; ///< Entries of the list that are no addresses. The platform writes it, so the others hold.
     std::string linkListen; ///< State instance: `ip:port` that other instances dial for links.
     std::string linkBind; ///< State instance: `ip:port` to bind if `linkListen` belongs to a relay; may be empty.
 
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -11,6 +11,7 @@
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
 #include "wire/ThriftCodec.h"
+#include "wire/WireEnum.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <algorithm>
@@ -320,7 +321,7 @@
     } else if (isset.routingSubmitReply) {
         const auto proposal = m_forwardedProposals.extract(toUnsigned(message.routingSubmitReply.id));
         if (!proposal.empty())
-            proposal.mapped()(static_cast<ProposalResult::Kind>(message.routingSubmitReply.result), std::nullopt);
+            proposal.mapped()(enumFromWire(message.routingSubmitReply.result, ProposalResult::Kind::Unknown, ProposalResult::Kind::Unknown), std::nullopt);
     }
 }
 
--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -149,8 +149,13 @@
 void StateCore::propose(ProposalId id, const CommandBody& body, LedgerTime wallClock, TimePoint now)
 {
     std::optional<LogIndex> index;
-    if (m_replica)
-        index = m_replica->propose(encodeCommand({ .time = wallClock, .body = body }), now, m_pendingOutput);
+    auto command = encodeCommand({ .time = wallClock, .body = body });
+    // What is committed must be readable at every replica for as long as the log exists, so an unreadable command is not accepted.
+    const auto isReadable = decodeCommand(command).has_value();
+    if (!isReadable)
+        logEvent(LogEvent::ReplicaRejected, "cause=unreadable-command bytes={}", command.size());
+    if (m_replica && isReadable)
+        index = m_replica->propose(std::move(command), now, m_pendingOutput);
     if (index)
         m_pendingProposals[*index] = { .id = id, .term = m_replica->term() };
     else
--- a/src/wire/FleetCodec.cpp
+++ b/src/wire/FleetCodec.cpp
@@ -1,15 +1,20 @@
 #include "wire/FleetCodec.h"
 
+#include "base/LogEvent.h"
 #include "wire/Signed.h"
 #include "wire/gen/hickoryhollow_types.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <xxhash.h>
 
 namespace HickoryHollow {
 
 namespace {
 
+constexpr Duration maxAge = std::chrono::hours(1); // An older load says nothing; a larger number would overflow.
+
 /** Hash that stands for a backend server in a PeerLoad. It is part of the protocol: all instances must compute the same. */
 std::int32_t hashOf(const BackendId& id)
 {
@@ -37,8 +42,14 @@
     return wire;
 }
 
-BackendRecord recordFromWire(const Wire::BackendRecord& wire)
+/** Nothing if the state is none that this version knows: the record can't be acted on, and the others hold. */
+std::optional<BackendRecord> recordFromWire(const Wire::BackendRecord& wire)
 {
+    const auto isKnown = wire.state == static_cast<std::int32_t>(BackendState::Serving) || wire.state == static_cast<std::int32_t>(BackendState::Lapsed) || wire.state == static_cast<std::int32_t>(BackendState::Leaving);
+    if (!isKnown || wire.id.empty()) {
+        logEvent(LogEvent::AnnouncementIgnored, "server={} address={} state={} cause=unreadable-record", wire.serverName, wire.id, wire.state);
+        return std::nullopt;
+    }
     BackendRecord record;
     record.id = BackendId(wire.id);
     record.incarnation = Incarnation(toUnsigned(wire.incarnation));
@@ -113,12 +124,14 @@
 FleetUpdate fromWire(const Wire::FleetNews& wire)
 {
     FleetUpdate update;
-    for (const auto& it : wire.records)
-        update.records.push_back(recordFromWire(it));
+    for (const auto& it : wire.records) {
+        if (auto record = recordFromWire(it))
+            update.records.push_back(std::move(*record));
+    }
     for (const auto& it : wire.renewals)
         update.renewals.push_back({ .id = BackendId(it.id), .incarnation = Incarnation(toUnsigned(it.incarnation)), .sequence = toUnsigned(it.sequence) });
     for (const auto& it : wire.loads)
-        update.loads.push_back({ .id = BackendId(it.id), .incarnation = Incarnation(toUnsigned(it.incarnation)), .running = static_cast<std::uint32_t>(it.running), .age = Duration(it.ageMicroseconds) });
+        update.loads.push_back({ .id = BackendId(it.id), .incarnation = Incarnation(toUnsigned(it.incarnation)), .running = static_cast<std::uint32_t>(it.running), .age = std::clamp(Duration(it.ageMicroseconds), Duration::zero(), maxAge) });
     return update;
 }
 
--- a/src/wire/LedgerCodec.cpp
+++ b/src/wire/LedgerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/Signed.h"
 #include "wire/ThriftCodec.h"
+#include "wire/WireEnum.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 namespace HickoryHollow {
@@ -128,7 +129,7 @@
     return {
         .requestDigest = wire.requestDigest,
         .claimant = claimantFromWire(wire.claimant),
-        .state = static_cast<SharedState::Claim::State>(wire.state),
+        .state = enumFromWire(wire.state, SharedState::Claim::State::OutcomeUnknown, SharedState::Claim::State::OutcomeUnknown),
         .answer = answerFromWire(wire.answer),
         .since = LedgerTime(toUnsigned(wire.since)),
     };
@@ -156,7 +157,7 @@
     }
     if (isset.completeWork) {
         const auto& it = wire.completeWork;
-        return CompleteWork { .work = workFromWire(it.work), .claimant = claimantFromWire(it.claimant), .verdict = static_cast<Verdict>(it.verdict), .answer = answerFromWire(it.answer) };
+        return CompleteWork { .work = workFromWire(it.work), .claimant = claimantFromWire(it.claimant), .verdict = enumFromWire(it.verdict, Verdict::Ran, Verdict::MayHaveRun), .answer = answerFromWire(it.answer) };
     }
     if (isset.abandonOwner)
         return AbandonOwner { .instance = InstanceId(wire.abandonOwner.instance), .before = Incarnation(toUnsigned(wire.abandonOwner.before)) };
@@ -190,7 +191,7 @@
     if (wire.__isset.submit)
         return submitOutcomeFromWire(wire.submit);
     if (wire.__isset.claim)
-        return ClaimOutcome { .kind = static_cast<ClaimOutcome::Kind>(wire.claim.kind), .answer = answerFromWire(wire.claim.answer) };
+        return ClaimOutcome { .kind = enumFromWire(wire.claim.kind, ClaimOutcome::Kind::LedgerFull, ClaimOutcome::Kind::OutcomeUnknown), .answer = answerFromWire(wire.claim.answer) };
     if (wire.__isset.routing)
         return RoutingOutcome { .version = RoutingVersion(toUnsigned(wire.routing.version)) };
     return NoOutcome {};
