Soak: instances that stop under long unsafe requests, and large bodies under a limit on memory

Ten callers send bodies of 4 MiB with a length, in chunks and slowly, all at the same entry instance; an entry instance over 88 MB is ended and reported. After the random faults, four entry instances stop, two in series and two that overlap, with SIGHUP before or during the stop and SIGTERM twice, while callers with kept connections send unsafe requests of 15 ms and of 0.3 to 2.8 s: none that ran may end without an answer. Every sixth unsafe request of the usual callers is long, too.

--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -20,6 +20,13 @@
 constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned serviceUnavailable = 503;
 
+/** Between 0.3 and 2.8 s, by the id. */
+std::chrono::milliseconds longWorkTime(const std::string& id)
+{
+    constexpr std::size_t range = 2500;
+    return std::chrono::milliseconds(300 + std::hash<std::string>()(id) % range);
+}
+
 } // namespace
 
 std::string expectedBody(const std::string& id)
@@ -150,13 +157,13 @@
     if (kind == RequestKind::Stream)
         co_await sendStream(request, id, fields, writer);
     else
-        co_await sendBody(id, fields, writer);
+        co_await sendBody(id, request.path().ends_with("/long") ? longWorkTime(id) : workTime, fields, writer);
 }
 
-Task<void> Backend::sendBody(const std::string& id, const HttpFields& fields, ResponseWriter& writer)
+Task<void> Backend::sendBody(const std::string& id, std::chrono::milliseconds work, const HttpFields& fields, ResponseWriter& writer)
 {
     Timer pause(m_loops.at(0).get_executor());
-    pause.expires_after(workTime);
+    pause.expires_after(work);
     co_await pause.async_wait(asTuple);
     if (drawChance(brokenAnswerPercent)) {
         co_await writer.startStream(ok, fields);
--- a/test/soak/Backend.h
+++ b/test/soak/Backend.h
@@ -55,7 +55,7 @@
 private:
     /** Counts an arrival, and adds the limit to the answer's fields if there is one. */
     void recordArrival(HttpFields&);
-    Task<void> sendBody(const std::string& id, const HttpFields&, ResponseWriter&);
+    Task<void> sendBody(const std::string& id, std::chrono::milliseconds work, const HttpFields&, ResponseWriter&);
     Task<void> sendStream(const HttpRequest&, const std::string& id, const HttpFields&, ResponseWriter&);
     /** Draws a random number; returns true with the given probability in percent. */
     bool drawChance(std::uint64_t percent);
--- a/test/soak/BlockingHttpClient.cpp
+++ b/test/soak/BlockingHttpClient.cpp
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <sstream>
+#include <thread>
 
 namespace HickoryHollow::Soak {
 
@@ -57,7 +60,7 @@
     return !ec;
 }
 
-ClientResponse BlockingHttpClient::call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body)
+ClientResponse BlockingHttpClient::call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& pace)
 {
     ClientResponse result;
     if (!m_socket && !connect())
@@ -69,10 +72,22 @@
     for (const auto& [name, value] : fields)
         request.set(name, value);
     request.body() = body;
-    request.prepare_payload();
+    request.chunked(pace.isChunked);
+    if (!pace.isChunked)
+        request.prepare_payload();
     auto& stream = m_socket->stream;
     stream.expires_after(m_timeout);
-    auto ec = runToCompletion(m_socket->io, [&](auto handler) { http::async_write(stream, request, handler); });
+    std::ostringstream serialized;
+    serialized << request;
+    const auto bytes = serialized.str();
+    const auto pieceBytes = pace.pieceBytes > 0 ? pace.pieceBytes : bytes.size();
+    boost::system::error_code ec;
+    for (std::size_t sent = 0; sent < bytes.size() && !ec; sent += pieceBytes) {
+        if (sent > 0)
+            std::this_thread::sleep_for(pace.pause);
+        const auto piece = boost::asio::buffer(bytes.data() + sent, std::min(pieceBytes, bytes.size() - sent));
+        ec = runToCompletion(m_socket->io, [&](auto handler) { boost::asio::async_write(stream, piece, handler); });
+    }
     http::response_parser<http::string_body> parser;
     parser.body_limit(64U << 20U);
     if (!ec)
--- a/test/soak/BlockingHttpClient.h
+++ b/test/soak/BlockingHttpClient.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,6 +18,13 @@
     bool closesConnection = false; ///< True after an error and if the server ends the connection.
 };
 
+/** How the bytes of a request are sent. */
+struct SendPace {
+    bool isChunked = false; ///< The body is sent in chunks, without its length.
+    std::size_t pieceBytes = 0; ///< Size of the pieces between which the client pauses; 0 for none.
+    std::chrono::milliseconds pause {};
+};
+
 /** Sends requests one after another over a persistent connection, which it opens when needed. Not thread-safe. */
 class BlockingHttpClient {
 public:
@@ -27,7 +35,7 @@
     BlockingHttpClient& operator=(const BlockingHttpClient&) = delete;
 
     /** Connecting takes up to one second, or `timeout` if that is shorter, in addition to the timeout of the call. */
-    ClientResponse call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body);
+    ClientResponse call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& = SendPace {});
     const std::string& address() const { return m_address; }
     void close();
 
--- a/test/soak/Clients.cpp
+++ b/test/soak/Clients.cpp
@@ -14,6 +14,7 @@
 constexpr auto callerTimeout = 4s;
 constexpr auto requestPause = 20ms; // Between the answer to a request and the caller's next request.
 constexpr int crashingInterval = 10; // Requests of a caller between two that crash servers.
+constexpr int longInterval = 6; // Of the requests that run once, every sixth on average takes long.
 constexpr auto changePause = 400ms; // Between the end of a change and the read that checks it.
 constexpr auto heartbeatInterval = 400ms;
 constexpr auto operatorTimeout = 1s;
@@ -53,10 +54,10 @@
         checker.recordViolation("valid requests are not denied", fmt::format("{} got status {}", id, answer.status));
 }
 
-bool sendRequest(BlockingHttpClient& client, GuaranteeChecker& checker, const std::string& id, RequestKind kind)
+bool sendRequest(BlockingHttpClient& client, GuaranteeChecker& checker, const std::string& id, RequestKind kind, bool isLong = false)
 {
     checker.recordRequest(id);
-    const auto answer = client.call("POST", pathFor(kind), { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "4000" }, { "Authorization", "Bearer " + (id.starts_with("f") ? revocableKey : permanentKey) } }, "plate " + id);
+    const auto answer = client.call("POST", isLong ? "/o/long" : pathFor(kind), { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "4000" }, { "Authorization", "Bearer " + (id.starts_with("f") ? revocableKey : permanentKey) } }, "plate " + id);
     checker.recordResponse(id, answer.status);
     checkResponse(answer, id, kind, checker);
     return answer.status == ok;
@@ -109,7 +110,8 @@
             client.reset();
             continue;
         }
-        if (!sendRequest(*client, m_checker, fmt::format("{}{}-{}", usesRevocableKey ? 'f' : 's', number, request), kind))
+        const auto isLong = kind == RequestKind::Once && request % longInterval == 0;
+        if (!sendRequest(*client, m_checker, fmt::format("{}{}-{}", usesRevocableKey ? 'f' : 's', number, request), kind, isLong))
             client.reset();
         std::this_thread::sleep_for(requestPause);
     }
--- a/test/soak/Deployment.cpp
+++ b/test/soak/Deployment.cpp
@@ -14,23 +14,21 @@
 constexpr int serverPort = 7945;
 constexpr int seedCount = 3; // State instances that each instance's settings list as seeds.
 
-/** Address in 127.20.0.0/16 that other parties connect to; the proxy in front of the listener listens there. */
-std::string advertisedAddress(int number, int port)
+// The numbers of backend servers begin here, so that their addresses differ from those of the instances.
+constexpr int firstBackendNumber = 1000;
+
+} // namespace
+
+std::string Deployment::advertisedAddress(int number, int port) const
 {
-    return fmt::format("127.20.{}.{}:{}", number / 200, number % 200 + 1, port);
+    return fmt::format("127.{}.{}.{}:{}", m_options.network, number / 200, number % 200 + 1, port);
 }
 
-/** Address in 127.21.0.0/16 that the instance or backend server itself listens on. */
-std::string boundAddress(int number, int port)
+std::string Deployment::boundAddress(int number, int port) const
 {
-    return fmt::format("127.21.{}.{}:{}", number / 200, number % 200 + 1, port);
+    return fmt::format("127.{}.{}.{}:{}", m_options.network + 1, number / 200, number % 200 + 1, port);
 }
 
-// The numbers of backend servers begin here, so that their addresses differ from those of the instances.
-constexpr int firstBackendNumber = 1000;
-
-} // namespace
-
 Deployment::Deployment(Options options, GuaranteeChecker& checker)
     : m_options(std::move(options))
 {
--- a/test/soak/Deployment.h
+++ b/test/soak/Deployment.h
@@ -26,6 +26,7 @@
         int entries = 4; ///< Number of entry instances.
         int backends = 4; ///< Number of backend servers.
         std::uint64_t seed = 1; ///< Seed of the backend servers' random failures.
+        int network = 20; ///< The addresses are in 127.network and the network after it, so that several soaks can run.
     };
 
     /** Starts all instances and backend servers. */
@@ -54,6 +55,10 @@
     const Options& options() const { return m_options; }
 
 private:
+    /** Address that other parties connect to; the proxy in front of the listener listens there. */
+    std::string advertisedAddress(int number, int port) const;
+    /** Address that the instance or backend server itself listens on. */
+    std::string boundAddress(int number, int port) const;
     void writeSettings(int number, bool isFirstStart) const;
 
     Options m_options;
--- a/test/soak/GuaranteeChecker.cpp
+++ b/test/soak/GuaranteeChecker.cpp
@@ -35,6 +35,13 @@
     m_counts.failed += status >= 300 && !isRefusedAsNotRun ? 1 : 0;
 }
 
+bool GuaranteeChecker::hasRun(const std::string& id) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto it = m_requests.find(id);
+    return it != m_requests.end() && it->second.executions > 0;
+}
+
 void GuaranteeChecker::recordKeyRevocation(Clock::time_point acknowledgedAt)
 {
     const std::lock_guard guard(m_mutex);
--- a/test/soak/GuaranteeChecker.h
+++ b/test/soak/GuaranteeChecker.h
@@ -51,6 +51,8 @@
     void checkRevocableKey(const std::string& id, std::chrono::milliseconds keyLease);
     /** A server ends under the crashing request. Reports more than three such ends later than the bound after the third one. */
     void recordCrash(const std::string& server);
+    /** Returns whether a backend server has begun to run the request. */
+    bool hasRun(const std::string& id) const;
     /** Reports a violation of `guarantee`. */
     void recordViolation(const std::string& guarantee, const std::string& details);
 
--- a/test/soak/Process.cpp
+++ b/test/soak/Process.cpp
@@ -2,7 +2,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <stdexcept>
+#include <string>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -82,6 +84,20 @@
     return true;
 }
 
+std::size_t Process::residentBytes() const
+{
+    const auto folder = "/proc/" + std::to_string(m_pid);
+    // Between fork and exec the child has the memory and the name of the soak itself.
+    std::string executable;
+    std::ifstream(folder + "/comm") >> executable;
+    if (executable.empty() || !std::filesystem::path(m_program).filename().string().starts_with(executable))
+        return 0;
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    std::ifstream(folder + "/statm") >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void Process::setDiskFull(bool isFull) const
 {
     rlimit limit {};
--- a/test/soak/Process.h
+++ b/test/soak/Process.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include <atomic>
+#include <cstddef>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -31,12 +33,14 @@
     bool isRunning() const { return m_pid > 0; }
     /** Makes the daemon's writes to files fail, as on a full disk, or succeed again. */
     void setDiskFull(bool isFull) const;
+    /** Memory that the daemon uses, in bytes; 0 if it does not run. May be called from any thread, as sendSignal(). */
+    std::size_t residentBytes() const;
 
 private:
     std::string m_program;
     std::filesystem::path m_settings;
     std::filesystem::path m_log;
-    pid_t m_pid = 0; // 0 while the daemon does not run.
+    std::atomic<pid_t> m_pid = 0; // 0 while the daemon does not run. Atomic for residentBytes() and sendSignal().
     std::optional<int> m_exitCode; // Exit code of the last run; empty if a signal ended it.
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -6,6 +6,8 @@
  */
 #include "soak/Clients.h"
 #include "soak/Deployment.h"
+#include "soak/LargeCallers.h"
+#include "soak/PlannedStops.h"
 
 #include <algorithm>
 #include <csignal>
@@ -25,6 +27,7 @@
 constexpr auto catchUpTime = 4s; // A state instance counts as unavailable for this long after its fault ends.
 constexpr auto recoveryBound = 12s; // Required by the users, from the end of the last fault.
 constexpr int minRecoveryTries = 10; // Least number of requests per entry instance and kind, even past the recovery bound.
+constexpr int largeCallers = 10; // Their bodies together take more than half of an instance's memory.
 constexpr auto drainTimeout = 6s; // `drain-s` of the settings, and a margin for a busy machine.
 
 /** Injects random faults at random intervals and ends each after its duration. Faults may overlap. */
@@ -296,20 +299,27 @@
     Deployment deployment(options, checker);
     FaultSchedule schedule(deployment, checker, options.seed);
     std::uint64_t acknowledged = 0;
+    std::size_t mostResidentBytes = 0;
+    int servedLargeBodies = 0;
     {
         const Announcer announcer(deployment, options.backends);
         Operator configurator(deployment, checker, options.seed + 1);
         {
             const Callers load(deployment, checker, callers, options.seed + 2);
+            const LargeCallers large(deployment, checker, largeCallers, options.seed + 3);
             schedule.run(length);
+            mostResidentBytes = large.mostResidentBytes();
+            servedLargeBodies = large.served();
         }
         checkRecovery(deployment, checker);
+        checkPlannedStops(deployment, checker, options.seed + 4, drainTimeout);
         configurator.checkReads(std::chrono::duration_cast<std::chrono::seconds>(recoveryBound));
         acknowledged = configurator.acknowledged();
     }
     checker.checkRefusals();
     const auto counts = checker.counts();
     std::cout << fmt::format("seed {}: {} harms, {} processes; {} requests, {} served, {} refused, {} failed, {} cut; configuration {} acknowledged\n", options.seed, schedule.faultCount(), deployment.processCount(), counts.sent, counts.served, counts.refused, counts.failed, counts.incomplete, acknowledged);
+    std::cout << fmt::format("entry instances used {} MB at most; {} large bodies served\n", mostResidentBytes / 1'000'000, servedLargeBodies);
     if (counts.served * 4 < counts.sent)
         checker.recordViolation("availability", fmt::format("{} of {} requests were served, which is less than a quarter", counts.served, counts.sent));
     for (const auto& it : checker.violations())
@@ -323,7 +333,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("hickory-soak", "Injects faults into a deployment of real daemons and checks its guarantees.");
-    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
+    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -333,7 +343,7 @@
         constexpr int states = 5;
         const auto processes = std::max(states + 3, arguments["processes"].as<int>());
         const auto entries = processes - states;
-        return runSoak({ .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>() }, arguments["callers"].as<int>(), std::chrono::milliseconds(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000)));
+        return runSoak({ .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() }, arguments["callers"].as<int>(), std::chrono::milliseconds(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000)));
     } catch (const std::exception& error) {
         std::cerr << fmt::format("hickory-soak: {}\n", error.what());
         return EXIT_FAILURE;
