--- a/test/error/odd_entries.cpp
+++ b/test/error/odd_entries.cpp
@@ -15,6 +15,7 @@
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Fakes;
@@ -103,7 +104,7 @@
         for (const auto* value : { "1e300", "18446744073709551615", "4294967296", "9223372036854775808" }) {
             CAPTURE(member, value);
             const auto usual = std::string(member) == "timeout-ms" ? std::string() : std::string(",\"timeout-ms\":4000");
-            auto decoded = decoder.decode(documentStart + usual + ",\"" + member + "\":" + value + documentEnd + "}");
+            auto decoded = decoder.decode(fmt::format("{}{},\"{}\":{}{}}}", documentStart, usual, member, value, documentEnd));
             REQUIRE(decoded.error.empty());
             const auto& route = decoded.configuration.routes.at(0);
             CHECK(route.timeout >= 4s);
@@ -114,7 +115,7 @@
         }
     }
     for (const auto* member : { "max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms" }) {
-        auto decoded = decoder.decode(documentStart + ",\"timeout-ms\":4000" + documentEnd + ",\"limits\":{\"" + member + "\":1e300}}");
+        auto decoded = decoder.decode(fmt::format(R"({},"timeout-ms":4000{},"limits":{{"{}":1e300}}}})", documentStart, documentEnd, member));
         REQUIRE(decoded.error.empty());
         const auto& limits = decoded.configuration.limits;
         CHECK(limits.headerBytes <= 1UL << 30U);
@@ -129,7 +130,7 @@
     const Platform::RoutingJson decoder;
     for (const auto* member : { "timeout-ms", "priority", "max-attempts", "service", "host", "path-prefix", "type", "public", "split", "name", "unknown" }) {
         for (const auto& value : oddValues()) {
-            auto decoded = decoder.decode(documentStart + ",\"timeout-ms\":4000,\"" + member + "\":" + value + documentEnd + "}");
+            auto decoded = decoder.decode(fmt::format(R"({},"timeout-ms":4000,"{}":{}{}}})", documentStart, member, value, documentEnd));
             if (decoded.isValid())
                 CHECK_NOTHROW(RouteTable(std::move(decoded.configuration)).find("h.example", "/r/x"));
             else
--- a/test/error/planned_stop_processes.cpp
+++ b/test/error/planned_stop_processes.cpp
@@ -72,6 +72,7 @@
     };
     std::vector<Call> calls { { 0, "/u/1", {} }, { 0, "/t/1", {} }, { 0, "/e/1", {} }, { 1, "/u/2", {} }, { 1, "/t/2", {} }, { 1, "/e/2", {} } };
     std::vector<std::thread> threads;
+    threads.reserve(calls.size());
     for (auto& it : calls)
         threads.emplace_back([&] { it.answer = deployment.ask(it.entry, it.path, "body"); });
     while (service.begun < static_cast<int>(calls.size()))
