--- a/test/error/replica_votes.cpp
+++ b/test/error/replica_votes.cpp
@@ -155,3 +155,22 @@
     CHECK(withCurrentTerm.committedEntries.size() == 3);
     CHECK(replica.mayServeReads(now));
 }
+
+TEST_CASE("a snapshot removes no entry behind it that the replica has acknowledged", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), recoveredReplica(Term(1)), random, at(0ms));
+    ReplicaOutput appended;
+    const LogEntry entry { .term = Term(1), .kind = LogEntry::Kind::Command, .command = "command", .members = {} };
+    replica.receive(from(members[1], AppendRequest { .term = Term(1), .previousIndex = LogIndex(1), .previousTerm = Term(1), .entries = { entry, entry, entry }, .leaderCommit = LogIndex(1), .heartbeatRound = 1 }), at(100ms), appended);
+    const auto* reply = std::get_if<AppendReply>(&appended.messages.back().payload);
+    REQUIRE(reply);
+    REQUIRE(reply->isAccepted);
+    REQUIRE(reply->matchIndex == LogIndex(4));
+    ReplicaOutput installed;
+    replica.receive(from(members[1], SnapshotRequest { .term = Term(1), .snapshot = { .index = LogIndex(3), .term = Term(1), .members = members, .state = "" }, .heartbeatRound = 2 }), at(200ms), installed);
+    CHECK(replica.lastIndex() == LogIndex(4));
+    CHECK(replica.commitIndex() == LogIndex(3));
+    // The entries up to the snapshot are applied from the log, in order.
+    CHECK_FALSE(installed.installedSnapshot);
+}
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -256,14 +256,28 @@
     CHECK_FALSE(bench.writer.response->fields.find("Retry-After").empty());
 }
 
-TEST_CASE("a route that needs no key is served without a lease", "[routed]")
+TEST_CASE("a route that needs no key is not served by a configuration that nobody confirms", "[routed]")
 {
     RoutedBench bench;
-    bench.routing = {};
-    bench.routing.apply(RoutedBench::configuration());
-    bench.upstream.scripts = { RoutedBench::answer("open") };
+    bench.expireLease();
+    bench.upstream.scripts = { RoutedBench::answer("old route") };
     bench.run(RoutedBench::request("/open/7", ""));
-    CHECK(bench.writer.response->body == "open");
+    CHECK(bench.upstream.requests.empty());
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+    CHECK_FALSE(bench.writer.response->fields.find("Retry-After").empty());
+}
+
+TEST_CASE("a request on a route without keys whose lease ends while it waits for a connection is not sent", "[routed]")
+{
+    RoutedBench bench;
+    auto slow = RoutedBench::answer("too late");
+    slow.beforeSending = [&bench] { bench.expireLease(); };
+    bench.upstream.scripts = { slow, slow };
+    bench.run(RoutedBench::request("/open/7", ""));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 503);
+    CHECK(bench.upstream.requests.empty());
 }
 
 TEST_CASE("an unknown route is answered with 404 and an unknown key with 401", "[routed]")
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -154,3 +154,20 @@
     CHECK(polls.back().held == 5);
     CHECK(polls.back().needsWhole);
 }
+
+TEST_CASE("a feed pauses between state instances while none of them confirms", "[state][loopback]")
+{
+    asio::io_context loop(1);
+    const std::vector<InstanceId> addresses { InstanceId("127.0.0.1:7951"), InstanceId("127.0.0.1:7952"), InstanceId("127.0.0.1:7953") };
+    std::vector<std::unique_ptr<FakeStateInstance>> instances;
+    instances.reserve(addresses.size());
+    for (const auto& it : addresses)
+        instances.push_back(std::make_unique<FakeStateInstance>(loop, it.value(), false));
+    StateFeed feed(loop, { .instance = "e", .failureDomain = FailureDomainId("d"), .seed = 1 }, ignoredEvents());
+    feed.start(addresses);
+    loop.run_for(std::chrono::seconds(1));
+    const auto polls = instances[0]->polls() + instances[1]->polls() + instances[2]->polls();
+    CHECK(polls >= 1);
+    // One each 100 ms at most.
+    CHECK(polls <= 11);
+}
--- a/test/fakes/StateFleet.h
+++ b/test/fakes/StateFleet.h
@@ -170,6 +170,7 @@
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<ProposalResult> results;
     std::set<ProposalId> lostProposals; // Proposals whose process ended before their result.
+    std::size_t sentCommandBytes = 0; // Size of the commands in all messages that were sent.
     std::set<std::pair<std::size_t, std::size_t>> blockedLinks; // Sender and receiver of each link that drops all messages.
     unsigned lossPercent = 0;
     unsigned duplicatePercent = 0;
@@ -199,6 +200,10 @@
     void sendWithFaults(std::size_t from, const AgreementMessage& message)
     {
         const auto to = indexOf(message.to);
+        if (const auto* append = std::get_if<AppendRequest>(&message.payload)) {
+            for (const auto& it : append->entries)
+                sentCommandBytes += it.command.size();
+        }
         const auto copies = m_random.below(100) < duplicatePercent ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             if (m_random.below(100) < lossPercent)
