Run no request by a configuration that nobody confirms, also on routes without keys

Cause: admission and the check before the send asked for the lease only where the route needs a key. A lease also shows that no newer version is in force, which matters for every route. Class: a guarantee bound to the feature that introduced it. Ruled out: a lost version (no instance was ready and confirmed 1667).

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -68,10 +68,8 @@
     // Admission.
     /** Finds route and workspace and sets the deadline. Returns the error response if the request is refused. */
     std::optional<HttpResponse> admit();
-    /** The configuration was confirmed recently enough to trust that no API key in it has been revoked. */
+    /** The configuration was confirmed recently enough to trust that no newer version is in force. */
     bool hasLease() const;
-    /** The current configuration suffices to admit the request or to refuse it permanently. */
-    bool canDecideAdmission() const;
     /** Waits for a confirmed configuration while one can be expected soon. */
     Task<void> awaitConfiguration();
     bool isConfigurationExpected(TimePoint now) const;
--- a/src/forwarding/RoutedExchangeAdmission.cpp
+++ b/src/forwarding/RoutedExchangeAdmission.cpp
@@ -33,21 +33,10 @@
     return now - m_context.startedAt < startupTime || (m_context.routing.leaseEnd() <= now && now - m_context.routing.leaseEnd() < maxInterruption);
 }
 
-bool RoutedExchange::canDecideAdmission() const
-{
-    const auto table = m_context.routing.table();
-    if (!table)
-        return false;
-    if (hasLease())
-        return true;
-    const auto* route = table->find(m_http.fields.find("Host"), m_http.path());
-    return route && !route->needsKey;
-}
-
 Task<void> RoutedExchange::awaitConfiguration()
 {
     Timer pause(m_context.loop.get_executor());
-    while (!canDecideAdmission() && !m_writer.isCallerDisconnected()) {
+    while (!hasLease() && !m_writer.isCallerDisconnected()) {
         const auto now = monotonicNow();
         if (now >= m_startupWaitEnd || !isConfigurationExpected(now) || m_context.interrupts.isInterrupted())
             break;
@@ -65,10 +54,9 @@
     };
     if (!m_table)
         return refusal(unavailable, "no-configuration", shortRetryAfter);
-    // Without a lease this instance cannot know whether the route or the key has been added or removed since.
     m_route = m_table->find(m_http.fields.find("Host"), m_http.path());
-    const auto needsNoKey = m_route && !m_route->needsKey;
-    if (!needsNoKey && !hasLease())
+    // Without a lease this instance cannot know whether a newer version has changed the route or removed the key.
+    if (!hasLease())
         return refusal(unavailable, "configuration-unconfirmed", shortRetryAfter);
     if (!m_route)
         return refusal(notFound, "no-route", {});
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -114,13 +114,13 @@
     co_return result;
 }
 
-// A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the key may have been
-// revoked, the prompt put in quarantine, the process been told to stop, and the server may have said that it takes no requests.
+// A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the route may have been
+// changed or the key revoked, the prompt put in quarantine, the process been told to stop, and the server may have said that it takes no requests.
 std::string_view RoutedExchange::findObstacle(const Placement& placement) const
 {
     if (!mayStart())
         return "draining";
-    if (m_workspace && !hasLease())
+    if (!hasLease())
         return "configuration-unconfirmed";
     if (const auto code = quarantineCode(); !code.empty())
         return code;
--- a/src/routing/ActiveRouting.h
+++ b/src/routing/ActiveRouting.h
@@ -1,6 +1,6 @@
 /** \file
- * The routing configuration that this instance applies to requests, and the lease until which it may assume that none of
- * the configuration's keys was revoked.
+ * The routing configuration that this instance applies to requests, and the lease until which it may assume that no newer
+ * version is in force.
  *
  * Used by one thread. The version never decreases. A lease starts when its confirmation was requested, not when the
  * answer arrived, because a newer version may have been accepted in between.
@@ -44,7 +44,7 @@
             m_confirmations.push_back({ .newest = newest, .leaseEnd = requestedAt + lease });
         extendLease();
     }
-    /** Returns true if requests that need a key may be served. */
+    /** Returns true if requests may be served. */
     bool hasValidLease(TimePoint now) const { return m_table && now < m_leaseEnd; }
     /** End of the lease; TimePoint() before the first confirmation. */
     TimePoint leaseEnd() const { return m_leaseEnd; }
@@ -70,7 +70,7 @@
 
     std::shared_ptr<const RouteTable> m_table;
     std::vector<Confirmation> m_confirmations; // Of versions that are not applied yet; at most maxConfirmations.
-    TimePoint m_leaseEnd {}; // From then on, requests that need a key are refused.
+    TimePoint m_leaseEnd {}; // From then on, requests are refused.
 };
 
 } // namespace HickoryHollow
