--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -190,7 +190,11 @@
         reply.term = m_vote.term;
         reply.isAccepted = true;
         reply.matchIndex = request.snapshot.index;
-        if (request.snapshot.index > m_commitIndex) {
+        // Entries behind the snapshot may be acknowledged, and count towards a quorum.
+        const auto hasEntry = request.snapshot.index >= m_log.base() && m_log.termAt(request.snapshot.index) == request.snapshot.term;
+        if (request.snapshot.index > m_commitIndex && hasEntry) {
+            commitTo(request.snapshot.index, out);
+        } else if (request.snapshot.index > m_commitIndex) {
             m_log = ReplicaLog(request.snapshot);
             m_commitIndex = request.snapshot.index;
             m_durableIndex = request.snapshot.index;
