Send a replica only entries that it lacks, and bound what is on the way to it

Cause: a new leader knows no match index. With 12 MB of versions the heartbeats queued behind that data, the leader lost its quorum after about a second, and the next leader began anew: eight elections in 11 s, no commit. Queues of up to 16 MB a link, copied at each stage, are what memory a recovering instance takes. Class: repair work that grows with history and delays the signal that would end it. Change: a leader first finds the match with empty requests; entries go out only to replicas that accepted one, in messages of 256 KB, with 1 MB unacknowledged at most. Nothing is sent again on a timer: a replica that lost a message rejects the next heartbeat. Ruled out: longer election timeouts (they hide the data, and delay every failover).

--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -4,14 +4,17 @@
 #include "base/RandomSource.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace HickoryHollow {
 
 namespace {
 
 constexpr std::size_t maxEntriesPerMessage = 512;
-// Each heartbeat sends the entries again that a silent peer has not acknowledged, until its link closes.
-constexpr std::size_t maxCommandBytesPerMessage = 1UL << 20U;
+constexpr std::size_t maxCommandBytesPerMessage = 256UL << 10U;
+// To one replica. Bounds the memory of both sides, and the data that a heartbeat waits behind on the link.
+constexpr std::size_t maxUnacknowledgedBytes = 1UL << 20U;
+constexpr std::size_t maxUnacknowledgedMessages = 256;
 constexpr std::size_t maxTrackedRounds = 1024;
 constexpr Duration joinRequestInterval = std::chrono::milliseconds(500);
 constexpr Duration snapshotResendTimeout = std::chrono::seconds(5);
@@ -225,19 +228,29 @@
         send(peer.member, StaleDiskNotice {}, out);
         return;
     }
+    if (message.fromIncarnation > peer.incarnation) {
+        resetProgress(peer);
+        peer.isSnapshotInFlight = false;
+    }
     peer.incarnation = message.fromIncarnation;
     peer.lastContactAt = now;
     peer.acknowledgedRound = std::max(peer.acknowledgedRound, reply.heartbeatRound);
     if (!reply.isAccepted) {
+        resetProgress(peer);
         peer.nextIndex = successor(std::max(peer.matchIndex, std::min(reply.matchIndex, LogIndex(peer.nextIndex.value() - 1))));
         replicate(peer, false, now, out);
         return;
     }
     peer.isSnapshotInFlight = false;
+    peer.isMatched = true;
     peer.matchIndex = std::max(peer.matchIndex, reply.matchIndex);
     peer.nextIndex = std::max(peer.nextIndex, successor(peer.matchIndex));
+    while (!peer.unacknowledged.empty() && peer.unacknowledged.front().last <= peer.matchIndex)
+        peer.unacknowledged.pop_front();
     advanceCommitIndex(out);
-    if (peer.matchIndex < m_log.last() && peer.nextIndex <= m_log.last())
+    if (peer.nextIndex <= m_log.last())
+        replicate(peer, false, now, out);
+    while (peer.nextIndex <= m_log.last() && maySendEntries(peer))
         replicate(peer, false, now, out);
 }
 
@@ -299,20 +312,31 @@
     }
     const auto previous = std::max(LogIndex(peer.nextIndex.value() - 1), m_log.base());
     AppendRequest request { .term = m_vote.term, .previousIndex = previous, .previousTerm = m_log.termAt(previous).value_or(Term(0)), .entries = {}, .leaderCommit = m_commitIndex, .heartbeatRound = m_heartbeatRound };
-    if (!peer.isSnapshotInFlight) {
-        // A heartbeat resends all entries after the match index, because earlier requests may have been lost.
-        const auto first = isHeartbeat ? std::max(successor(peer.matchIndex), successor(m_log.base())) : successor(previous);
-        if (isHeartbeat && first <= previous) {
-            request.previousIndex = LogIndex(first.value() - 1);
-            request.previousTerm = m_log.termAt(request.previousIndex).value_or(Term(0));
-        }
-        request.entries = m_log.slice(successor(request.previousIndex), maxEntriesPerMessage, maxCommandBytesPerMessage);
-        peer.nextIndex = LogIndex(request.previousIndex.value() + request.entries.size() + 1);
+    if (maySendEntries(peer))
+        request.entries = m_log.slice(successor(previous), maxEntriesPerMessage, maxCommandBytesPerMessage);
+    if (request.entries.empty() && !isHeartbeat && peer.isMatched)
+        return;
+    if (!request.entries.empty()) {
+        peer.nextIndex = LogIndex(previous.value() + request.entries.size() + 1);
+        const auto bytes = std::accumulate(request.entries.begin(), request.entries.end(), std::size_t {}, [](auto sum, const auto& it) { return sum + it.command.size(); });
+        peer.unacknowledged.push_back({ .last = LogIndex(peer.nextIndex.value() - 1), .commandBytes = bytes });
     }
     peer.lastSentAt = now;
     send(peer.member, std::move(request), out);
 }
 
+bool Replica::maySendEntries(const Progress& peer)
+{
+    const auto bytes = std::accumulate(peer.unacknowledged.begin(), peer.unacknowledged.end(), std::size_t {}, [](auto sum, const auto& it) { return sum + it.commandBytes; });
+    return peer.isMatched && !peer.isSnapshotInFlight && bytes < maxUnacknowledgedBytes && peer.unacknowledged.size() < maxUnacknowledgedMessages;
+}
+
+void Replica::resetProgress(Progress& peer)
+{
+    peer.isMatched = false;
+    peer.unacknowledged.clear();
+}
+
 void Replica::compactLog(StateSnapshot snapshot, LogIndex discardUpTo)
 {
     internalAssert(discardUpTo <= snapshot.index && snapshot.index <= m_commitIndex, "only committed entries are discarded");
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -17,6 +17,8 @@
 #include "agreement/ReplicaLog.h"
 #include "base/Time.h"
 
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -121,12 +123,20 @@
     LogIndex firstIndex() const { return LogIndex(m_log.base().value() + 1); }
 
 private:
+    /** A message of entries that a replica has not acknowledged. */
+    struct SentEntries {
+        LogIndex last; // Index of its last entry.
+        std::size_t commandBytes = 0;
+    };
+
     /** Replication state that the leader tracks for another voter or a learner. */
     struct Progress {
         Member member;
         LogIndex nextIndex; // Next log entry to send.
         LogIndex matchIndex; // Last log entry known to be equal and durable on the replica.
         Incarnation incarnation; // Newest process start seen in a reply or a join request.
+        bool isMatched = false; // A request was accepted since nextIndex was last set back. Until then only empty requests are sent.
+        std::deque<SentEntries> unacknowledged; // Messages of entries after matchIndex, oldest first.
         std::uint64_t acknowledgedRound = 0; // Newest heartbeat round that the replica has replied to.
         TimePoint lastSentAt {}; // When the last AppendRequest or SnapshotRequest was sent.
         TimePoint lastContactAt {}; // When the last reply or join request arrived.
@@ -147,8 +157,15 @@
 
     /** Appends an entry that this replica creates itself, and outputs its journal record. */
     void appendLocally(LogEntry, ReplicaOutput&);
-    /** Sends a replica the entries that it lacks, or a snapshot if these are discarded. */
+    /**
+     * Sends a replica entries that it lacks, or a snapshot if these are discarded. A heartbeat is sent also if there is nothing
+     * to send; a replica that has lost a message of entries rejects it.
+     */
     void replicate(Progress&, bool isHeartbeat, TimePoint now, ReplicaOutput&);
+    /** True if the replica's log is known to match up to the next entry, and few enough bytes are on the way to it. */
+    static bool maySendEntries(const Progress&);
+    /** Sends the replica entries only after it has accepted a request again. */
+    static void resetProgress(Progress&);
     void startHeartbeatRound(TimePoint now, ReplicaOutput&);
     /** Commits up to the last entry that is durable on a quorum, if that entry is of the current term. */
     void advanceCommitIndex(ReplicaOutput&);
