Pause between two links to state instances that do not confirm

Cause: the pause before the next dial used the timer that the end of a link cancels, so there was none. Class: one timer for two purposes. The pause has a timer of its own now, and doubles from 100 to 400 ms while no link confirms, for 300 instances that come at once.

--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -22,7 +22,10 @@
 constexpr Duration dialTimeout = std::chrono::milliseconds(500);
 // A state instance is avoided for this time after its link failed or ended.
 constexpr Duration failureBackoff = std::chrono::seconds(3);
+// Pause before the next dial. It doubles with each link that gave no confirmation, so that many entry instances together do not
+// delay the state instances' recovery, and stays short enough to be back within a second of it.
 constexpr Duration reconnectDelay = std::chrono::milliseconds(100);
+constexpr Duration maxReconnectDelay = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -53,7 +56,7 @@
     Options options;
     Events events;
     StateAddresses addresses;
-    Timer wake; // Cancelled to end the current pause, in run() or serveLink().
+    Timer wake; // Cancelled to end the current pause in serveLink().
     InstanceId attached; // Empty while no link is open.
     std::map<InstanceId, TimePoint> failedAt; // When a dial attempt failed or a link ended last.
     std::map<std::uint64_t, TimePoint> pollSentAt; // Unanswered polls of the current link, by poll id.
@@ -86,7 +89,10 @@
 Task<void> StateFeed::State::run()
 {
     const auto keepAlive = shared_from_this();
+    Timer pause(loop.get_executor());
+    auto delay = reconnectDelay;
     while (!isStopped) {
+        hasConfirmed = false;
         const auto next = selectInstance(monotonicNow());
         std::shared_ptr<Link> link;
         const auto ec = co_await dialLink(loop, next.value(), dialTimeout, options.link, link);
@@ -98,8 +104,10 @@
         }
         attached = {};
         failedAt[next] = monotonicNow();
-        wake.expires_after(reconnectDelay);
-        co_await wake.async_wait(asTuple);
+        // Not `wake`: the end of the link cancels it.
+        pause.expires_after(hasConfirmed ? reconnectDelay : delay);
+        delay = hasConfirmed ? reconnectDelay : std::min(2 * delay, maxReconnectDelay);
+        co_await pause.async_wait(asTuple);
     }
 }
 
