--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -30,7 +30,9 @@
 constexpr Duration usageLifetime = std::chrono::milliseconds(1500); // Three times the longest interval between reports.
 constexpr int ticksPerUsageReport = 5; // For unchanged usage; changed usage is sent at each tick.
 constexpr int missedAnnouncementsBeforeLapse = 5; // Announcement intervals of silence until a backend server lapses.
-constexpr std::uint64_t compactAfterJournalBytes = 16ULL << 20U; // The data disk has 128 MB and holds two generations.
+constexpr std::uint64_t maxJournalBytes = 16ULL << 20U; // The data disk has 128 MB and holds two generations.
+// Recovery holds the journal up to four times: as read, as entries, in the log and as applied.
+constexpr std::size_t memoryPerJournalByte = 16;
 constexpr std::size_t maxPendingPrefixes = 2000; // 300 entry instances with 60 requests/s each report at most 1800 a tick.
 
 // Reports over the limit are dropped. The cost of a dropped report is one repeated prefill of that prefix.
@@ -89,7 +91,7 @@
     options.core.timings.heartbeatInterval = leaderHeartbeat;
     options.core.timings.electionTimeout = electionTimeout;
     options.core.maxVoters = std::size_t { 2 } * m_settings.toleratedLosses + 1;
-    options.core.compactAfterBytes = compactAfterJournalBytes;
+    options.core.compactAfterBytes = std::min<std::uint64_t>(maxJournalBytes, m_settings.memoryBytes / memoryPerJournalByte);
     options.core.retainedEntries = 50;
     options.dataFolder = m_settings.dataFolder;
     options.tickInterval = nodeTickInterval;
