End the lease on a configuration before a newer one must be in force

Cause: the lease lasted as long as a revoked key may be accepted (5 s), also where a newer version must be in force sooner (2 s). An instance whose updates did not arrive went on by the older version for up to 2.7 s longer than permitted. Evidence: a new test with four bounds; with the former length it fails for 200 ms and 2000 ms by construction (4.7 s).

--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -28,8 +28,6 @@
 constexpr Duration idleBeforeClose = std::chrono::milliseconds(800); // A drain ends after this time without a request.
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 constexpr Duration upstreamSilenceLimit = std::chrono::milliseconds(2000);
-// Covers differing clock rates and the time to send a request.
-constexpr Duration leaseMargin = std::chrono::milliseconds(300);
 constexpr double idleConnectionShare = 0.5; // Fraction of a server's connection limit; the rest is left for active requests.
 // Low, because the connection limit of a server counts the connections of all entry instances.
 constexpr std::size_t maxIdleConnectionsPerServer = 24;
@@ -58,7 +56,7 @@
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
           {
               .routing = [this](const auto& document) { applyRouting(document); },
-              .confirmed = [this](auto newest, auto askedAt) { m_routing.confirm(newest, askedAt, m_settings.bounds.keyLease - leaseMargin); },
+              .confirmed = [this](auto newest, auto askedAt) { m_routing.confirm(newest, askedAt, m_settings.bounds.routingLease()); },
               .backends = [this](const auto& records) {
                   for (const auto& it : records) {
                       if (m_selector.merge(it))
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -86,6 +86,7 @@
 {
     bounds.drainTime = readSeconds(reader, "drain-s", bounds.drainTime);
     bounds.keyLease = reader.milliseconds("key-lease-ms", bounds.keyLease, millisecondsRange);
+    bounds.configurationDelay = reader.milliseconds("config-apply-ms", bounds.configurationDelay, millisecondsRange);
     bounds.announceInterval = reader.milliseconds("announce-ms", bounds.announceInterval, millisecondsRange);
     bounds.retryRatio = readNonNegative(reader, "retry-ratio", bounds.retryRatio);
     bounds.retrySlack = static_cast<std::uint64_t>(readNonNegative(reader, "retry-slack", static_cast<double>(bounds.retrySlack)));
@@ -96,6 +97,14 @@
 
 } // namespace
 
+// A version that was accepted after the question is in force everywhere, or the instance refuses requests, when either bound ends.
+Duration NodeBounds::routingLease() const
+{
+    constexpr Duration margin = std::chrono::milliseconds(300); // Covers differing clock rates and the time to send a request.
+    const auto bound = std::min(keyLease, configurationDelay);
+    return bound - std::min(margin, bound / 4);
+}
+
 std::optional<NodeSettings> parseNodeSettings(const std::string& file, std::string_view text, Diagnostics& diagnostics)
 {
     const auto diagnosticsBefore = diagnostics.size();
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -19,11 +19,15 @@
 struct NodeBounds {
     Duration drainTime = std::chrono::seconds(8); ///< Longest time from SIGTERM to the end of the process.
     Duration keyLease = std::chrono::seconds(5); ///< Longest time for which a revoked key is still accepted.
+    Duration configurationDelay = std::chrono::seconds(2); ///< Longest time from the acceptance of a routing configuration until it is in force everywhere.
     Duration announceInterval = std::chrono::milliseconds(1200); ///< Interval at which backend servers announce themselves.
     double retryRatio = 0.2; ///< Retries permitted for each first send within `retryWindow`, over all instances.
     std::uint64_t retrySlack = 10; ///< Further retries permitted within `retryWindow`, over all instances.
     Duration retryWindow = std::chrono::seconds(10); ///< Sliding window over which the retry budget is counted.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Longest wait that a refusal asks its caller for.
+
+    /** Time from the question for a confirmation of the routing configuration until requests are refused without a newer one. */
+    Duration routingLease() const;
 };
 
 struct NodeSettings {
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -263,6 +263,7 @@
         cannotConfirm = !hasConfirmed;
         if (cannotConfirm)
             wake.cancel();
+        isPollDue = true; // At the next interval: a lease is not much longer than an election.
         return;
     }
     hasConfirmed = true;
--- a/test/correctness/active_routing.cpp
+++ b/test/correctness/active_routing.cpp
@@ -1,6 +1,7 @@
 /** \file
  * The lease on the routing configuration under confirmations that overtake the configuration they speak of.
  */
+#include "node/NodeSettings.h"
 #include "routing/ActiveRouting.h"
 
 #include <catch2/catch.hpp>
@@ -51,3 +52,18 @@
     }
     CHECK(routing.hasValidLease(now));
 }
+
+TEST_CASE("a version that nobody confirms is refused before the time in which a newer one must be in force is over", "[routing]")
+{
+    const auto bound = GENERATE(200ms, 2000ms, 5000ms, 8000ms);
+    NodeBounds bounds;
+    bounds.keyLease = 5000ms;
+    bounds.configurationDelay = bound;
+    ActiveRouting routing;
+    routing.apply({ .version = RoutingVersion(1) });
+    const TimePoint askedAt(1h);
+    routing.confirm(RoutingVersion(1), askedAt, bounds.routingLease());
+    CHECK(routing.hasValidLease(askedAt + bound / 2));
+    CHECK_FALSE(routing.hasValidLease(askedAt + bound));
+    CHECK_FALSE(routing.hasValidLease(askedAt + bounds.keyLease));
+}
