--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -19,6 +19,8 @@
 using ServiceId = StrongId<struct ServiceTag>;
 /** Name of a model version, from the inventory. */
 using ModelId = StrongId<struct ModelTag>;
+/** Name of a version of a backend server's software. Versions have no order; what two of them write does not fit together. */
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 /** Name of a request class, from the rules. */
 using ClassId = StrongId<struct ClassTag>;
 /** Address `ip:port` of a backend server. */
--- a/src/membership/BackendDirectory.cpp
+++ b/src/membership/BackendDirectory.cpp
@@ -10,7 +10,7 @@
 
 bool equalsExceptSequence(const BackendRecord& a, const BackendRecord& b)
 {
-    return a.incarnation == b.incarnation && a.state == b.state && a.service == b.service && a.serverName == b.serverName && a.models == b.models
+    return a.incarnation == b.incarnation && a.state == b.state && a.service == b.service && a.serverName == b.serverName && a.softwareVersion == b.softwareVersion && a.models == b.models
         && a.failureDomain == b.failureDomain && a.slots == b.slots && a.capabilities == b.capabilities;
 }
 
--- a/src/membership/BackendRecord.h
+++ b/src/membership/BackendRecord.h
@@ -49,6 +49,7 @@
     BackendState state = BackendState::Serving;
     ServiceId service;
     std::string serverName; ///< The backend server's own name; empty if it is known by its address only.
+    SoftwareVersion softwareVersion; ///< Empty if the server does not name it.
     std::vector<ModelId> models;
     FailureDomainId failureDomain;
     std::uint32_t slots = 1; ///< Requests that the server executes concurrently.
--- a/src/wire/FleetCodec.cpp
+++ b/src/wire/FleetCodec.cpp
@@ -39,6 +39,8 @@
     wire.capabilities.checksFencing = record.capabilities.checksFencing;
     if (!record.serverName.empty())
         wire.__set_serverName(record.serverName);
+    if (!record.softwareVersion.value().empty())
+        wire.__set_softwareVersion(record.softwareVersion.value());
     return wire;
 }
 
@@ -57,6 +59,7 @@
     record.state = static_cast<BackendState>(wire.state);
     record.service = ServiceId(wire.serviceName);
     record.serverName = wire.serverName;
+    record.softwareVersion = SoftwareVersion(wire.softwareVersion);
     for (const auto& it : wire.models)
         record.models.emplace_back(it);
     record.failureDomain = FailureDomainId(wire.failureDomain);
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -6190,6 +6190,11 @@
   this->serverName = val;
 __isset.serverName = true;
 }
+
+void BackendRecord::__set_softwareVersion(const std::string& val) {
+  this->softwareVersion = val;
+__isset.softwareVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const BackendRecord& obj)
 {
   obj.printTo(out);
@@ -6310,6 +6315,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->softwareVersion);
+          this->__isset.softwareVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6376,6 +6389,11 @@
     xfer += oprot->writeString(this->serverName);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.softwareVersion) {
+    xfer += oprot->writeFieldBegin("softwareVersion", ::apache::thrift::protocol::T_STRING, 11);
+    xfer += oprot->writeString(this->softwareVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6393,6 +6411,7 @@
   swap(a.slots, b.slots);
   swap(a.capabilities, b.capabilities);
   swap(a.serverName, b.serverName);
+  swap(a.softwareVersion, b.softwareVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -6407,6 +6426,7 @@
   slots = other144.slots;
   capabilities = other144.capabilities;
   serverName = other144.serverName;
+  softwareVersion = other144.softwareVersion;
   __isset = other144.__isset;
 }
 BackendRecord& BackendRecord::operator=(const BackendRecord& other145) {
@@ -6420,6 +6440,7 @@
   slots = other145.slots;
   capabilities = other145.capabilities;
   serverName = other145.serverName;
+  softwareVersion = other145.softwareVersion;
   __isset = other145.__isset;
   return *this;
 }
@@ -6436,6 +6457,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "capabilities=" << to_string(capabilities);
   out << ", " << "serverName="; (__isset.serverName ? (out << to_string(serverName)) : (out << "<null>"));
+  out << ", " << "softwareVersion="; (__isset.softwareVersion ? (out << to_string(softwareVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10932,6 +10954,476 @@
 }
 
 
+StreamOrigin::~StreamOrigin() noexcept {
+}
+
+
+void StreamOrigin::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void StreamOrigin::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigin::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOrigin::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigin");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigin &a, StreamOrigin &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOrigin::StreamOrigin(const StreamOrigin& other328) noexcept {
+  stream = other328.stream;
+  version = other328.version;
+  __isset = other328.__isset;
+}
+StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other329) noexcept {
+  stream = other329.stream;
+  version = other329.version;
+  __isset = other329.__isset;
+  return *this;
+}
+void StreamOrigin::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigin(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+StreamOrigins::~StreamOrigins() noexcept {
+}
+
+
+void StreamOrigins::__set_streams(const std::vector<StreamOrigin> & val) {
+  this->streams = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigins::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->streams.clear();
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->streams.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
+            {
+              xfer += this->streams[_i334].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOrigins::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigins");
+
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->streams.size()));
+    std::vector<StreamOrigin> ::const_iterator _iter335;
+    for (_iter335 = this->streams.begin(); _iter335 != this->streams.end(); ++_iter335)
+    {
+      xfer += (*_iter335).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigins &a, StreamOrigins &b) {
+  using ::std::swap;
+  swap(a.streams, b.streams);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOrigins::StreamOrigins(const StreamOrigins& other336) {
+  streams = other336.streams;
+  __isset = other336.__isset;
+}
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other337) {
+  streams = other337.streams;
+  __isset = other337.__isset;
+  return *this;
+}
+void StreamOrigins::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigins(";
+  out << "streams=" << to_string(streams);
+  out << ")";
+}
+
+
+StreamOriginQuery::~StreamOriginQuery() noexcept {
+}
+
+
+void StreamOriginQuery::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void StreamOriginQuery::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void StreamOriginQuery::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginQuery");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.stream, b.stream);
+  swap(a.serviceName, b.serviceName);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginQuery::StreamOriginQuery(const StreamOriginQuery& other338) {
+  id = other338.id;
+  stream = other338.stream;
+  serviceName = other338.serviceName;
+  __isset = other338.__isset;
+}
+StreamOriginQuery& StreamOriginQuery::operator=(const StreamOriginQuery& other339) {
+  id = other339.id;
+  stream = other339.stream;
+  serviceName = other339.serviceName;
+  __isset = other339.__isset;
+  return *this;
+}
+void StreamOriginQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginQuery(";
+  out << "id=" << to_string(id);
+  out << ", " << "stream=" << to_string(stream);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ")";
+}
+
+
+StreamOriginReply::~StreamOriginReply() noexcept {
+}
+
+
+void StreamOriginReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void StreamOriginReply::__set_version(const int64_t val) {
+  this->version = val;
+__isset.version = true;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginReply &a, StreamOriginReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginReply::StreamOriginReply(const StreamOriginReply& other340) noexcept {
+  id = other340.id;
+  version = other340.version;
+  __isset = other340.__isset;
+}
+StreamOriginReply& StreamOriginReply::operator=(const StreamOriginReply& other341) noexcept {
+  id = other341.id;
+  version = other341.version;
+  __isset = other341.__isset;
+  return *this;
+}
+void StreamOriginReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -11010,6 +11502,21 @@
   this->limitUpdate = val;
 __isset.limitUpdate = true;
 }
+
+void LinkMessage::__set_streamOrigins(const StreamOrigins& val) {
+  this->streamOrigins = val;
+__isset.streamOrigins = true;
+}
+
+void LinkMessage::__set_streamOriginQuery(const StreamOriginQuery& val) {
+  this->streamOriginQuery = val;
+__isset.streamOriginQuery = true;
+}
+
+void LinkMessage::__set_streamOriginReply(const StreamOriginReply& val) {
+  this->streamOriginReply = val;
+__isset.streamOriginReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -11158,6 +11665,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamOrigins.read(iprot);
+          this->__isset.streamOrigins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamOriginQuery.read(iprot);
+          this->__isset.streamOriginQuery = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->streamOriginReply.read(iprot);
+          this->__isset.streamOriginReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11250,6 +11781,21 @@
     xfer += this->limitUpdate.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.streamOrigins) {
+    xfer += oprot->writeFieldBegin("streamOrigins", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->streamOrigins.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.streamOriginQuery) {
+    xfer += oprot->writeFieldBegin("streamOriginQuery", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->streamOriginQuery.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.streamOriginReply) {
+    xfer += oprot->writeFieldBegin("streamOriginReply", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->streamOriginReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11272,44 +11818,53 @@
   swap(a.promptFindings, b.promptFindings);
   swap(a.limitReport, b.limitReport);
   swap(a.limitUpdate, b.limitUpdate);
+  swap(a.streamOrigins, b.streamOrigins);
+  swap(a.streamOriginQuery, b.streamOriginQuery);
+  swap(a.streamOriginReply, b.streamOriginReply);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other328) {
-  hello = other328.hello;
-  agreement = other328.agreement;
-  fleetNews = other328.fleetNews;
-  freshnessPoll = other328.freshnessPoll;
-  freshnessReply = other328.freshnessReply;
-  routingSubmit = other328.routingSubmit;
-  routingSubmitReply = other328.routingSubmitReply;
-  routing = other328.routing;
-  uses = other328.uses;
-  keptPrompts = other328.keptPrompts;
-  routingDelta = other328.routingDelta;
-  promptEvidence = other328.promptEvidence;
-  promptFindings = other328.promptFindings;
-  limitReport = other328.limitReport;
-  limitUpdate = other328.limitUpdate;
-  __isset = other328.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other329) {
-  hello = other329.hello;
-  agreement = other329.agreement;
-  fleetNews = other329.fleetNews;
-  freshnessPoll = other329.freshnessPoll;
-  freshnessReply = other329.freshnessReply;
-  routingSubmit = other329.routingSubmit;
-  routingSubmitReply = other329.routingSubmitReply;
-  routing = other329.routing;
-  uses = other329.uses;
-  keptPrompts = other329.keptPrompts;
-  routingDelta = other329.routingDelta;
-  promptEvidence = other329.promptEvidence;
-  promptFindings = other329.promptFindings;
-  limitReport = other329.limitReport;
-  limitUpdate = other329.limitUpdate;
-  __isset = other329.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other342) {
+  hello = other342.hello;
+  agreement = other342.agreement;
+  fleetNews = other342.fleetNews;
+  freshnessPoll = other342.freshnessPoll;
+  freshnessReply = other342.freshnessReply;
+  routingSubmit = other342.routingSubmit;
+  routingSubmitReply = other342.routingSubmitReply;
+  routing = other342.routing;
+  uses = other342.uses;
+  keptPrompts = other342.keptPrompts;
+  routingDelta = other342.routingDelta;
+  promptEvidence = other342.promptEvidence;
+  promptFindings = other342.promptFindings;
+  limitReport = other342.limitReport;
+  limitUpdate = other342.limitUpdate;
+  streamOrigins = other342.streamOrigins;
+  streamOriginQuery = other342.streamOriginQuery;
+  streamOriginReply = other342.streamOriginReply;
+  __isset = other342.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other343) {
+  hello = other343.hello;
+  agreement = other343.agreement;
+  fleetNews = other343.fleetNews;
+  freshnessPoll = other343.freshnessPoll;
+  freshnessReply = other343.freshnessReply;
+  routingSubmit = other343.routingSubmit;
+  routingSubmitReply = other343.routingSubmitReply;
+  routing = other343.routing;
+  uses = other343.uses;
+  keptPrompts = other343.keptPrompts;
+  routingDelta = other343.routingDelta;
+  promptEvidence = other343.promptEvidence;
+  promptFindings = other343.promptFindings;
+  limitReport = other343.limitReport;
+  limitUpdate = other343.limitUpdate;
+  streamOrigins = other343.streamOrigins;
+  streamOriginQuery = other343.streamOriginQuery;
+  streamOriginReply = other343.streamOriginReply;
+  __isset = other343.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -11330,6 +11885,9 @@
   out << ", " << "promptFindings="; (__isset.promptFindings ? (out << to_string(promptFindings)) : (out << "<null>"));
   out << ", " << "limitReport="; (__isset.limitReport ? (out << to_string(limitReport)) : (out << "<null>"));
   out << ", " << "limitUpdate="; (__isset.limitUpdate ? (out << to_string(limitUpdate)) : (out << "<null>"));
+  out << ", " << "streamOrigins="; (__isset.streamOrigins ? (out << to_string(streamOrigins)) : (out << "<null>"));
+  out << ", " << "streamOriginQuery="; (__isset.streamOriginQuery ? (out << to_string(streamOriginQuery)) : (out << "<null>"));
+  out << ", " << "streamOriginReply="; (__isset.streamOriginReply ? (out << to_string(streamOriginReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -175,6 +175,14 @@
 
 class LimitUpdate;
 
+class StreamOrigin;
+
+class StreamOrigins;
+
+class StreamOriginQuery;
+
+class StreamOriginReply;
+
 class LinkMessage;
 
 typedef struct _Member__isset {
@@ -2731,7 +2739,7 @@
 std::ostream& operator<<(std::ostream& out, const Capabilities& obj);
 
 typedef struct _BackendRecord__isset {
-  _BackendRecord__isset() : id(false), incarnation(false), sequence(false), state(false), serviceName(false), models(false), failureDomain(false), slots(false), capabilities(false), serverName(false) {}
+  _BackendRecord__isset() : id(false), incarnation(false), sequence(false), state(false), serviceName(false), models(false), failureDomain(false), slots(false), capabilities(false), serverName(false), softwareVersion(false) {}
   bool id :1;
   bool incarnation :1;
   bool sequence :1;
@@ -2742,6 +2750,7 @@
   bool slots :1;
   bool capabilities :1;
   bool serverName :1;
+  bool softwareVersion :1;
 } _BackendRecord__isset;
 
 class BackendRecord : public virtual ::apache::thrift::TBase {
@@ -2757,7 +2766,8 @@
                   serviceName(),
                   failureDomain(),
                   slots(0),
-                  serverName() {
+                  serverName(),
+                  softwareVersion() {
   }
 
   virtual ~BackendRecord() noexcept;
@@ -2771,6 +2781,7 @@
   int32_t slots;
   Capabilities capabilities;
   std::string serverName;
+  std::string softwareVersion;
 
   _BackendRecord__isset __isset;
 
@@ -2794,6 +2805,8 @@
 
   void __set_serverName(const std::string& val);
 
+  void __set_softwareVersion(const std::string& val);
+
   bool operator == (const BackendRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -2818,6 +2831,10 @@
       return false;
     else if (__isset.serverName && !(serverName == rhs.serverName))
       return false;
+    if (__isset.softwareVersion != rhs.__isset.softwareVersion)
+      return false;
+    else if (__isset.softwareVersion && !(softwareVersion == rhs.softwareVersion))
+      return false;
     return true;
   }
   bool operator != (const BackendRecord &rhs) const {
@@ -4585,8 +4602,209 @@
 
 std::ostream& operator<<(std::ostream& out, const LimitUpdate& obj);
 
+typedef struct _StreamOrigin__isset {
+  _StreamOrigin__isset() : stream(false), version(false) {}
+  bool stream :1;
+  bool version :1;
+} _StreamOrigin__isset;
+
+class StreamOrigin : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigin(const StreamOrigin&) noexcept;
+  StreamOrigin& operator=(const StreamOrigin&) noexcept;
+  StreamOrigin() noexcept
+               : stream(0),
+                 version(0) {
+  }
+
+  virtual ~StreamOrigin() noexcept;
+  int64_t stream;
+  int64_t version;
+
+  _StreamOrigin__isset __isset;
+
+  void __set_stream(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const StreamOrigin & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigin &a, StreamOrigin &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj);
+
+typedef struct _StreamOrigins__isset {
+  _StreamOrigins__isset() : streams(false) {}
+  bool streams :1;
+} _StreamOrigins__isset;
+
+class StreamOrigins : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigins(const StreamOrigins&);
+  StreamOrigins& operator=(const StreamOrigins&);
+  StreamOrigins() noexcept {
+  }
+
+  virtual ~StreamOrigins() noexcept;
+  std::vector<StreamOrigin>  streams;
+
+  _StreamOrigins__isset __isset;
+
+  void __set_streams(const std::vector<StreamOrigin> & val);
+
+  bool operator == (const StreamOrigins & rhs) const
+  {
+    if (!(streams == rhs.streams))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigins &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigins & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigins &a, StreamOrigins &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj);
+
+typedef struct _StreamOriginQuery__isset {
+  _StreamOriginQuery__isset() : id(false), stream(false), serviceName(false) {}
+  bool id :1;
+  bool stream :1;
+  bool serviceName :1;
+} _StreamOriginQuery__isset;
+
+class StreamOriginQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginQuery(const StreamOriginQuery&);
+  StreamOriginQuery& operator=(const StreamOriginQuery&);
+  StreamOriginQuery() noexcept
+                    : id(0),
+                      stream(0),
+                      serviceName() {
+  }
+
+  virtual ~StreamOriginQuery() noexcept;
+  int64_t id;
+  int64_t stream;
+  std::string serviceName;
+
+  _StreamOriginQuery__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_stream(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  bool operator == (const StreamOriginQuery & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj);
+
+typedef struct _StreamOriginReply__isset {
+  _StreamOriginReply__isset() : id(false), version(false) {}
+  bool id :1;
+  bool version :1;
+} _StreamOriginReply__isset;
+
+class StreamOriginReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginReply(const StreamOriginReply&) noexcept;
+  StreamOriginReply& operator=(const StreamOriginReply&) noexcept;
+  StreamOriginReply() noexcept
+                    : id(0),
+                      version(0) {
+  }
+
+  virtual ~StreamOriginReply() noexcept;
+  int64_t id;
+  int64_t version;
+
+  _StreamOriginReply__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const StreamOriginReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginReply &a, StreamOriginReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false), limitReport(false), limitUpdate(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false), limitReport(false), limitUpdate(false), streamOrigins(false), streamOriginQuery(false), streamOriginReply(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -4602,6 +4820,9 @@
   bool promptFindings :1;
   bool limitReport :1;
   bool limitUpdate :1;
+  bool streamOrigins :1;
+  bool streamOriginQuery :1;
+  bool streamOriginReply :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4628,6 +4849,9 @@
   PromptFindings promptFindings;
   LimitReport limitReport;
   LimitUpdate limitUpdate;
+  StreamOrigins streamOrigins;
+  StreamOriginQuery streamOriginQuery;
+  StreamOriginReply streamOriginReply;
 
   _LinkMessage__isset __isset;
 
@@ -4661,6 +4885,12 @@
 
   void __set_limitUpdate(const LimitUpdate& val);
 
+  void __set_streamOrigins(const StreamOrigins& val);
+
+  void __set_streamOriginQuery(const StreamOriginQuery& val);
+
+  void __set_streamOriginReply(const StreamOriginReply& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4723,6 +4953,18 @@
       return false;
     else if (__isset.limitUpdate && !(limitUpdate == rhs.limitUpdate))
       return false;
+    if (__isset.streamOrigins != rhs.__isset.streamOrigins)
+      return false;
+    else if (__isset.streamOrigins && !(streamOrigins == rhs.streamOrigins))
+      return false;
+    if (__isset.streamOriginQuery != rhs.__isset.streamOriginQuery)
+      return false;
+    else if (__isset.streamOriginQuery && !(streamOriginQuery == rhs.streamOriginQuery))
+      return false;
+    if (__isset.streamOriginReply != rhs.__isset.streamOriginReply)
+      return false;
+    else if (__isset.streamOriginReply && !(streamOriginReply == rhs.streamOriginReply))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -85,7 +85,7 @@
 struct Reply { 1: i64 id, 2: optional SettingsPollReply poll, 3: optional ProposeReply propose, 4: optional NotLeader notLeader }
 
 struct Capabilities { 1: bool priorities, 2: bool resume, 3: bool cancel, 4: bool checksFencing }
-struct BackendRecord { 1: string id, 2: i64 incarnation, 3: i64 sequence, 4: i32 state, 5: string serviceName, 6: list<string> models, 7: string failureDomain, 8: i32 slots, 9: Capabilities capabilities, 10: optional string serverName }
+struct BackendRecord { 1: string id, 2: i64 incarnation, 3: i64 sequence, 4: i32 state, 5: string serviceName, 6: list<string> models, 7: string failureDomain, 8: i32 slots, 9: Capabilities capabilities, 10: optional string serverName, 11: optional string softwareVersion }
 struct Renewal { 1: string id, 2: i64 incarnation, 3: i64 sequence }
 struct LoadNotice { 1: string id, 2: i64 incarnation, 3: i32 running, 4: i64 ageMicroseconds }
 struct FleetNews { 1: list<BackendRecord> records, 2: list<Renewal> renewals, 3: list<LoadNotice> loads }
@@ -176,6 +176,14 @@
 // From a state instance to an entry instance, several times in a second while any server names a limit.
 struct LimitUpdate { 1: list<LimitGrant> grants }
 
+// A stream that began at a server of a version; both are hashes. From an entry instance: its own streams; from a state instance to
+// another: those of the entry instances attached to it.
+struct StreamOrigin { 1: i64 stream, 2: i64 version }
+struct StreamOrigins { 1: list<StreamOrigin> streams }
+// Asks at which version of the service's software a stream began. `version` is left out of the reply if that is not known.
+struct StreamOriginQuery { 1: i64 id, 2: i64 stream, 3: string serviceName }
+struct StreamOriginReply { 1: i64 id, 2: optional i64 version }
+
 union LinkMessage {
   1: LinkHello hello
   2: AgreementMessage agreement
@@ -192,4 +200,7 @@
   13: PromptFindings promptFindings
   14: LimitReport limitReport
   15: LimitUpdate limitUpdate
+  16: StreamOrigins streamOrigins
+  17: StreamOriginQuery streamOriginQuery
+  18: StreamOriginReply streamOriginReply
 }
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -62,9 +62,9 @@
         return result;
     }
 
-    void addServer(const std::string& address, const std::string& service)
+    void addServer(const std::string& address, const std::string& service, const std::string& version = "v1", std::uint64_t incarnation = 1)
     {
-        BackendRecord record { .id = BackendId(address), .incarnation = Incarnation(1), .sequence = 1, .service = ServiceId(service), .serverName = "name-of-" + address };
+        BackendRecord record { .id = BackendId(address), .incarnation = Incarnation(incarnation), .sequence = 1, .service = ServiceId(service), .serverName = "name-of-" + address, .softwareVersion = SoftwareVersion(version) };
         record.slots = 8;
         selector.merge(record);
     }
