Let streams go on only at the version of the software that began them

Cause: the version that servers announce was not read, so a stream went on at any server of its service. Class: a compatibility that nobody checks downstream was left to chance. Change: records of servers hold the version. The server of the first event binds the stream within its answer. The instance that passes the first event on tells its state instance before it writes the event; the state instances share that, and answer any entry instance that is asked to go on. Where nobody knows, only a service that has had one version for 30 s is certain; otherwise the stream is refused as not run (stream-version-unknown), and at once if no server of its version takes requests (stream-version-gone). A new link brings a state instance all that the entry instance knows.

--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -22,6 +22,7 @@
 class PromptGuard;
 class RandomSource;
 class RequestCodec;
+class StreamOriginSource;
 class ActiveRouting;
 class UpstreamClient;
 
@@ -33,6 +34,7 @@
     BackendSelector& selector;
     PromptGuard& promptGuard;
     AsyncAdmissionQueue& admissionQueue;
+    StreamOriginSource& streamOrigins;
     UpstreamClient& upstream;
     RandomSource& random;
     Metrics& metrics;
--- a/src/forwarding/RequestCodec.h
+++ b/src/forwarding/RequestCodec.h
@@ -23,6 +23,7 @@
     std::optional<Duration> callerTimeout; ///< Time from arrival for which the caller waits for the answer.
     std::string key; ///< API key; empty if the header has none. Never logged.
     std::optional<std::uint64_t> lastEventId; ///< A stream resumes after the event with this id.
+    std::string resumes; ///< The attempt that brought the first event of the stream that is resumed; empty if the header has none.
     Prompt prompt;
 };
 
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -5,6 +5,7 @@
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/HeldAnswer.h"
+#include "forwarding/StreamOriginSource.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 #include "placement/RequestParts.h"
@@ -31,6 +32,7 @@
 constexpr std::uint32_t maxPlacements = 8;
 constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
 constexpr Duration maxStartupWait = std::chrono::milliseconds(2000);
+constexpr Duration maxOriginWait = std::chrono::milliseconds(400);
 constexpr double startupWaitShare = 0.3; // Largest share of the caller timeout that is spent on the startup wait.
 
 } // namespace
@@ -85,13 +87,17 @@
     if (!m_metadata.prompt.isEmpty())
         m_parts.push_back(wholeRequestOf(whole, m_metadata.prompt));
     m_parts.push_back(whole);
-    m_placementRequest = { .service = pickService(), .prompt = m_metadata.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .levelsAboveLowest = 0, .excluded = {} };
+    m_placementRequest = { .service = pickService(), .prompt = m_metadata.prompt, .priority = 0, .isInteractive = m_table->isInteractive(*m_route), .levelsAboveLowest = 0, .excluded = {}, .version = std::nullopt };
     m_placementRequest.priority = priority();
     m_placementRequest.levelsAboveLowest = m_table->lowestPriority(m_placementRequest.service) - m_route->priority;
     m_metrics = &m_context.metrics.forClass(ClassId(fmt::format("{}/{}", m_placementRequest.service.value(), m_route->priority)));
     ++m_metrics->requests;
     auto& window = m_context.retryWindows.try_emplace(m_placementRequest.service, m_context.retryOptions).first->second;
     window.recordFirstAttempt(m_arrival);
+    if (const auto refusal = co_await bindToOrigin()) {
+        co_await refuse(*refusal);
+        co_return;
+    }
     for (;;) {
         const auto now = monotonicNow();
         co_await awaitCandidate();
@@ -136,6 +142,35 @@
     }
 }
 
+// Servers do not check which version wrote the events before Last-Event-Id, so the stream goes on only where that is certain.
+Task<std::optional<RoutedExchange::NotSent>> RoutedExchange::bindToOrigin()
+{
+    if (!m_route->isStream() || !m_metadata.lastEventId)
+        co_return std::nullopt;
+    const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.resumes);
+    m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_startupWaitEnd, monotonicNow() + maxOriginWait));
+    if (!m_placementRequest.version)
+        co_return NotSent { .code = "stream-version-unknown", .retryAfter = shortRetryAfter };
+    // The version belongs to one service of a route that splits its requests.
+    for (const auto& it : m_route->services) {
+        auto request = m_placementRequest;
+        request.service = it.service;
+        if (m_context.selector.hasCandidate(request)) {
+            m_placementRequest.service = it.service;
+            co_return std::nullopt;
+        }
+    }
+    co_return NotSent { .code = "stream-version-gone", .retryAfter = {} };
+}
+
+void RoutedExchange::recordOrigin()
+{
+    if (!m_route->isResumable)
+        return;
+    m_placementRequest.version = m_lastPlacement.version;
+    m_context.streamOrigins.record({ .stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.id), .version = m_lastPlacement.version });
+}
+
 bool RoutedExchange::mayStart() const
 {
     return m_context.drain.mayStart(*m_route, m_deadline, m_context.durations, monotonicNow());
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -84,6 +84,10 @@
 
     // Attempts.
     Task<void> runAttempts();
+    /** Binds a stream that the caller resumes to the version that began it. Returns the refusal if it cannot go on there. */
+    Task<std::optional<NotSent>> bindToOrigin();
+    /** Binds the stream to the version of the server that brings its first event, and records that. */
+    void recordOrigin();
     /** Waits, after a start of the process, until some backend server of the service is known. */
     Task<void> awaitCandidate();
     /** Runs one attempt and reports its outcome to the selector. */
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -283,6 +283,12 @@
         if (!bytes.empty() || isComplete) {
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
             if (isComplete || m_events.progressCount() > progressBefore) {
+                if (!firstEventAt && !m_context.selector.isSameStart(m_lastPlacement)) {
+                    result.cause = "server-replaced";
+                    co_return result;
+                }
+                if (!m_lastChunkAt)
+                    recordOrigin();
                 recordChunk(callId);
                 firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
                 isSound = isSound || m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt);
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -50,7 +50,8 @@
         if (m_selector.limits().isReportDue())
             m_feed.reportNow(); })
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .maxRetryAfter = settings.bounds.maxRetryAfter }
+    , m_streams(m_loop, m_feed)
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
     , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
@@ -60,7 +61,7 @@
               .backends = [this](const auto& records) {
                   for (const auto& it : records) {
                       if (m_selector.merge(it))
-                          logEvent(LogEvent::BackendChanged, "backend={} server={} service={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), toString(it.state), it.incarnation.value(), it.sequence);
+                          logEvent(LogEvent::BackendChanged, "backend={} server={} service={} version={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), it.softwareVersion.value(), toString(it.state), it.incarnation.value(), it.sequence);
                   } },
               .usage = [this](const auto& report) { applyUsage(report); },
               .localUsage = [this] { return localUsage(); },
@@ -82,6 +83,7 @@
                   m_selector.limits().setInstances(n);
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
+              .streamOrigins = [this] { return m_streams.all(); },
           })
 {
 }
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -12,6 +12,7 @@
 #include "http/UpstreamClient.h"
 #include "node/NodeSettings.h"
 #include "node/StateFeed.h"
+#include "node/StreamRegistry.h"
 #include "placement/BackendSelector.h"
 #include "placement/PromptGuard.h"
 #include "routing/ActiveRouting.h"
@@ -70,6 +71,7 @@
     AsyncAdmissionQueue m_admissionQueue;
     Metrics m_metrics;
     std::unique_ptr<UpstreamClient> m_upstream;
+    StreamRegistry m_streams;
     ForwardingContext m_context;
     RoutedHandler m_handler;
     HttpServer m_server;
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -9,6 +9,7 @@
 #include "wire/LimitCodec.h"
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
+#include "wire/StreamOriginCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
 #include <algorithm>
@@ -51,12 +52,17 @@
     void reportCachedPrefixes(Link&);
     void reportPromptEvidence(Link&, bool isNewLink);
     void reportLimits(Link&, bool isNewLink);
+    void sendStreams(const std::vector<StreamOrigin>&);
+    void answerOrigin(std::uint64_t id, std::optional<VersionId>);
 
     asio::io_context& loop;
     Options options;
     Events events;
     StateAddresses addresses;
     Timer wake; // Cancelled to end the current pause in serveLink().
+    std::shared_ptr<Link> current; // Null while no link is open.
+    std::map<std::uint64_t, OriginCallback> originQueries; // Not answered yet, by id; all on `current`.
+    std::uint64_t lastOriginQuery = 0;
     InstanceId attached; // Empty while no link is open.
     std::map<InstanceId, TimePoint> failedAt; // When a dial attempt failed or a link ended last.
     std::map<std::uint64_t, TimePoint> pollSentAt; // Unanswered polls of the current link, by poll id.
@@ -124,6 +130,8 @@
     Wire::LinkMessage message;
     message.__set_hello(hello);
     link->send(message);
+    current = link;
+    sendStreams(events.streamOrigins());
     auto isFirst = true;
     auto nextInterval = monotonicNow();
     for (int interval = 0; !isStopped && !cannotConfirm && link->isOpen() && monotonicNow() - confirmedAt <= options.confirmationTimeout;) {
@@ -143,9 +151,28 @@
         wake.expires_after(nextInterval - monotonicNow());
         co_await wake.async_wait(asTuple);
     }
+    current = nullptr;
+    for (const auto& [id, callback] : std::exchange(originQueries, {}))
+        callback(std::nullopt);
     link->close();
 }
 
+void StateFeed::State::sendStreams(const std::vector<StreamOrigin>& origins)
+{
+    if (!current || origins.empty())
+        return;
+    Wire::LinkMessage message;
+    message.__set_streamOrigins(toWire(origins));
+    current->send(message);
+}
+
+void StateFeed::State::answerOrigin(std::uint64_t id, std::optional<VersionId> version)
+{
+    const auto query = originQueries.extract(id);
+    if (!query.empty())
+        query.mapped()(version);
+}
+
 void StateFeed::State::poll(Link& link)
 {
     Wire::FreshnessPoll poll;
@@ -218,6 +245,9 @@
         events.promptFindings(HickoryHollow::fromWire(message.promptFindings));
     } else if (message.__isset.limitUpdate) {
         events.limits(HickoryHollow::fromWire(message.limitUpdate));
+    } else if (message.__isset.streamOriginReply) {
+        const auto& reply = message.streamOriginReply;
+        answerOrigin(toUnsigned(reply.id), reply.__isset.version ? std::optional(VersionId(toUnsigned(reply.version))) : std::nullopt);
     } else if (message.__isset.freshnessReply) {
         handleFreshnessReply(message.freshnessReply);
     }
@@ -303,6 +333,26 @@
     m_state->wake.cancel();
 }
 
+void StateFeed::reportStream(const StreamOrigin& origin)
+{
+    m_state->sendStreams({ origin });
+}
+
+void StateFeed::askOrigin(StreamId stream, const ServiceId& service, OriginCallback callback)
+{
+    if (!m_state->current)
+        return callback(std::nullopt);
+    Wire::StreamOriginQuery query;
+    const auto id = ++m_state->lastOriginQuery;
+    query.id = toSigned(id);
+    query.stream = toSigned(stream.value());
+    query.serviceName = service.value();
+    Wire::LinkMessage message;
+    message.__set_streamOriginQuery(query);
+    m_state->originQueries.emplace(id, std::move(callback));
+    m_state->current->send(message);
+}
+
 InstanceId StateFeed::attachedInstance() const
 {
     return m_state->attached;
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -12,10 +12,12 @@
 #include "node/UsageAggregator.h"
 #include "placement/PromptEvidence.h"
 #include "placement/ServerLimit.h"
+#include "placement/StreamOrigins.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace HickoryHollow {
@@ -59,7 +61,11 @@
         std::function<void(const LimitUpdate&)> limits;
         /** Receives the number of entry instances in the deployment; at least 1. */
         std::function<void(std::uint32_t)> entryInstances;
+        /** Returns the streams of known version, for a state instance that may not know them. */
+        std::function<std::vector<StreamOrigin>()> streamOrigins = [] { return std::vector<StreamOrigin>(); };
     };
+    /** Receives the version of a stream; nothing if it is not known for certain. */
+    using OriginCallback = std::function<void(std::optional<VersionId>)>;
 
     StateFeed(asio::io_context&, Options, Events);
     ~StateFeed();
@@ -72,6 +78,10 @@
     void pollNow();
     /** Sends what is due to be reported without waiting for the next interval. */
     void reportNow();
+    /** Sends the origin of a stream that begins; dropped without a link, because the next one sends them all. */
+    void reportStream(const StreamOrigin&);
+    /** Asks at which version of the service a stream began. The callback is called once, with nothing if the link ends before. */
+    void askOrigin(StreamId, const ServiceId&, OriginCallback);
     /** Returns the address of the state instance that the feed is attached to; empty while there is none. */
     InstanceId attachedInstance() const;
 
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -10,6 +10,7 @@
 #include "wire/LimitCodec.h"
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
+#include "wire/StreamOriginCodec.h"
 #include "wire/ThriftCodec.h"
 #include "wire/WireEnum.h"
 #include "wire/gen/hickoryhollow_types.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <filesystem>
 
 namespace HickoryHollow {
 
@@ -33,8 +35,18 @@
 constexpr std::uint64_t maxJournalBytes = 16ULL << 20U; // The data disk has 128 MB and holds two generations.
 // Recovery holds the journal up to four times: as read, as entries, in the log and as applied.
 constexpr std::size_t memoryPerJournalByte = 16;
+constexpr int ticksPerVersionCheck = 10;
+constexpr std::size_t memoryShareOfStreams = 16;
+constexpr std::size_t bytesPerStream = 64; // With the nodes of the container.
 constexpr std::size_t maxPendingPrefixes = 2000; // 300 entry instances with 60 requests/s each report at most 1800 a tick.
 
+// Of a deployment that starts for the first time, every server that has ever served will be known.
+bool isNewDeployment(const NodeSettings& settings)
+{
+    std::error_code ec;
+    return settings.isFirstStart && (!std::filesystem::exists(settings.dataFolder, ec) || std::filesystem::is_empty(settings.dataFolder, ec));
+}
+
 // Reports over the limit are dropped. The cost of a dropped report is one repeated prefill of that prefix.
 void appendBounded(std::vector<CachedPrefixReport>& pending, const std::vector<CachedPrefixReport>& reports)
 {
@@ -61,12 +73,15 @@
               .stateJoined = [this](const auto& id) {
                   sendRecordsToState(id);
                   sendLimitsToState(id);
-                  sendQuarantinedToState(id); },
+                  sendQuarantinedToState(id);
+                  sendStreamsToState(id); },
               .stateLeft = [this](const auto& id) {
                   m_usage.remove(sourceOf(id));
                   m_limits.remove(sourceOf(id)); },
           })
     , m_directory({ .self = m_mesh.self(), .lease = settings.bounds.announceInterval * missedAnnouncementsBeforeLapse })
+    , m_streams({ .maxStreams = settings.memoryBytes / memoryShareOfStreams / bytesPerStream })
+    , m_versions(isNewDeployment(settings) ? TimePoint() : monotonicNow(), StreamOrigins::Options().retention)
     , m_routing(std::make_shared<const RoutingDocument>())
     , m_node(std::make_unique<StateNode>(nodeOptions(), [this, alive = m_isAlive](const AgreementMessage& message) {
         Wire::LinkMessage wire;
@@ -145,6 +160,11 @@
         publishLimits(tick % ticksPerUsageReport == 0);
         reportCachedPrefixes();
         publishPromptFindings();
+        sendStreamsToStates();
+        if (tick % ticksPerVersionCheck == 0) {
+            for (const auto& it : m_directory.all())
+                observeVersion(it);
+        }
     }
 }
 
@@ -221,7 +241,7 @@
     if (changes.isEmpty())
         return;
     for (const auto& it : changes.records)
-        logEvent(LogEvent::BackendChanged, "backend={} server={} service={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), toString(it.state), it.incarnation.value(), it.sequence);
+        logEvent(LogEvent::BackendChanged, "backend={} server={} service={} version={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), it.softwareVersion.value(), toString(it.state), it.incarnation.value(), it.sequence);
     Wire::LinkMessage message;
     message.__set_fleetNews(toWire(changes));
     m_mesh.sendToEntries(message);
@@ -264,6 +284,7 @@
 bool StateInstance::announce(const BackendRecord& record)
 {
     const auto outcome = m_directory.announce(record, monotonicNow());
+    observeVersion(record);
     if (record.state != BackendState::Serving)
         publishBackendChanges();
     return outcome == BackendDirectory::Outcome::Accepted;
@@ -289,8 +310,10 @@
             m_node->deliver(std::move(*agreement));
     } else if (isset.fleetNews) {
         const auto update = HickoryHollow::fromWire(message.fleetNews);
-        for (const auto& it : update.records)
+        for (const auto& it : update.records) {
             m_directory.merge(it, from, monotonicNow());
+            observeVersion(it);
+        }
         for (const auto& it : update.renewals)
             m_directory.renew(it, monotonicNow());
         publishBackendChanges();
@@ -300,6 +323,8 @@
         appendBounded(m_prefixesForEntries, HickoryHollow::fromWire(message.keptPrompts));
     } else if (isset.promptEvidence) {
         handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
+    } else if (isset.streamOrigins) {
+        recordStreams(HickoryHollow::fromWire(message.streamOrigins), false);
     } else if (isset.limitReport) {
         m_limits.reportFromState(sourceOf(from), HickoryHollow::fromWire(message.limitReport), monotonicNow());
     } else if (isset.freshnessPoll) {
@@ -348,6 +373,15 @@
         handleLimitReport(from, HickoryHollow::fromWire(message.limitReport));
         return;
     }
+    if (message.__isset.streamOrigins) {
+        recordStreams(HickoryHollow::fromWire(message.streamOrigins), true);
+        return;
+    }
+    if (message.__isset.streamOriginQuery) {
+        const auto& query = message.streamOriginQuery;
+        answerOriginQuery(from, toUnsigned(query.id), StreamId(toUnsigned(query.stream)), ServiceId(query.serviceName));
+        return;
+    }
     if (!message.__isset.freshnessPoll)
         return;
     const auto poll = message.freshnessPoll;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -12,6 +12,8 @@
 #include "node/UsageAggregator.h"
 #include "placement/CrashSuspects.h"
 #include "placement/LimitShares.h"
+#include "placement/ServiceVersions.h"
+#include "placement/StreamOrigins.h"
 #include "state/StateNode.h"
 
 #include <functional>
@@ -82,6 +84,13 @@
     /** Without a leader that confirms, others may issue the same permits. */
     bool mayIssuePermits() const;
 
+    /** Takes the origins of streams; those from an entry instance are passed on to the other state instances at the next tick. */
+    void recordStreams(const std::vector<StreamOrigin>&, bool isFromEntry);
+    void sendStreamsToStates();
+    void sendStreamsToState(const InstanceId&);
+    void answerOriginQuery(EntryLinkId, std::uint64_t id, StreamId, const ServiceId&);
+    void observeVersion(const BackendRecord&);
+
     /** Asks the leader for the newest accepted version, in this round or the next one. */
     void confirmNewest(ConfirmationCallback);
     void startConfirmationRound();
@@ -108,6 +117,9 @@
     CrashSuspects m_crashSuspects;
     PromptFindings m_lastFindings; // As sent last to the entry instances.
     LimitShares m_limits;
+    StreamOrigins m_streams; // Of all entry instances.
+    std::vector<StreamOrigin> m_streamsForStates; // From the entry instances attached here, to send at the next tick.
+    ServiceVersions m_versions;
     std::optional<TimePoint> m_confirmedAt; // Last confirmation of the leader.
 
     // Newest committed document known here; never null. The version only grows.
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -87,6 +87,7 @@
     }
     server.record = record;
     server.start = serverStartOf(record.id, record.incarnation);
+    server.version = versionIdOf(record.service, record.softwareVersion);
     const auto engine = m_engines.find(record.service);
     server.cache.setCapacity(engine == m_engines.end() ? 0 : static_cast<std::uint64_t>(cacheMemoryShare * static_cast<double>(engine->second.tokenCapacity)));
     return true;
@@ -112,11 +113,17 @@
     return it != m_servers.end() && it->second.record.incarnation == incarnation && m_limits.recordNotice(it->second.start, rate, saidAt, now);
 }
 
-bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
+bool BackendSelector::isSameStart(const Placement& placement) const
 {
     const auto it = m_servers.find(placement.backend);
-    if (it == m_servers.end() || it->second.record.incarnation != placement.incarnation)
+    return it != m_servers.end() && it->second.record.incarnation == placement.incarnation && it->second.version == placement.version;
+}
+
+bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
+{
+    if (!isSameStart(placement))
         return false;
+    const auto it = m_servers.find(placement.backend);
     if (m_limits.isLimited(it->second.start) && now >= placement.permitUntil.value_or(now))
         return false;
     return it->second.record.state != BackendState::Leaving && now >= it->second.backoffUntil;
@@ -244,6 +251,8 @@
 
 bool BackendSelector::isCandidate(const Server& server, const PlacementRequest& request) const
 {
+    if (request.version && server.version != *request.version)
+        return false;
     return server.record.service == request.service && server.record.state != BackendState::Leaving && !request.excluded.contains(server.record.id);
 }
 
@@ -382,6 +391,7 @@
         .backend = best->record.id,
         .incarnation = best->record.incarnation,
         .serverName = best->record.serverName,
+        .version = best->version,
         .expectedTime = toDuration(bestEstimate.time),
         .loadAdjustedTime = toDuration(loadAdjustedTime(bestEstimate, request.service)),
         .prefillBacklog = toDuration(tokensAhead / tokensPerMillisecond * best->slowness),
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -17,6 +17,7 @@
 #include "placement/FleetEjection.h"
 #include "placement/LimitedServers.h"
 #include "placement/Prompt.h"
+#include "placement/StreamOrigins.h"
 
 #include <map>
 #include <optional>
@@ -39,6 +40,7 @@
     bool isInteractive = false; ///< The prefill of a long prompt on the same engine visibly pauses the request's stream.
     std::uint32_t levelsAboveLowest = 0; ///< How much more urgent the route is than the service's least urgent one (0).
     std::set<BackendId> excluded; ///< Servers that were already tried for this request; they are not selected again.
+    std::optional<VersionId> version; ///< If set, only servers of this version of the service's software are selected.
     bool isWaiting = false; ///< The request was not placed at once and is tried again.
 };
 
@@ -47,6 +49,7 @@
     BackendId backend;
     Incarnation incarnation; ///< See BackendRecord::incarnation.
     std::string serverName; ///< See BackendRecord::serverName.
+    VersionId version; ///< Version of the server's software.
     Duration expectedTime {}; ///< Estimated time from the start of the call to the first token.
     /** `expectedTime` plus the delay that a repeated prefill causes to others, times the service's recent slowness. */
     Duration loadAdjustedTime {};
@@ -97,6 +100,8 @@
      * limit and the permit has run out.
      */
     bool mayReceive(const Placement&, TimePoint now) const;
+    /** Returns true if no later start of the server, and no change of its version, is known. */
+    bool isSameStart(const Placement&) const;
     /** Returns the first time at which a server may take the request; nothing if none ever will. */
     std::optional<TimePoint> availableAt(const PlacementRequest&, TimePoint now) const;
     /** Sets the limits of each engine of the service: requests that run at once, and tokens that fit into its memory. */
@@ -159,6 +164,7 @@
         TimePoint backoffUntil {}; ///< The server wants no request of this instance before.
         std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of the last setFleetCalls().
         ServerStartId start; ///< Identifies the present start.
+        VersionId version; ///< Of `record`.
         EnginePrefixCache cache { 0 };
         ServerUsage remoteUsage; ///< Usage of all other instances together.
         std::uint32_t calls = 0; ///< Number of calls of this instance that have not ended.
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -12,6 +12,7 @@
 #include "placement/PromptGuard.h"
 #include "platform/HeaderCodec.h"
 #include "routing/ActiveRouting.h"
+#include "test/fakes/FakeStreamOrigins.h"
 #include "test/fakes/FakeUpstream.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,7 +28,8 @@
         : random(1)
         , selector({ .ownDomain = FailureDomainId("a") }, random)
         , admissionQueue(loop, selector)
-        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .upstream = upstream, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
+        , streamOrigins(selector)
+        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = upstream, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
         , handler(context)
     {
         routing.apply(configuration());
@@ -153,6 +155,7 @@
     BackendSelector selector;
     PromptGuard promptGuard;
     AsyncAdmissionQueue admissionQueue;
+    FakeStreamOrigins streamOrigins;
     FakeUpstream upstream;
     Metrics metrics;
     ForwardingContext context;
