--- a/test/error/upstream_answers.cpp
+++ b/test/error/upstream_answers.cpp
@@ -184,3 +184,20 @@
     CHECK(first.isComplete);
     CHECK_FALSE(second.reusedConnection);
 }
+
+TEST_CASE("a server that closes after any byte inside the head of its answer has not answered", "[http][loopback]")
+{
+    const std::string framing = GENERATE("Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const std::string status = GENERATE("200 OK", "204 No Content", "206 Partial Content", "500 Internal Server Error");
+    const auto isKept = GENERATE(false, true);
+    const auto head = "HTTP/1.1 " + status + "\r\nId: 2\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n";
+    CAPTURE(framing, status, isKept);
+    for (std::size_t n = 0; n < head.size(); ++n) {
+        CAPTURE(n);
+        const auto cut = head.substr(0, n);
+        const auto outcomes = isKept ? calls({ "1", "2" }, { answer("1", "one"), cut }) : calls({ "2" }, { cut });
+        CHECK(outcomes.back().ec);
+        CHECK_FALSE(outcomes.back().isComplete);
+        CHECK(outcomes.back().body.empty());
+    }
+}
