--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -22,6 +22,7 @@
         std::string configuration; ///< Routes to the service `s`.
         std::vector<HttpHandler*> servers; ///< Each on a port of its own. They outlive the deployment.
         int entries = 2;
+        std::vector<std::string> versions = {}; ///< Of the servers' software; `v1` for those beyond.
     };
 
     /** Starts all processes, submits the configuration and announces the servers. */
@@ -49,11 +50,15 @@
     LoopbackDeployment(const LoopbackDeployment&) = delete;
     LoopbackDeployment& operator=(const LoopbackDeployment&) = delete;
 
-    void addEntry()
+    void addEntry() { m_entries.push_back(startEntry(static_cast<int>(m_entries.size()))); }
+
+    /** Ends all entry instances, and starts them again once none is left. */
+    void restartEntries()
     {
-        const auto name = "e" + std::to_string(m_entries.size());
-        const auto port = entryPort(static_cast<int>(m_entries.size()));
-        m_entries.push_back(std::make_unique<RunningInstance>("[instance]\nname = " + name + "\nfailure-domain = a\n[listen]\nlinks = " + address(port + 2) + "\ncallers = " + address(port) + "\nready = " + address(port + 1) + "\n" + commonSettings(), "-" + m_options.name + "-" + name + ".ini"));
+        for (auto& it : m_entries)
+            it.reset();
+        for (std::size_t i = 0; i < m_entries.size(); ++i)
+            m_entries[i] = startEntry(static_cast<int>(i));
     }
 
     /** Tells an entry instance to stop. */
@@ -66,6 +71,13 @@
     }
 
 private:
+    std::unique_ptr<RunningInstance> startEntry(int number) const
+    {
+        const auto name = "e" + std::to_string(number);
+        const auto port = entryPort(number);
+        return std::make_unique<RunningInstance>("[instance]\nname = " + name + "\nfailure-domain = a\n[listen]\nlinks = " + address(port + 2) + "\ncallers = " + address(port) + "\nready = " + address(port + 1) + "\n" + commonSettings(), "-" + m_options.name + "-" + name + ".ini");
+    }
+
     static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
     int linkPort() const { return m_options.firstPort; }
     int controlPort() const { return m_options.firstPort + 1; }
@@ -85,7 +97,7 @@
             submitted = call(controlPort(), http::verb::post, "/config/replace", m_options.configuration);
         REQUIRE(submitted.status == 200);
         for (std::size_t i = 0; i < m_options.servers.size(); ++i) {
-            const auto report = R"({"service":"s","address":")" + serverAddress(i) + R"(","zone":"a","version":"v1","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
+            const auto report = R"({"service":"s","address":")" + serverAddress(i) + R"(","zone":"a","version":")" + (i < m_options.versions.size() ? m_options.versions[i] : "v1") + R"(","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
             REQUIRE(call(controlPort(), http::verb::post, "/instances/i-" + std::to_string(i) + "/heartbeat", report).status == 200);
         }
     }
