Soak: storms of changes, a second kill of all state instances, and streams of two versions taken up

A storm of 40 changes of 16 KB with each eighth change, all entry instances killed at once, all state instances killed again 0.3 to 2 s after the first time, state instances under the limit on memory as well, backend servers of two versions whose events name theirs, and callers that take broken streams up. A request with a revoked key that was sent later than 2 s (was: 5 s) after the acknowledgement and runs is now a violation: it was handled by an older version.

--- a/test/error/streams_taken_up.cpp
+++ b/test/error/streams_taken_up.cpp
@@ -6,6 +6,7 @@
 #include "test/fakes/LoopbackDeployment.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -83,7 +84,7 @@
         const auto answer = takeUp(deployment, goneOn % 2, attempt);
         goneOn += answer.status == 200 ? 1 : 0;
         if (answer.status == 200)
-            CHECK(answer.body == "id: 3\ndata: " + version + "\n\nid: 4\ndata: " + version + "\n\n");
+            CHECK(answer.body == fmt::format("id: 3\ndata: {0}\n\nid: 4\ndata: {0}\n\n", version));
     }
     // The target is half of the share of new streams that begin; all of them began.
     CHECK(goneOn >= streams / 2);
--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds workTime { 15 }; // Processing time of a request, and between stream events.
-constexpr std::chrono::milliseconds keyLease { 5000 }; // Equals `key-lease-ms` in the instances' settings.
+// Equals `config-apply-ms` in the instances' settings: a request that was sent later is not handled by an older version.
+constexpr std::chrono::milliseconds configurationDelay { 2000 };
+constexpr std::chrono::milliseconds versionedEventTime { 60 }; // Between the events of a stream that names its version.
 constexpr std::uint64_t brokenAnswerPercent = 1; // Answers that end early, after the request has run.
 constexpr std::uint64_t refusalPercent = 2; // Requests that are refused as not run.
 constexpr std::uint64_t retryAfterPercent = 30; // Refusals that ask for no further request for half a second.
@@ -55,6 +57,11 @@
     return fmt::format("i-{}-{}", m_options.number, m_incarnation);
 }
 
+std::string Backend::version() const
+{
+    return m_options.number % 2 == 0 ? "v1" : "v2";
+}
+
 void Backend::beginNewIncarnation()
 {
     const std::lock_guard guard(m_mutex);
@@ -67,7 +74,7 @@
 std::string Backend::heartbeatBody(const std::string& state)
 {
     const std::lock_guard guard(m_mutex);
-    return fmt::format(R"({{"service":"s","address":"{}","zone":"a","version":"v1","slots":16,"state":"{}","cold-left-ms":0,"seq":{},"born":{}}})", m_options.advertised, state, ++m_sequence, m_incarnation);
+    return fmt::format(R"({{"service":"s","address":"{}","zone":"a","version":"{}","slots":16,"state":"{}","cold-left-ms":0,"seq":{},"born":{}}})", m_options.advertised, version(), state, ++m_sequence, m_incarnation);
 }
 
 bool Backend::drawChance(std::uint64_t percent)
@@ -143,7 +150,7 @@
         co_return;
     }
     if (id.starts_with("f"))
-        m_checker.checkRevocableKey(id, keyLease);
+        m_checker.checkRevocableKey(id, configurationDelay);
     if (request.fields.count("Authorization") > 0 || request.fields.find("Tenant").empty())
         m_checker.recordViolation("keys are not forwarded", id + " reached a backend server with its API key or without its workspace");
     HttpFields fields;
@@ -181,12 +188,13 @@
 Task<void> Backend::sendStream(const HttpRequest& request, const std::string& id, const HttpFields& fields, ResponseWriter& writer)
 {
     const std::string last(request.fields.find("Last-Event-Id"));
+    const auto isVersioned = request.path() == versionedPath;
     Timer pause(m_loops.at(0).get_executor());
     co_await writer.startStream(ok, fields);
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= eventsPerStream; ++event) {
-        pause.expires_after(workTime);
+        pause.expires_after(isVersioned ? versionedEventTime : workTime);
         co_await pause.async_wait(asTuple);
-        auto text = fmt::format("id: {}\ndata: {} {}\n\n", event, id, event);
+        auto text = fmt::format("id: {}\ndata: {} {}\n\n", event, isVersioned ? version() : id, event);
         const auto isBroken = drawChance(brokenAnswerPercent);
         if (isBroken)
             text.resize(text.size() / 2);
--- a/test/soak/Backend.h
+++ b/test/soak/Backend.h
@@ -43,6 +43,8 @@
     std::string heartbeatBody(const std::string& state);
     /** Name of the present incarnation. */
     std::string name() const;
+    /** Version of its software: two, by its number. */
+    std::string version() const;
     /** Simulates a restart at the same address: changes the name and no longer leaves. */
     void beginNewIncarnation();
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
@@ -78,6 +80,8 @@
 std::string expectedBody(const std::string& id);
 
 constexpr int eventsPerStream = 6;
+/** Path of streams whose events hold the server's version. */
+inline const std::string versionedPath = "/t/versions";
 /** Body of the request that crashes every server. */
 inline const std::string crashingBody = "crash";
 /** API key that the operator revokes and grants again. The ids of requests with it begin with `f`. */
--- a/test/soak/Clients.cpp
+++ b/test/soak/Clients.cpp
@@ -16,6 +16,9 @@
 constexpr int crashingInterval = 10; // Requests of a caller between two that crash servers.
 constexpr int longInterval = 6; // Of the requests that run once, every sixth on average takes long.
 constexpr auto changePause = 400ms; // Between the end of a change and the read that checks it.
+constexpr int furtherRoutes = 80;
+constexpr int changesPerStorm = 40;
+constexpr std::uint64_t stormInterval = 8; // Changes between two storms, on average.
 constexpr auto heartbeatInterval = 400ms;
 constexpr auto operatorTimeout = 1s;
 constexpr auto staleReadBound = 2s; // For this long after an acknowledgement a read may return an older version.
@@ -68,8 +71,12 @@
     const auto route = [](const char* name, const char* prefix, const char* type, const char* more) {
         return fmt::format(R"({{"name":"{}","host":"h.example","path-prefix":"{}","type":"{}","timeout-ms":4000,"slo-ms":500,"priority":1,"service":"s","public":false{}}})", name, prefix, type, more);
     };
-    return fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[{{"name":"s","max-conns":200}}],"tenants":[{{"name":"steady","api-keys":["{}"]}},{{"name":"fickle","api-keys":[{}]}}]}})", version,
-        route("once", "/o/", "unsafe", R"(,"max-attempts":2)"), route("again", "/r/", "safe", R"(,"max-attempts":2)"), route("stream", "/t/", "streaming", R"(,"max-attempts":2,"sticky":true,"resumable":true,"itl-target-ms":500)"), permanentKey, withRevocableKey ? '"' + revocableKey + '"' : "");
+    // Large enough for storms of changes to fill the journals.
+    std::string more;
+    for (int i = 0; i < furtherRoutes; ++i)
+        more += ',' + route(fmt::format("more-{}", i).c_str(), fmt::format("/more-{}/", i).c_str(), "safe", "");
+    return fmt::format(R"({{"version":{},"routes":[{},{},{}{}],"services":[{{"name":"s","max-conns":200}}],"tenants":[{{"name":"steady","api-keys":["{}"]}},{{"name":"fickle","api-keys":[{}]}}]}})", version,
+        route("once", "/o/", "unsafe", R"(,"max-attempts":2)"), route("again", "/r/", "safe", R"(,"max-attempts":2)"), route("stream", "/t/", "streaming", R"(,"max-attempts":2,"sticky":true,"resumable":true,"itl-target-ms":500)"), more, permanentKey, withRevocableKey ? '"' + revocableKey + '"' : "");
 }
 
 } // namespace
@@ -135,7 +142,9 @@
 void Operator::run()
 {
     while (!m_isStopping) {
-        changeConfiguration(10s);
+        const auto changes = m_random.below(stormInterval) == 0 ? changesPerStorm : 1;
+        for (int i = 0; i < changes && !m_isStopping; ++i)
+            changeConfiguration(10s);
         const auto acknowledged = m_acknowledgedVersion.load();
         const auto changeEnd = Clock::now();
         std::this_thread::sleep_for(changePause);
--- a/test/soak/LargeCallers.cpp
+++ b/test/soak/LargeCallers.cpp
@@ -69,7 +69,7 @@
 void LargeCallers::watch()
 {
     while (!m_isStopping) {
-        for (int i = m_deployment.options().states; i < m_deployment.processCount(); ++i) {
+        for (int i = 0; i < m_deployment.processCount(); ++i) {
             const auto used = m_deployment.process(i).residentBytes();
             m_mostResidentBytes = std::max(m_mostResidentBytes.load(), used);
             if (used <= memoryBytes)
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -8,6 +8,7 @@
 #include "soak/Deployment.h"
 #include "soak/LargeCallers.h"
 #include "soak/PlannedStops.h"
+#include "soak/TakenUpStreams.h"
 
 #include <algorithm>
 #include <csignal>
@@ -27,6 +28,7 @@
 constexpr auto catchUpTime = 4s; // A state instance counts as unavailable for this long after its fault ends.
 constexpr auto recoveryBound = 12s; // Required by the users, from the end of the last fault.
 constexpr int minRecoveryTries = 10; // Least number of requests per entry instance and kind, even past the recovery bound.
+constexpr int streamCallers = 4;
 constexpr int largeCallers = 10; // Their bodies together take more than half of an instance's memory.
 constexpr auto drainTimeout = 6s; // `drain-s` of the settings, and a margin for a busy machine.
 
@@ -109,7 +111,7 @@
     {
         ++m_faultCount;
         const auto number = static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_deployment.processCount())));
-        switch (m_random.below(10)) {
+        switch (m_random.below(12)) {
         case 0:
             return kill(number, false);
         case 1:
@@ -127,6 +129,12 @@
             return replaceBackend();
         case 8:
             return nameLimit();
+        case 9:
+            return killAllEntries();
+        case 10:
+            // Most often while the instances still recover from the first time.
+            schedule(randomDuration(300, 2000), [this] { killAllStates(); });
+            return killAllStates();
         default:
             return killAllStates();
         }
@@ -174,6 +182,21 @@
         }
     }
 
+    void killAllEntries()
+    {
+        logFault("all entry instances are killed at the same time");
+        for (int i = m_deployment.options().states; i < m_deployment.processCount(); ++i) {
+            if (std::exchange(m_isInterrupted[i], true))
+                continue;
+            m_deployment.process(i).sendSignal(SIGKILL);
+            m_deployment.process(i).wait();
+            schedule(randomDuration(50, 900), [this, i] {
+                m_deployment.restart(i);
+                m_isInterrupted[i] = false;
+            });
+        }
+    }
+
     void terminate(int number)
     {
         if (m_isInterrupted[number])
@@ -306,10 +329,12 @@
         Operator configurator(deployment, checker, options.seed + 1);
         {
             const Callers load(deployment, checker, callers, options.seed + 2);
+            const TakenUpStreams streams(deployment, checker, streamCallers, options.seed + 5);
             const LargeCallers large(deployment, checker, largeCallers, options.seed + 3);
             schedule.run(length);
             mostResidentBytes = large.mostResidentBytes();
             servedLargeBodies = large.served();
+            std::cout << streams.summary() << '\n';
         }
         checkRecovery(deployment, checker);
         checkPlannedStops(deployment, checker, options.seed + 4, drainTimeout);
