Checker: entry instances in the random schedules; streams known again after a restart of the state instance

10,000 schedules now hold three entry instances that restart, are cut off, and get confirmations and configurations late and out of order.

--- a/test/error/state_schedules.cpp
+++ b/test/error/state_schedules.cpp
@@ -1,12 +1,16 @@
 /** \file
  * The replicated routing configuration under random schedules of faults. The invariants are that no acknowledged version is
- * lost, that each version has one text, and that a node never confirms as current a version older than one that was
- * acknowledged to an operator or confirmed by any node before.
+ * lost, that each version has one text, that a node never confirms as current a version older than one that was
+ * acknowledged to an operator or confirmed by any node before, and that no entry instance may serve requests by a version
+ * when a newer one has been acknowledged for as long as it may take until it is in force.
  */
+#include "node/NodeSettings.h"
+#include "routing/ActiveRouting.h"
 #include "test/fakes/StateFleet.h"
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -21,6 +25,9 @@
 constexpr std::size_t bearableLosses = 2;
 constexpr std::uint64_t schedules = 10'000;
 constexpr int faultSteps = 150; // Each step takes 10 ms; together they are long enough for two elections.
+constexpr int stepsUntilIdle = 150; // Without faults, at the end, for the entry instances.
+constexpr std::size_t entries = 3;
+constexpr std::uint64_t maxReplySteps = 60; // Longest time until an entry instance receives a confirmation or a configuration.
 constexpr int maxRecoverySteps = 1500; // After the faults have ended, a change must be committed within this many steps of 10 ms.
 
 class Schedule {
@@ -52,8 +59,65 @@
     }
 
     std::size_t acknowledged() const { return m_acknowledged; }
+    /** In how many steps an entry instance could serve requests, summed over them. */
+    std::size_t served() const { return m_served; }
 
 private:
+    /** An entry instance, and what is on its way to it. */
+    struct Entry {
+        ActiveRouting routing;
+        struct Message {
+            int step;
+            RoutingVersion version;
+            TimePoint askedAt; // Of a confirmation; TimePoint() for a configuration.
+        };
+        std::deque<Message> messages;
+        bool isCutOff = false;
+    };
+
+    TimePoint now() const { return TimePoint(1h) + std::chrono::milliseconds(10) * m_step; }
+
+    // A confirmation and the configuration that it speaks of may overtake each other.
+    void pollEntries()
+    {
+        for (auto& it : m_entries) {
+            if (m_random.below(100) == 0)
+                it = Entry(); // It restarts.
+            if (m_random.below(60) == 0)
+                it.isCutOff = !it.isCutOff;
+            const auto i = anyNode();
+            const auto* confirmed = m_fleet.routingOf(i);
+            const auto askedAt = now() - std::chrono::milliseconds(10) * m_random.below(5);
+            if (!it.isCutOff && confirmed && m_random.below(4) == 0) {
+                it.messages.push_back({ .step = m_step + static_cast<int>(m_random.below(maxReplySteps)), .version = confirmed->version, .askedAt = askedAt });
+                it.messages.push_back({ .step = m_step + static_cast<int>(m_random.below(maxReplySteps)), .version = confirmed->version, .askedAt = TimePoint() });
+            }
+            std::erase_if(it.messages, [&](const auto& message) {
+                if (message.step > m_step)
+                    return false;
+                if (message.askedAt == TimePoint())
+                    it.routing.apply({ .version = message.version });
+                else
+                    it.routing.confirm(message.version, message.askedAt, m_bounds.routingLease());
+                return true;
+            });
+            m_served += it.routing.hasValidLease(now()) ? 1 : 0;
+        }
+    }
+
+    void checkEntries()
+    {
+        const auto inForce = now() - m_bounds.configurationDelay;
+        while (!m_acknowledgements.empty() && m_acknowledgements.front().first < inForce) {
+            m_mustBeInForce = std::max(m_mustBeInForce, m_acknowledgements.front().second);
+            m_acknowledgements.pop_front();
+        }
+        for (const auto& it : m_entries) {
+            if (it.routing.hasValidLease(now()) && it.routing.version() < m_mustBeInForce)
+                recordViolation("an entry instance serves by an outdated version", it.routing.version());
+        }
+    }
+
     std::size_t anyNode() { return m_random.below(m_fleet.nodes.size()); }
 
     void injectFault()
@@ -114,10 +178,14 @@
             if (result.kind != ProposalResult::Kind::Committed || it == m_proposed.end())
                 continue;
             m_highest = std::max(m_highest, it->second.version);
+            m_acknowledgements.emplace_back(now(), it->second.version);
             ++m_acknowledged;
         }
         for (std::size_t i = 0; i < m_fleet.nodes.size(); ++i)
             checkNode(i);
+        ++m_step;
+        pollEntries();
+        checkEntries();
     }
 
     void checkNode(std::size_t i)
@@ -161,7 +229,7 @@
             check();
             const auto result = last ? m_fleet.resultOf(*last) : std::nullopt;
             if (result && result->kind == ProposalResult::Kind::Committed)
-                return;
+                return runIdle();
             if (last && !result)
                 continue;
             for (std::size_t i = 0; i < m_fleet.nodes.size(); ++i) {
@@ -176,6 +244,14 @@
             recordViolation("no change is committed after the faults have ended", m_highest);
     }
 
+    void runIdle()
+    {
+        for (int step = 0; step < stepsUntilIdle && m_violation.empty(); ++step) {
+            m_fleet.step();
+            check();
+        }
+    }
+
     StateFleet m_fleet;
     SeededRandom m_random;
     std::uint64_t m_version = 1; // Version of the latest proposal; 1 before the first one.
@@ -186,6 +262,12 @@
     RoutingVersion m_highest; // Highest version acknowledged to an operator or confirmed by a node.
     std::map<ProposalId, RoutingDocument> m_proposed;
     std::map<RoutingVersion, std::string> m_texts;
+    const NodeBounds m_bounds;
+    std::array<Entry, entries> m_entries;
+    int m_step = 0;
+    std::size_t m_served = 0;
+    std::deque<std::pair<TimePoint, RoutingVersion>> m_acknowledgements; // Of versions that may not be in force yet.
+    RoutingVersion m_mustBeInForce;
     std::string m_violation; // The first violation of an invariant; empty if there is none.
 };
 
@@ -194,13 +276,17 @@
 TEST_CASE("random schedules of faults violate no invariant of the routing configuration", "[state]")
 {
     std::size_t acknowledged = 0;
+    std::size_t served = 0;
     for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
         Schedule schedule(seed);
         const auto violation = schedule.run();
         INFO("seed " << seed << ": " << violation);
         REQUIRE(violation.empty());
         acknowledged += schedule.acknowledged();
+        served += schedule.served();
     }
     std::cout << "state schedules: " << schedules << ", seeds 1 to " << schedules << ", " << acknowledged << " acknowledged changes\n";
     CHECK(acknowledged > schedules);
+    // The invariant of entry instances says nothing if they never serve.
+    CHECK(served > schedules * entries * stepsUntilIdle / 2);
 }
--- a/test/error/streams_taken_up.cpp
+++ b/test/error/streams_taken_up.cpp
@@ -58,21 +58,48 @@
     std::string m_version;
 };
 
+std::string eventsAfterTwo(const std::string& version)
+{
+    return fmt::format("id: 3\ndata: {0}\n\nid: 4\ndata: {0}\n\n", version);
+}
+
 /** Takes the stream up at the entry instance; repeats it while the instance starts. */
 Answer takeUp(const LoopbackDeployment& deployment, int entry, const std::string& resumed, const std::string& key = "good-key")
 {
     Answer answer;
-    for (int i = 0; i < 200 && (answer.status == 0 || answer.body.find("no-configuration") != std::string::npos || answer.body.find("configuration-unconfirmed") != std::string::npos || answer.body.find("stream-version-gone") != std::string::npos); ++i)
+    for (int i = 0; i < 200 && (answer.status == 0 || answer.body.find("no-configuration") != std::string::npos || answer.body.find("configuration-unconfirmed") != std::string::npos || answer.body.find("stream-version-gone") != std::string::npos || (resumed != "invented" && key == "good-key" && answer.body.find("stream-version-unknown") != std::string::npos)); ++i)
         answer = deployment.ask(entry, "/t/1", "prompt of " + resumed, key, HttpFields { { .name = "Attempt-Id", .value = "again-" + resumed + std::to_string(i) }, { .name = "Last-Event-Id", .value = "2" }, { .name = "Resumes", .value = resumed } });
     return answer;
 }
 
 } // namespace
 
+TEST_CASE("entry instances tell a state instance that has restarted at which version their streams began", "[platform][loopback][versions]")
+{
+    VersionedEngine oldEngine("old");
+    VersionedEngine newEngine("new");
+    VersionedEngine::begun.clear();
+    LoopbackDeployment deployment({ .name = "versions", .firstPort = firstPort, .configuration = configuration, .servers = { &oldEngine, &newEngine, &oldEngine, &newEngine }, .versions = { "old", "new", "old", "new" } });
+    for (int i = 0; i < streams; ++i)
+        CHECK(deployment.ask(0, "/t/1", "prompt of s" + std::to_string(i), "good-key", HttpFields { { .name = "Attempt-Id", .value = "s" + std::to_string(i) } }).status == 0);
+    REQUIRE(VersionedEngine::begun.size() == streams);
+    deployment.restartState();
+    int goneOn = 0;
+    for (const auto& [attempt, version] : std::map(VersionedEngine::begun)) {
+        const auto answer = takeUp(deployment, 1, attempt);
+        goneOn += answer.status == 200 ? 1 : 0;
+        if (answer.status == 200)
+            CHECK(answer.body == eventsAfterTwo(version));
+    }
+    CHECK(goneOn >= streams / 2);
+    std::cout << "streams taken up after a restart of the state instance: " << goneOn << " of " << streams << " went on\n";
+}
+
 TEST_CASE("streams taken up after all entry instances have ended go on at the version that began them", "[platform][loopback][versions]")
 {
     VersionedEngine oldEngine("old");
     VersionedEngine newEngine("new");
+    VersionedEngine::begun.clear();
     LoopbackDeployment deployment({ .name = "versions", .firstPort = firstPort, .configuration = configuration, .servers = { &oldEngine, &newEngine, &oldEngine, &newEngine }, .versions = { "old", "new", "old", "new" } });
     for (int i = 0; i < streams; ++i)
         CHECK(deployment.ask(i % 2, "/t/1", "prompt of s" + std::to_string(i), "good-key", HttpFields { { .name = "Attempt-Id", .value = "s" + std::to_string(i) } }).status == 0);
@@ -84,7 +111,7 @@
         const auto answer = takeUp(deployment, goneOn % 2, attempt);
         goneOn += answer.status == 200 ? 1 : 0;
         if (answer.status == 200)
-            CHECK(answer.body == fmt::format("id: 3\ndata: {0}\n\nid: 4\ndata: {0}\n\n", version));
+            CHECK(answer.body == eventsAfterTwo(version));
     }
     // The target is half of the share of new streams that begin; all of them began.
     CHECK(goneOn >= streams / 2);
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -34,7 +34,7 @@
         for (std::size_t i = 0; i < m_options.servers.size(); ++i)
             m_listeners.push_back(std::make_unique<HttpServer>(m_loops, *m_options.servers[i], HttpServerOptions { .address = serverAddress(i) }));
         m_thread = std::thread([this] { m_loops.run(); });
-        m_state = std::make_unique<RunningInstance>("[instance]\nname = s1\nfailure-domain = a\ndata-folder = " + m_folder.string() + "\n[listen]\nlinks = " + address(linkPort()) + "\ncontrol = " + address(controlPort()) + "\n" + commonSettings(), "-" + m_options.name + "-state.ini");
+        startState();
         for (int i = 0; i < m_options.entries; ++i)
             addEntry();
         submit();
@@ -52,6 +52,13 @@
 
     void addEntry() { m_entries.push_back(startEntry(static_cast<int>(m_entries.size()))); }
 
+    /** Ends the state instance, and starts it again with its data folder. */
+    void restartState()
+    {
+        m_state.reset();
+        startState();
+    }
+
     /** Ends all entry instances, and starts them again once none is left. */
     void restartEntries()
     {
@@ -71,6 +78,11 @@
     }
 
 private:
+    void startState()
+    {
+        m_state = std::make_unique<RunningInstance>("[instance]\nname = s1\nfailure-domain = a\ndata-folder = " + m_folder.string() + "\n[listen]\nlinks = " + address(linkPort()) + "\ncontrol = " + address(controlPort()) + "\n" + commonSettings(), "-" + m_options.name + "-state.ini");
+    }
+
     std::unique_ptr<RunningInstance> startEntry(int number) const
     {
         const auto name = "e" + std::to_string(number);
