Report recent crashes again to a state instance that may have forgotten them

Quarantined parts were reported again on a new link, the crashes that had not led to a quarantine yet were not. Entry instances now keep the crashes of the last minute, 256 at most, and report them on each new link; state instances count each start of a server once, as before. What remains: if all entry instances are killed as well, the counts are gone. Evidence: the new test fails on the former code by construction (evidence empty on the new link) and passes; 139 cases of [placement], [routed] and crashes pass.

--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -69,7 +69,7 @@
               .takeLocalPrefixes = [this] { return takeLocalPrefixes(); },
               .takePromptEvidence = [this](bool onNewLink) {
                   if (onNewLink)
-                      m_promptGuard.reportQuarantined();
+                      m_promptGuard.reportAll();
                   return m_promptGuard.takeEvidence(monotonicNow()); },
               .promptFindings = [this](const auto& findings) { m_promptGuard.apply(findings); },
               .takeLimitReport = [this](bool onNewLink) {
--- a/src/placement/PromptGuard.cpp
+++ b/src/placement/PromptGuard.cpp
@@ -8,14 +8,18 @@
 
 constexpr std::size_t maxCrashes = 256; // The requests of one entry instance at a few servers that crash together.
 constexpr std::size_t maxAnsweredParts = 8192; // Two minutes of an instance with sixty requests a second, no two alike.
+constexpr Duration recentTime = std::chrono::minutes(1); // State instances forget suspects without a crash for longer.
 constexpr Duration soundAfter = std::chrono::seconds(1); // A crashing part ends its engine when the answer begins.
 
 } // namespace
 
 void PromptGuard::recordCrash(const std::vector<PromptPartId>& parts, const BackendId& backend, Incarnation incarnation, Duration sentFor, TimePoint now)
 {
-    if (parts.empty() || m_crashes.size() >= maxCrashes)
+    if (parts.empty() || m_unreportedCrashes >= maxCrashes)
         return;
+    if (m_crashes.size() >= maxCrashes)
+        m_crashes.pop_front();
+    ++m_unreportedCrashes;
     m_crashes.push_back({ .report = { .server = serverStartOf(backend, incarnation), .sentFor = sentFor, .age = {}, .parts = parts }, .endedAt = now });
 }
 
@@ -53,13 +57,22 @@
     return !m_quarantined.empty() && std::any_of(parts.begin(), parts.end(), [this](auto it) { return m_quarantined.contains(it); });
 }
 
+void PromptGuard::reportAll()
+{
+    m_mustReportQuarantined = true;
+    m_unreportedCrashes = m_crashes.size();
+}
+
 PromptEvidence PromptGuard::takeEvidence(TimePoint now)
 {
     PromptEvidence evidence;
-    for (auto& it : std::exchange(m_crashes, {})) {
-        it.report.age = now - it.endedAt;
-        evidence.crashes.push_back(std::move(it.report));
+    const auto unreported = std::exchange(m_unreportedCrashes, 0);
+    for (auto it = m_crashes.end() - static_cast<std::ptrdiff_t>(unreported); it != m_crashes.end(); ++it) {
+        evidence.crashes.push_back(it->report);
+        evidence.crashes.back().age = now - it->endedAt;
     }
+    while (!m_crashes.empty() && now - m_crashes.front().endedAt > recentTime)
+        m_crashes.pop_front();
     for (const auto part : std::exchange(m_dueAnswered, {})) {
         const auto it = m_answered.find(part);
         const auto earlier = m_answeredEarlier.find(part);
--- a/src/placement/PromptGuard.h
+++ b/src/placement/PromptGuard.h
@@ -8,6 +8,7 @@
 #include "base/Ids.h"
 #include "placement/PromptEvidence.h"
 
+#include <deque>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -30,8 +31,8 @@
     bool isQuarantined(const std::vector<PromptPartId>& parts) const;
     /** Returns, and removes, the observations to report. */
     PromptEvidence takeEvidence(TimePoint now);
-    /** Makes the next report include the parts in quarantine, for a state instance that may not know them. */
-    void reportQuarantined() { m_mustReportQuarantined = true; }
+    /** Makes the next report include the parts in quarantine and all recent crashes, for a state instance that may not know them. */
+    void reportAll();
 
 private:
     using AnswerTimes = std::unordered_map<PromptPartId, TimePoint>;
@@ -41,14 +42,15 @@
         TimePoint endedAt;
     };
 
-    std::vector<Crash> m_crashes; // Waits for takeEvidence(); at most maxCrashes.
+    std::deque<Crash> m_crashes; // Of the last minute, the oldest first; at most maxCrashes.
+    std::size_t m_unreportedCrashes = 0; // The last ones of m_crashes; wait for takeEvidence().
     std::unordered_set<PromptPartId> m_dueAnswered; // Suspects that were answered and not reported since.
     // End of the last answer to each part. Both are bounded: the younger one replaces the older one when it is full.
     AnswerTimes m_answered;
     AnswerTimes m_answeredEarlier;
     std::unordered_set<PromptPartId> m_suspects;
     std::unordered_set<PromptPartId> m_quarantined;
-    bool m_mustReportQuarantined = false;
+    bool m_mustReportQuarantined = false; // At the next takeEvidence().
 };
 
 } // namespace HickoryHollow
--- a/test/correctness/crash_suspects.cpp
+++ b/test/correctness/crash_suspects.cpp
@@ -392,3 +392,38 @@
     suspects.addQuarantined(popular, start + 5s);
     CHECK_FALSE(isQuarantined(suspects, popular));
 }
+
+TEST_CASE("a state instance that has forgotten the crashes of a request learns of them on a new link", "[placement]")
+{
+    PromptGuard guard;
+    const auto crashAt = [&guard](const std::string& address, TimePoint now) { guard.recordCrash({ guilty }, BackendId(address), Incarnation(1), 10ms, now); };
+    CrashSuspects before;
+    crashAt("10.0.0.1:1", start);
+    crashAt("10.0.0.2:1", start + 1s);
+    before.record(guard.takeEvidence(start + 1s), start + 1s);
+    CHECK(guard.takeEvidence(start + 1s).isEmpty());
+
+    // The state instance restarts, and the instance attaches to it again.
+    CrashSuspects after;
+    guard.reportAll();
+    after.record(guard.takeEvidence(start + 2s), start + 2s);
+    crashAt("10.0.0.3:1", start + 3s);
+    after.record(guard.takeEvidence(start + 3s), start + 3s);
+    after.update(start + 4s);
+    CHECK(isQuarantined(after, guilty));
+    // A state instance that remembers them does not count them twice.
+    const auto repeated = GENERATE(1, 2, 5);
+    for (int i = 0; i < repeated; ++i) {
+        guard.reportAll();
+        auto evidence = guard.takeEvidence(start + 3s);
+        CHECK(evidence.crashes.size() == 3);
+        evidence.crashes.resize(2);
+        before.record(evidence, start + 3s);
+    }
+    before.update(start + 4s);
+    CHECK_FALSE(isQuarantined(before, guilty));
+    // Crashes as old as a suspicion lasts are not reported any more.
+    guard.takeEvidence(start + 2min);
+    guard.reportAll();
+    CHECK(guard.takeEvidence(start + 2min).crashes.empty());
+}
