Look up a stream that is taken up also after a wait for the configuration

Found in reading the change: the time for the look-up ended with the time that a request may wait after a start of the instance, so a stream taken up just after a restart could be refused as stream-version-unknown without a question. Evidence: the test failed before and passes now.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -148,7 +148,7 @@
     if (!m_route->isStream() || !m_metadata.lastEventId)
         co_return std::nullopt;
     const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.resumes);
-    m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_startupWaitEnd, monotonicNow() + maxOriginWait));
+    m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_deadline, monotonicNow() + maxOriginWait));
     if (!m_placementRequest.version)
         co_return NotSent { .code = "stream-version-unknown", .retryAfter = shortRetryAfter };
     // The version belongs to one service of a route that splits its requests.
--- a/test/error/stream_versions.cpp
+++ b/test/error/stream_versions.cpp
@@ -125,3 +125,16 @@
     bench.run(takeUp("second", resumed));
     CHECK(bench.upstream.requests.size() == 2);
 }
+
+TEST_CASE("a stream that is taken up after a wait for the configuration is still looked up", "[routed][versions]")
+{
+    RoutedBench bench;
+    serveTwoVersions(bench);
+    bench.upstream.scripts = { brokenStream(), brokenStream(), brokenStream("second"), brokenStream("second") };
+    bench.run(streamRequest(attemptId));
+    const auto sent = bench.upstream.requests.size();
+    auto late = takeUp("second", attemptId);
+    late.receivedAt = monotonicNow() - 2s; // Of 4 s that the caller waits.
+    bench.runAgain(late);
+    CHECK(bench.upstream.requests.size() > sent);
+}
--- a/test/fakes/FakeStreamOrigins.h
+++ b/test/fakes/FakeStreamOrigins.h
@@ -18,8 +18,10 @@
     }
 
     void record(const StreamOrigin& origin) override { known.record(origin, monotonicNow()); }
-    Task<std::optional<VersionId>> find(StreamId stream, const ServiceId& service, TimePoint) override
+    Task<std::optional<VersionId>> find(StreamId stream, const ServiceId& service, TimePoint end) override
     {
+        if (end <= monotonicNow())
+            co_return std::nullopt;
         if (const auto version = known.find(stream))
             co_return version;
         std::set<VersionId> versions;
