--- a/test/soak/TakenUpStreams.cpp
+++ b/test/soak/TakenUpStreams.cpp
@@ -82,8 +82,11 @@
             addEvents(answer.body, events);
         isComplete = answer.status == 200;
         const auto hasEvents = events.last > before;
-        (isTakeUp ? m_takenUp : m_sent) += 1;
-        (isTakeUp ? m_goneOn : m_begun) += hasEvents || isComplete ? 1 : 0;
+        // Without an answer the try may have met an instance that is down, which says nothing of streams.
+        if (answer.status != 0 || hasEvents) {
+            (isTakeUp ? m_takenUp : m_sent) += 1;
+            (isTakeUp ? m_goneOn : m_begun) += hasEvents || isComplete ? 1 : 0;
+        }
         if (hasEvents && !isTakeUp)
             first = name;
         if (isComplete && events.last != eventsPerStream)
--- a/test/soak/TakenUpStreams.h
+++ b/test/soak/TakenUpStreams.h
@@ -21,7 +21,7 @@
     TakenUpStreams(const TakenUpStreams&) = delete;
     TakenUpStreams& operator=(const TakenUpStreams&) = delete;
 
-    /** How many new streams began, and how many of those taken up went on. */
+    /** How many new streams began, and how many of those taken up went on, of those that an instance answered. */
     std::string summary() const;
 
 private:
