--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -47,6 +47,7 @@
     Interrupts interrupts = {}; ///< Gives up the exchanges in progress at the end of a drain.
     BufferBudget answerBytes = BufferBudget(); ///< Bytes of answers that are held until they are complete.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Upper limit of the retry-after time sent to shed requests.
+    Duration minSilence = std::chrono::milliseconds(1200); ///< A paused or slowed server can be silent this long.
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -25,7 +25,6 @@
 
 // Held twice for a moment, with the bytes that follow it.
 constexpr std::size_t copiesOfEvent = 2;
-constexpr Duration minSilenceTimeout = std::chrono::milliseconds(1200); // A paused or slowed server can be silent this long.
 constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
@@ -61,12 +60,12 @@
 {
     const auto now = monotonicNow();
     const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-    const auto limit = std::max<Duration>(minSilenceTimeout, target * silenceTargetFactor);
+    const auto limit = std::max<Duration>(m_context.minSilence, target * silenceTargetFactor);
     const auto silentSince = std::max(begunAt, m_lastChunkAt.value_or(begunAt));
     if (now < silentSince + limit)
         return silentSince + limit;
-    if (m_context.selector.wasActiveSince(placement.backend, now - minSilenceTimeout))
-        return now + minSilenceTimeout / 4;
+    if (m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence))
+        return now + m_context.minSilence / 4;
     return std::nullopt;
 }
 
--- /dev/null
+++ b/test/error/silent_servers.cpp
@@ -0,0 +1,118 @@
+/** \file
+ * Servers that fall silent for a while and go on: an answer is not given up for that while no further attempt may begin.
+ */
+#include "placement/RequestParts.h"
+#include "test/fakes/RoutedBench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace HickoryHollow;
+using namespace HickoryHollow::Fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+Script pausingStream()
+{
+    auto script = RoutedBench::answer("");
+    script.contentType = "text/event-stream";
+    script.chunks = { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" };
+    return script;
+}
+
+/** Its servers may be silent for 20 ms. */
+class ImpatientBench : public RoutedBench {
+public:
+    ImpatientBench()
+    {
+        context.minSilence = 20ms;
+        auto impatient = configuration();
+        impatient.version = RoutingVersion(8);
+        for (auto& it : impatient.routes)
+            it.firstTokenTarget = 1ms;
+        routing.apply(impatient);
+        confirm(5s);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an attempt is not given up for its server's silence while no further one may begin", "[routed]")
+{
+    ImpatientBench bench;
+    auto script = pausingStream();
+    script.silence = 60ms;
+    const auto hasBegun = GENERATE(false, true);
+    script.silentAfter = hasBegun ? 1 : 0;
+    SECTION("the instance stops")
+    {
+        script.afterSending = [&bench] { bench.context.drain.start(monotonicNow() - 6s, 7s); };
+    }
+    SECTION("the other servers leave")
+    {
+        script.afterSending = [&bench] {
+            for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" }) {
+                if (address != bench.upstream.addresses[0])
+                    bench.selector.recordLeaving(BackendId(address), Incarnation(1));
+            }
+        };
+    }
+    SECTION("the other servers want no requests for a while")
+    {
+        script.afterSending = [&bench] {
+            for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+                bench.selector.recordBackoff(BackendId(address), Incarnation(1), monotonicNow() + 2s);
+        };
+    }
+    SECTION("the retry budget is spent")
+    {
+        bench.context.retryOptions.slack = 0;
+    }
+    SECTION("the configuration is not confirmed any more")
+    {
+        script.afterSending = [&bench] { bench.expireLease(); };
+    }
+    SECTION("the request was put in quarantine")
+    {
+        script.afterSending = [&bench] { bench.promptGuard.apply({ .suspects = {}, .quarantined = { wholeRequestOf("POST", "/draft/7", WorkspaceId("w"), "body") } }); };
+    }
+    bench.upstream.scripts = { script };
+    bench.upstream.otherwise = RoutedBench::rejection();
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 1);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
+
+TEST_CASE("an attempt that is silent goes on at another server that may continue it", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = pausingStream();
+    silent.silence = 1h;
+    silent.silentAfter = GENERATE(0, 1);
+    bench.upstream.scripts = { silent, pausingStream() };
+    bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
+
+// The reasons not to move on may end while the server is silent.
+TEST_CASE("an attempt that stays at a silent server goes on elsewhere once it may", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = pausingStream();
+    silent.silence = 1h;
+    silent.silentAfter = 1;
+    silent.afterSending = [&bench] {
+        for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+            bench.selector.recordBackoff(BackendId(address), Incarnation(1), monotonicNow() + 60ms);
+    };
+    bench.upstream.scripts = { silent, pausingStream() };
+    bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -31,6 +31,8 @@
     std::function<void()> afterSending; ///< Runs once the request was sent, before its response.
     bool reusesConnection = false; ///< The connection served another request before.
     bool isStalled = false; ///< No header is received until the call is cancelled.
+    Duration silence {}; ///< Time without bytes after `silentAfter` chunks, or before the header if that is 0.
+    std::size_t silentAfter = 0;
     std::vector<HttpField> fields; ///< Additional header fields.
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
     std::vector<std::string> chunks;
@@ -80,6 +82,10 @@
                 co_await m_stall->async_wait(asTuple);
                 m_script.beginError = make_error_code(RouterError::UpstreamBroken);
             }
+            if (m_script.silentAfter == 0)
+                co_await beSilent();
+            if (m_isCancelled)
+                m_script.beginError = make_error_code(RouterError::UpstreamBroken);
             head.ec = m_script.beginError;
             head.verdict = m_script.beginVerdict;
             head.status = m_script.status;
@@ -96,11 +102,15 @@
         Task<UpstreamChunk> readChunk() override
         {
             UpstreamChunk chunk;
-            if (m_next < m_script.chunks.size())
+            if (m_next > 0 && m_next == m_script.silentAfter)
+                co_await beSilent();
+            if (m_isCancelled)
+                chunk.ec = make_error_code(RouterError::UpstreamBroken);
+            else if (m_next < m_script.chunks.size())
                 chunk.bytes = m_script.chunks[m_next++];
             else
                 chunk.ec = m_script.bodyError;
-            chunk.isLast = m_next == m_script.chunks.size() && !m_script.bodyError;
+            chunk.isLast = m_next == m_script.chunks.size() && !m_script.bodyError && !chunk.ec;
             co_return chunk;
         }
 
@@ -109,15 +119,25 @@
 
         void cancel() override
         {
+            m_isCancelled = true;
             if (m_stall)
                 m_stall->cancel();
         }
 
     private:
+        Task<void> beSilent()
+        {
+            if (m_script.silence == Duration::zero() || m_isCancelled)
+                co_return;
+            m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, m_script.silence);
+            co_await m_stall->async_wait(asTuple);
+        }
+
         FakeUpstream& m_owner;
         Script m_script;
         std::size_t m_next = 0;
         std::unique_ptr<Timer> m_stall;
+        bool m_isCancelled = false;
         BeforeSend m_check;
     };
 };
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -23,6 +23,7 @@
         std::vector<HttpHandler*> servers; ///< Each on a port of its own. They outlive the deployment.
         int entries = 2;
         std::vector<std::string> versions = {}; ///< Of the servers' software; `v1` for those beyond.
+        std::string drainSeconds = "0.8"; ///< Time that a stop may take.
     };
 
     /** Starts all processes, submits the configuration and announces the servers. */
@@ -98,7 +99,7 @@
 
     std::string commonSettings() const
     {
-        return "[membership]\nseeds = " + address(controlPort()) + "\nseed-port = " + std::to_string(linkPort()) + "\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = 0.8\nkey-lease-ms = 5000\nannounce-ms = 20000\n";
+        return "[membership]\nseeds = " + address(controlPort()) + "\nseed-port = " + std::to_string(linkPort()) + "\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = " + m_options.drainSeconds + "\nkey-lease-ms = 5000\nannounce-ms = 20000\n";
     }
 
     void submit() const
