Give an attempt up for its server's silence only for another one that may begin

Cause: an attempt that was silent for 1.2 s (or three targets) was ended first; whether the next one may begin was asked afterwards. A stream that has begun can't be refused any more, so each refusal cut it: the instance stops, no other server of its version takes requests, the retry budget is spent, the lease is over, the request is in quarantine.

Ruled out: a longer limit alone. It only moves the moment; a server may be silent for longer than any limit below the caller's own.

Change: at each deadline the exchange takes the server and the retry of the next attempt while the present one still runs, and ends that only then; if it gets none, it asks again 0.3 s later. An ejected or lapsed server is no reason to leave a silent one. So nothing can refuse between the question and the next attempt, other than what that server itself says.

--- a/src/forwarding/AsyncAdmissionQueue.h
+++ b/src/forwarding/AsyncAdmissionQueue.h
@@ -34,6 +34,8 @@
      * its call must be ended.
      */
     Task<std::optional<AdmissionQueue::Grant>> place(const PlacementRequest&, TimePoint queueUntil, SetCancelHandler);
+    /** Like AdmissionQueue::placeAtOnce(). */
+    std::optional<AdmissionQueue::Grant> placeAtOnce(const PlacementRequest& request, TimePoint now) { return m_queue.placeAtOnce(request, now); }
     /** Resumes the requests that the queue can grant now, or never. Call every few tens of milliseconds. */
     void placeWaiting(TimePoint now);
     /** Number of requests that wait. */
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -30,7 +30,6 @@
 constexpr std::uint32_t extraSendsAfterRejection = 2;
 // An attempt at an unreachable server is cheap for the servers, but may cost the caller a connect timeout.
 constexpr std::uint32_t maxPlacements = 8;
-constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
 constexpr Duration maxStartupWait = std::chrono::milliseconds(2000);
 constexpr Duration maxOriginWait = std::chrono::milliseconds(400);
 constexpr double startupWaitShare = 0.3; // Largest share of the caller timeout that is spent on the startup wait.
@@ -94,6 +93,7 @@
     ++m_metrics->requests;
     auto& window = m_context.retryWindows.try_emplace(m_placementRequest.service, m_context.retryOptions).first->second;
     window.recordFirstAttempt(m_arrival);
+    m_retryWindow = &window;
     if (const auto refusal = co_await bindToOrigin()) {
         co_await refuse(*refusal);
         co_return;
@@ -102,10 +102,13 @@
         const auto now = monotonicNow();
         co_await awaitCandidate();
         if (const auto quarantine = findQuarantine()) {
+            releaseNext();
             co_await refuse(*quarantine);
             co_return;
         }
-        const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
+        auto grant = std::exchange(m_next, std::nullopt);
+        if (!grant)
+            grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
         if (m_writer.isCallerDisconnected()) {
             if (grant)
                 m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
@@ -135,6 +138,7 @@
             m_heldError = std::move(result.held);
         }
         if (!mayRetry(result)) {
+            releaseNext();
             co_await finish(result);
             co_return;
         }
@@ -219,7 +223,7 @@
         return NotSent { .code = "overloaded", .retryAfter = retryAfterDelay(requestTiming(now), m_context.maxRetryAfter, m_context.random) };
     if (m_deadline - now < minTimeLeftToSend)
         return NotSent { .code = "out-of-time", .retryAfter = shortRetryAfter };
-    if (m_sends > 0 && !window.tryRetry(m_context.entryInstances, now))
+    if (m_sends > 0 && !std::exchange(m_hasRetry, false) && !window.tryRetry(m_context.entryInstances, now))
         return NotSent { .code = "retry-budget-spent", .retryAfter = shortRetryAfter };
     return std::nullopt;
 }
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -7,6 +7,7 @@
 #include "forwarding/RequestCodec.h"
 #include "http/EventStreamScanner.h"
 #include "net/Task.h"
+#include "placement/AdmissionQueue.h"
 #include "placement/BackendSelector.h"
 #include "placement/OverloadPolicy.h"
 #include "routing/RouteTable.h"
@@ -21,6 +22,7 @@
 constexpr unsigned unavailable = 503; // This HTTP status promises that the request has not run and will not run.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
 constexpr Duration drainRetryAfter = std::chrono::milliseconds(50); // Another instance can take the request at once.
+constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
 
 } // namespace Internal
 
@@ -103,8 +105,14 @@
     Task<std::error_code> startStream(const UpstreamHead&);
     /** True if the request may go to a further server after this attempt. */
     bool mayRetry(const AttemptResult&);
-    /** Time at which a silent attempt is ended, or nothing if it is to end now. */
-    std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&) const;
+    /** Longest time without bytes from the server before a further attempt is considered. */
+    Duration silenceLimit() const;
+    /** Time at which a silent attempt is looked at again, or nothing if it is to end now; then the next one is prepared. */
+    std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&);
+    /** Takes a server, and a retry from the budget, for the attempt after the present one. False if none may begin. */
+    bool prepareNext(const Placement& present);
+    /** Gives the server back if the next attempt does not begin. */
+    void releaseNext();
     /** Error code of a request that crashes servers, or a part of its prompt does; empty if it may be sent. */
     std::string_view quarantineCode() const;
     /** The refusal of such a request. */
@@ -160,6 +168,9 @@
     Duration m_timeToFirstToken {}; // From arrival to the first chunk of the stream; zero until then.
     Duration m_longestPause {}; // Longest time between two chunks of the stream.
     std::string_view m_lastCause = "none"; // Cause of the last attempt.
+    RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
+    std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, if the present one was given up for it.
+    bool m_hasRetry = false; // The next attempt's retry was taken from the budget.
     std::optional<HttpResponse> m_serverError; // Last signed 5xx answer of a server.
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -54,21 +54,47 @@
     return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForServer(m_http.fields, metadata), .body = m_http.body };
 }
 
-// A request that may run again does not wait for a silent server until its deadline. A server that sends data on other
-// calls of this instance is busy, not silent, so the attempt goes on and is checked again soon.
-std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement) const
+Duration RoutedExchange::silenceLimit() const
 {
-    const auto now = monotonicNow();
     const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-    const auto limit = std::max<Duration>(m_context.minSilence, target * silenceTargetFactor);
-    const auto silentSince = std::max(begunAt, m_lastChunkAt.value_or(begunAt));
-    if (now < silentSince + limit)
-        return silentSince + limit;
-    if (m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence))
+    return std::max<Duration>(m_context.minSilence, target * silenceTargetFactor);
+}
+
+// A request that may run again does not wait for a silent server until its deadline. But a server that sends data on other calls
+// of this instance is busy, and one that is silent may go on, so the attempt ends only for another one that may begin.
+std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement)
+{
+    const auto now = monotonicNow();
+    const auto silentUntil = std::max(begunAt, m_lastChunkAt.value_or(begunAt)) + silenceLimit();
+    if (now < silentUntil)
+        return silentUntil;
+    if (m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence) || !prepareNext(placement))
         return now + m_context.minSilence / 4;
     return std::nullopt;
 }
 
+// What could refuse the next attempt is asked, and taken, while the present one still runs.
+bool RoutedExchange::prepareNext(const Placement& present)
+{
+    const auto now = monotonicNow();
+    if (!mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !m_retryWindow->mayRetry(m_context.entryInstances, now))
+        return false;
+    auto request = m_placementRequest;
+    request.excluded.insert(present.backend);
+    m_next = m_context.admissionQueue.placeAtOnce(request, now);
+    // A server that is ejected or has stopped announcing itself is no better than a silent one.
+    if (m_next && m_next->placement.isFallback)
+        releaseNext();
+    m_hasRetry = m_next && m_retryWindow->tryRetry(m_context.entryInstances, now);
+    return m_next.has_value();
+}
+
+void RoutedExchange::releaseNext()
+{
+    if (const auto next = std::exchange(m_next, std::nullopt))
+        m_context.selector.endCall(next->call, CallOutcome::Rejected, monotonicNow());
+}
+
 Task<RoutedExchange::AttemptResult> RoutedExchange::runAttempt(const Placement& placement, CallId callId)
 {
     const auto now = monotonicNow();
@@ -81,7 +107,7 @@
     {
         const auto executor = m_context.loop.get_executor();
         const DeadlineWatch deadline(executor, m_deadline, *call);
-        const DeadlineWatch silence(executor, mayTryElsewhere ? silenceDeadline(now, placement) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
+        const DeadlineWatch silence(executor, mayTryElsewhere ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
         result = co_await sendAttempt(*call, placement, callId);
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
         if (!isWhole && deadline.hasPassed()) {
--- a/src/placement/RetryWindow.cpp
+++ b/src/placement/RetryWindow.cpp
@@ -27,12 +27,17 @@
     m_firstAttempts.push_back(now);
 }
 
-bool RetryWindow::tryRetry(std::uint32_t instances, TimePoint now)
+bool RetryWindow::mayRetry(std::uint32_t instances, TimePoint now)
 {
     expire(now);
     const auto slackShare = static_cast<double>(m_options.slack) / std::max(1U, instances);
     const auto budget = usableShare * (m_options.ratio * static_cast<double>(m_firstAttempts.size()) + slackShare);
-    if (static_cast<double>(m_retries.size() + 1) > budget)
+    return static_cast<double>(m_retries.size() + 1) <= budget;
+}
+
+bool RetryWindow::tryRetry(std::uint32_t instances, TimePoint now)
+{
+    if (!mayRetry(instances, now))
         return false;
     m_retries.push_back(now);
     return true;
--- a/src/placement/RetryWindow.h
+++ b/src/placement/RetryWindow.h
@@ -27,7 +27,9 @@
 
     /** Counts a request, whose first attempt adds to the budget. */
     void recordFirstAttempt(TimePoint now);
-    /** Takes one retry from the budget; false if the budget is spent. `instances` is the number that share the slack. */
+    /** True if the budget has a retry left. `instances` is the number that share the slack. */
+    bool mayRetry(std::uint32_t instances, TimePoint now);
+    /** Takes one retry from the budget; false if the budget is spent. */
     bool tryRetry(std::uint32_t instances, TimePoint now);
 
 private:
