Begin a stream late in a stop only if its server may fall silent for a while

What callers can see: a stream of a route that takes 0.3 s is begun 5 s into a stop of 8 s, its server falls silent for a second or so, and the end of the stop cuts it. (Streams sent in the first 3 s are begun as before.)

Cause: the longest duration measured for the route, times two, had to fit the rest of the stop. Most requests meet no silence, so the measured durations hold none, and twice a short one is less than a silence.

Change: a stream needs 2 s beyond the longest duration. That is the shortest time for which callers wait for the next event.

--- a/src/forwarding/DrainPolicy.cpp
+++ b/src/forwarding/DrainPolicy.cpp
@@ -25,6 +25,9 @@
 constexpr double certaintyIfRepeatable = 20;
 constexpr double certaintyIfOnce = 200;
 constexpr double onceMargin = 2; // A slow moment of a server doubles a duration easily.
+// A server may fall silent during a stream, and its caller waits at least this long for the next event. The durations that were
+// measured may hold no such silence.
+constexpr Duration longestSilence = std::chrono::seconds(2);
 
 } // namespace
 
@@ -48,7 +51,8 @@
     const auto isRepeatable = route.kind == RequestKind::Idempotent;
     const auto n = static_cast<double>(durations.count(route.id, now));
     const auto margin = std::max(isRepeatable ? 1 : onceMargin, (isRepeatable ? certaintyIfRepeatable : certaintyIfOnce) / n);
-    return std::chrono::duration_cast<Duration>(*longest * margin);
+    const auto reliable = std::chrono::duration_cast<Duration>(*longest * margin);
+    return route.isStream() ? std::max(reliable, *longest + longestSilence) : reliable;
 }
 
 bool DrainPolicy::mayStart(const RouteRule& route, TimePoint deadline, const RouteDurations& durations, TimePoint now) const
