Let the caller close first after an answer that ends its connection, and end the process only then

What callers can see: a caller that reads slowly, and sends more on a connection whose answer said that it closes, gets a part of that answer and a reset.

Cause: an answer counts as sent once the kernel has it, and the connection was closed then. Bytes that arrive at a closed socket, or lie unread when it is closed, reset the connection, and the kernel drops what the caller has not read. Input that had come before the close was read and dropped, but that did not keep the process from ending. A drain also ended in the turn of the loop in which idle connections were closed, so that a request that had arrived on one was neither read nor answered.

Ruled out: unflushed bytes at the end of the process. A write returns when the kernel has them, and it sends them after the process has ended.

Change: after its last answer a connection is shut for sending, and what the caller still sends is dropped until it closes, for 1 s at most. Such connections, and requests that have arrived unread, count in HttpServer::hasRequests(), so a drain waits for both within its time. On a connection that was idle nothing is read any more at its close: a request that was not read may be repeated by its caller.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include "net/Listener.h"
 #include "net/Timer.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,6 +35,7 @@
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> requests = 0;
     std::atomic<std::size_t> arriving = 0; // Requests that have arrived in part.
+    std::atomic<std::size_t> closing = 0; // Connections that wait for their peers to close, after the last answer.
     std::atomic<std::uint64_t> requestsRead = 0;
     std::mutex mutex;
     std::set<Stream::socket_type*> idle; // Sockets of connections that wait for a request; guarded by mutex.
@@ -52,7 +54,6 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-constexpr std::chrono::milliseconds discardTimeout { 1000 };
 constexpr std::size_t firstReadBytes = 4096; // Large enough for the header of most requests.
 constexpr std::size_t firstChunkedBytes = 16UL << 10U; // Room for a chunked body until it turns out to be longer.
 constexpr std::size_t discardChunkBytes = 4096;
@@ -375,13 +376,14 @@
     co_return boost::system::error_code();
 }
 
-// Reads and drops what the peer still sends. Closing a socket with unread bytes would reset the connection, and the peer
-// could lose the response that was just sent.
-Task<void> discardInput(ConnectionState& state)
+// Ends the connection after its last answer once the peer has closed its side. Until then, what it still sends is read and dropped:
+// bytes that come unread or after the close reset the connection, and the peer loses what it has not read of the answer.
+Task<void> awaitClose(ConnectionState& state, Duration timeout, std::atomic<std::size_t>& closing)
 {
+    const CountGuard guard(closing);
     boost::system::error_code ec;
     state.stream.socket().shutdown(asio::socket_base::shutdown_send, ec);
-    state.stream.expires_after(discardTimeout);
+    state.stream.expires_after(timeout);
     std::array<char, discardChunkBytes> buf {};
     for (std::size_t discarded = 0; !ec && discarded < maxDiscardedBytes;) {
         const auto [readEc, n] = co_await state.stream.async_read_some(asio::buffer(buf), asTuple);
@@ -433,7 +435,7 @@
             auto response = hasRoom ? toResponse(refusal) : shared->handler.refuseBody(request);
             shares.clear();
             co_await writer.send(std::move(response));
-            co_await discardInput(*state);
+            co_await awaitClose(*state, shared->options.closeTimeout, shared->closing);
             break;
         }
         const CountGuard requestGuard(shared->requests);
@@ -453,9 +455,9 @@
         }
     }
     stopWatchingPeer(*state);
-    // The answer says that the connection closes, but the caller may have sent its next request already.
-    if (!state->isDisconnected && state->hasFurtherInput())
-        co_await discardInput(*state);
+    // On a connection that waited for a request, nothing is read any more: the caller may repeat a request that was not read.
+    if (!isOpen && !state->isDisconnected)
+        co_await awaitClose(*state, shared->options.closeTimeout, shared->closing);
     state->stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
     state->stream.close();
 }
@@ -514,7 +516,11 @@
 
 bool HttpServer::hasRequests() const
 {
-    return m_shared->requests + m_shared->arriving > 0;
+    if (m_shared->requests + m_shared->arriving + m_shared->closing > 0)
+        return true;
+    const std::lock_guard lock(m_shared->mutex);
+    boost::system::error_code ignored;
+    return std::any_of(m_shared->idle.begin(), m_shared->idle.end(), [&ignored](auto* it) { return it->is_open() && it->available(ignored) > 0; });
 }
 
 std::size_t HttpServer::requestsInProgress() const
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -37,6 +37,8 @@
     std::size_t maxConnections = 20'000; ///< While there are more, requests are answered 503 and their connections closed.
     /** Maximum time for one write: a complete response, or the header or one chunk of a stream. */
     Duration writeTimeout = std::chrono::seconds(20);
+    /** Maximum time for the peer to close its side after the last answer on a connection. */
+    Duration closeTimeout = std::chrono::seconds(1);
 };
 
 class HttpServer {
@@ -58,7 +60,7 @@
     std::uint64_t requestsRead() const;
     /** Number of requests that were read completely and whose handler has not finished. */
     std::size_t requestsInProgress() const;
-    /** True if requests are in progress or have arrived in part. */
+    /** True if requests are in progress or have arrived in part, also unread, or if peers may still have to read their last answer. */
     bool hasRequests() const;
 
 private:
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <random>
 
 namespace HickoryHollow {
@@ -254,7 +255,11 @@
 Task<void> EntryInstance::awaitRequests(TimePoint end)
 {
     Timer timer(m_loop.get_executor());
-    while (m_server.hasRequests() && monotonicNow() < end) {
+    for (;;) {
+        // A read that has ended counts as a request only after its handler has run, which is queued before this one.
+        co_await asio::post(m_loop, asTuple);
+        if (!m_server.hasRequests() || monotonicNow() >= end)
+            co_return;
         timer.expires_after(drainEndPollInterval);
         co_await timer.async_wait(asTuple);
     }
