Log what was relayed of a stream, its last silence, the age of the stop, and closes that may cost an answer

The log lines of that landing would have told a silent server from the end of the stop (2101: outcome, last_cause, pause_ms), but not how much of the stream the caller had, how long its server had been silent at the end, or when in the stop it ended; and a connection that was reset for unread bytes left no line.

Event 2101 gets events=, bytes=, silent_ms= and stop_ms= at its end; event 2105 (ConnectionCut) names the caller's address where a connection was not closed in time, got further input after its last answer, or was reset inside a stream without chunks.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -26,6 +26,7 @@
     RoutedRetry = 2102,
     RoutedBroken = 2103,
     BodyRefused = 2104,
+    ConnectionCut = 2105,
     BackendJoined = 3001,
     BackendLeaving = 3002,
     BackendLapsed = 3003,
--- a/src/forwarding/DrainPolicy.h
+++ b/src/forwarding/DrainPolicy.h
@@ -21,6 +21,8 @@
     /** Begins a drain in which answers must be complete `answerTime` from now. */
     void start(TimePoint now, Duration answerTime);
     bool hasStarted() const { return m_startedAt.has_value(); }
+    /** Time since the start of the drain; nothing without one. */
+    std::optional<Duration> age(TimePoint now) const { return m_startedAt ? std::optional(now - *m_startedAt) : std::nullopt; }
     /** Time at which requests still in progress are given up. Call only after start(). */
     TimePoint end() const { return *m_startedAt + m_answerTime; }
     /** Returns true if a request that has to end by `deadline` may be sent to a server now. Always true without a drain. */
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -324,10 +324,11 @@
     countOutcome(status, outcome, now - m_arrival);
     if (m_possibleRuns > 0 && status > 0)
         m_context.durations.add(m_route->id, now - m_arrival, now);
+    const auto stopAge = m_context.drain.age(now);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={} events={} bytes={} silent_ms={} stop_ms={}",
         m_metadata.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_lastPlacement.backend.value(), m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival));
+        m_lastPlacement.backend.value(), m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival), m_relayedEvents, m_relayedBytes, m_lastChunkAt ? milliseconds(now - *m_lastChunkAt) : 0, stopAge ? fmt::format("{}", milliseconds(*stopAge)) : "none");
 }
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -166,6 +166,8 @@
     Placement m_lastPlacement;
     std::optional<TimePoint> m_lastChunkAt; // Time of the last chunk of the stream, over all attempts.
     Duration m_timeToFirstToken {}; // From arrival to the first chunk of the stream; zero until then.
+    std::uint64_t m_relayedEvents = 0; // Events of the stream that were written to the caller, over all attempts.
+    std::uint64_t m_relayedBytes = 0; // Of the body of the stream.
     Duration m_longestPause {}; // Longest time between two chunks of the stream.
     std::string_view m_lastCause = "none"; // Cause of the last attempt.
     RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -329,6 +329,8 @@
                 result.cause = "caller-gone";
                 co_return result;
             }
+            m_relayedEvents += m_events.progressCount() - progressBefore;
+            m_relayedBytes += bytes.size();
         }
         if (chunk.isLast && !isComplete) {
             result.cause = m_events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "base/LogEvent.h"
 #include "http/BodyBudget.h"
 #include "http/HttpHandler.h"
 #include "http/HttpMessage.h"
@@ -81,6 +82,14 @@
     bool isWatchingPeer = false;
 };
 
+/** Address and port of the peer; empty if the connection has failed. */
+std::string peerOf(Stream& stream)
+{
+    boost::system::error_code ec;
+    const auto endpoint = stream.socket().remote_endpoint(ec);
+    return ec ? std::string() : fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
 // True if the peer has closed its side of the connection or it failed. Pipelined bytes mean that it is still open.
 bool hasPeerClosed(Stream& stream)
 {
@@ -381,15 +390,21 @@
 Task<void> awaitClose(ConnectionState& state, Duration timeout, std::atomic<std::size_t>& closing)
 {
     const CountGuard guard(closing);
+    const auto peer = peerOf(state.stream);
     boost::system::error_code ec;
     state.stream.socket().shutdown(asio::socket_base::shutdown_send, ec);
     state.stream.expires_after(timeout);
     std::array<char, discardChunkBytes> buf {};
-    for (std::size_t discarded = 0; !ec && discarded < maxDiscardedBytes;) {
+    std::size_t discarded = 0;
+    while (!ec && discarded < maxDiscardedBytes) {
         const auto [readEc, n] = co_await state.stream.async_read_some(asio::buffer(buf), asTuple);
         ec = readEc;
         discarded += n;
     }
+    if (ec == beast::error::timeout)
+        logEvent(LogEvent::ConnectionCut, "peer={} cause=not-closed-in-time dropped={}", peer, discarded);
+    else if (discarded > 0)
+        logEvent(LogEvent::ConnectionCut, "peer={} cause=further-input dropped={}", peer, discarded);
 }
 
 template <typename SharedState>
@@ -448,6 +463,7 @@
         isOpen = writer.keepAlive() && !state->isDisconnected;
         if (writer.mustReset()) {
             stopWatchingPeer(*state);
+            logEvent(LogEvent::ConnectionCut, "peer={} cause=unfinished-stream dropped=0", peerOf(state->stream));
             // With a linger time of zero, closing the socket resets the connection.
             state->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
             state->stream.close();
