--- a/test/error/silent_servers.cpp
+++ b/test/error/silent_servers.cpp
@@ -91,7 +91,7 @@
     ImpatientBench bench;
     auto silent = pausingStream();
     silent.silence = 1h;
-    silent.silentAfter = GENERATE(0, 1);
+    silent.silentAfter = GENERATE(as<std::size_t> {}, 0, 1);
     bench.upstream.scripts = { silent, pausingStream() };
     bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
     CHECK(bench.upstream.requests.size() == 2);
