--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -30,7 +30,6 @@
 constexpr std::uint32_t extraSendsAfterRejection = 2;
 // An attempt at an unreachable server is cheap for the servers, but may cost the caller a connect timeout.
 constexpr std::uint32_t maxPlacements = 8;
-constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
 constexpr Duration maxStartupWait = std::chrono::milliseconds(2000);
 constexpr Duration maxOriginWait = std::chrono::milliseconds(400);
 constexpr double startupWaitShare = 0.3; // Largest share of the caller timeout that is spent on the startup wait.
@@ -94,6 +93,7 @@
     ++m_metrics->requests;
     auto& window = m_context.retryWindows.try_emplace(m_placementRequest.service, m_context.retryOptions).first->second;
     window.recordFirstAttempt(m_arrival);
+    m_retryWindow = &window;
     if (const auto refusal = co_await bindToOrigin()) {
         co_await refuse(*refusal);
         co_return;
@@ -102,10 +102,13 @@
         const auto now = monotonicNow();
         co_await awaitCandidate();
         if (const auto quarantine = findQuarantine()) {
+            releaseNext();
             co_await refuse(*quarantine);
             co_return;
         }
-        const auto grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
+        auto grant = std::exchange(m_next, std::nullopt);
+        if (!grant)
+            grant = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
         if (m_writer.isCallerDisconnected()) {
             if (grant)
                 m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
@@ -135,6 +138,7 @@
             m_heldError = std::move(result.held);
         }
         if (!mayRetry(result)) {
+            releaseNext();
             co_await finish(result);
             co_return;
         }
@@ -219,7 +223,7 @@
         return NotSent { .code = "overloaded", .retryAfter = retryAfterDelay(requestTiming(now), m_context.maxRetryAfter, m_context.random) };
     if (m_deadline - now < minTimeLeftToSend)
         return NotSent { .code = "out-of-time", .retryAfter = shortRetryAfter };
-    if (m_sends > 0 && !window.tryRetry(m_context.entryInstances, now))
+    if (m_sends > 0 && !std::exchange(m_hasRetry, false) && !window.tryRetry(m_context.entryInstances, now))
         return NotSent { .code = "retry-budget-spent", .retryAfter = shortRetryAfter };
     return std::nullopt;
 }
@@ -320,10 +324,11 @@
     countOutcome(status, outcome, now - m_arrival);
     if (m_possibleRuns > 0 && status > 0)
         m_context.durations.add(m_route->id, now - m_arrival, now);
+    const auto stopAge = m_context.drain.age(now);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={} events={} bytes={} silent_ms={} stop_ms={}",
         m_metadata.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_lastPlacement.backend.value(), m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival));
+        m_lastPlacement.backend.value(), m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival), m_relayedEvents, m_relayedBytes, m_lastChunkAt ? milliseconds(now - *m_lastChunkAt) : 0, stopAge ? fmt::format("{}", milliseconds(*stopAge)) : "none");
 }
 
 } // namespace HickoryHollow
