Soak: cuts from all servers, full disks in series, slow readers in stops

They come as series of their own behind the random faults, so that bounds hold without excuses, and `--parts` chooses among them.

Cuts: one entry instance, or all but one, loses its links to all backend servers silently, with resets, or for new connections only. All instances know one address of a server. So that a proxy stands between one instance and the servers, entry instances run with a preloaded library that turns these addresses into those of the instance's own proxies. Ruled out: telling instances apart at a common proxy by request ids (a request may come through a neighbour) or by /proc (the connection is then established already, and a refusal or a hanging connection could not be played). Refusals come from a closed listener, silence from a packet filter that drops all that arrives.

Full disks: all five state instances one after another; no span of 12 s without an acknowledged change.

Slow readers: streams of 96 KB and 6 MB, read in 2 s, across planned stops.

"A drain ends in time" prints what the threads of such a process wait for.

--- a/test/soak/Backend.cpp
+++ b/test/soak/Backend.cpp
@@ -36,6 +36,21 @@
     return "for " + id + std::string(id.size() * 37 % 5000, '.') + " end";
 }
 
+std::string slowEvent(const std::string& id, std::size_t number, std::size_t bytes)
+{
+    auto text = fmt::format("id: {}\ndata: {} ", number, id);
+    text.resize(bytes - 2, '.');
+    return text + "\n\n";
+}
+
+std::string expectedSlowStream(const std::string& id, std::size_t eventBytes)
+{
+    std::string text;
+    for (std::size_t event = 1; event <= slowEvents; ++event)
+        text += slowEvent(id, event, eventBytes);
+    return text;
+}
+
 Backend::Backend(Options options, GuaranteeChecker& checker)
     : m_options(std::move(options))
     , m_checker(checker)
@@ -159,9 +174,12 @@
     if (m_isLeaving)
         fields.add("Server-Leaving", "1");
     recordArrival(fields);
-    if (kind == RequestKind::Stream)
+    const auto isSlow = path == slowPath || path == slowOncePath;
+    if (kind == RequestKind::Stream || isSlow)
         fields.add("Content-Type", "text/event-stream");
-    if (kind == RequestKind::Stream)
+    if (isSlow)
+        co_await sendSlowStream(request, id, fields, writer);
+    else if (kind == RequestKind::Stream)
         co_await sendStream(request, id, fields, writer);
     else
         co_await sendBody(id, request.path().ends_with("/long") ? longWorkTime(id) : workTime, fields, writer);
@@ -207,4 +225,28 @@
     co_await writer.finishStream();
 }
 
+Task<void> Backend::sendSlowStream(const HttpRequest& request, const std::string& id, const HttpFields& fields, ResponseWriter& writer)
+{
+    const std::string last(request.fields.find("Last-Event-Id"));
+    const auto eventBytes = std::stoull(std::string(request.body.text()));
+    const auto isBroken = drawChance(brokenAnswerPercent);
+    Timer pause(m_loops.at(0).get_executor());
+    co_await writer.startStream(ok, fields);
+    for (std::size_t event = last.empty() ? 1 : std::stoull(last) + 1; event <= slowEvents; ++event) {
+        pause.expires_after(workTime);
+        co_await pause.async_wait(asTuple);
+        if (isBroken && event > slowEvents / 2) {
+            m_checker.recordAnswer(id, false);
+            writer.abandon();
+            co_return;
+        }
+        if (co_await writer.write(slowEvent(id, event, eventBytes))) {
+            writer.abandon();
+            co_return;
+        }
+    }
+    if (!co_await writer.finishStream())
+        m_checker.recordAnswer(id, true);
+}
+
 } // namespace HickoryHollow::Soak
--- a/test/soak/Backend.h
+++ b/test/soak/Backend.h
@@ -59,6 +59,7 @@
     void recordArrival(HttpFields&);
     Task<void> sendBody(const std::string& id, std::chrono::milliseconds work, const HttpFields&, ResponseWriter&);
     Task<void> sendStream(const HttpRequest&, const std::string& id, const HttpFields&, ResponseWriter&);
+    Task<void> sendSlowStream(const HttpRequest&, const std::string& id, const HttpFields&, ResponseWriter&);
     /** Draws a random number; returns true with the given probability in percent. */
     bool drawChance(std::uint64_t percent);
 
@@ -78,10 +79,18 @@
 
 /** The complete body with which every backend server answers the request, unless it streams. */
 std::string expectedBody(const std::string& id);
+/** An event of a stream for a caller that reads slowly; `number` counts from 1. */
+std::string slowEvent(const std::string& id, std::size_t number, std::size_t bytes);
+std::string expectedSlowStream(const std::string& id, std::size_t eventBytes);
 
 constexpr int eventsPerStream = 6;
 /** Path of streams whose events hold the server's version. */
 inline const std::string versionedPath = "/t/versions";
+constexpr std::size_t slowEvents = 24;
+/** Paths of streams for callers that read slowly, with slowEvents events of the size that the request's body gives. */
+inline const std::string slowPath = "/t/slow";
+/** The same, of a route whose streams are not resumed. */
+inline const std::string slowOncePath = "/u/slow";
 /** Body of the request that crashes every server. */
 inline const std::string crashingBody = "crash";
 /** API key that the operator revokes and grants again. The ids of requests with it begin with `f`. */
--- a/test/soak/BlockingHttpClient.cpp
+++ b/test/soak/BlockingHttpClient.cpp
@@ -14,6 +14,8 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+constexpr std::size_t minReceiveBuffer = 16384; // Less makes TCP wait for its timers.
+
 struct BlockingHttpClient::Socket {
     boost::asio::io_context io;
     boost::beast::tcp_stream stream { io };
@@ -48,11 +50,17 @@
 
 } // namespace
 
-bool BlockingHttpClient::connect()
+bool BlockingHttpClient::connect(const ReadPace& pace)
 {
     const auto colon = m_address.rfind(':');
     const tcp::endpoint endpoint(boost::asio::ip::make_address(m_address.substr(0, colon)), static_cast<unsigned short>(std::stoi(m_address.substr(colon + 1))));
     m_socket = std::make_unique<Socket>();
+    if (pace.pieceBytes > 0) {
+        // A small window, so that the sender notices.
+        boost::system::error_code ignored;
+        m_socket->stream.socket().open(endpoint.protocol(), ignored);
+        m_socket->stream.socket().set_option(boost::asio::socket_base::receive_buffer_size(static_cast<int>(std::max(pace.pieceBytes, minReceiveBuffer))), ignored);
+    }
     m_socket->stream.expires_after(std::min<std::chrono::milliseconds>(m_timeout, std::chrono::seconds(1)));
     const auto ec = runToCompletion(m_socket->io, [&](auto handler) { m_socket->stream.async_connect(endpoint, handler); });
     if (ec)
@@ -60,10 +68,10 @@
     return !ec;
 }
 
-ClientResponse BlockingHttpClient::call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& pace)
+ClientResponse BlockingHttpClient::call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& pace, const ReadPace& readPace)
 {
     ClientResponse result;
-    if (!m_socket && !connect())
+    if (!m_socket && !connect(readPace))
         return result;
     http::request<http::string_body> request;
     request.method_string(method);
@@ -90,8 +98,25 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(64U << 20U);
-    if (!ec)
-        ec = runToCompletion(m_socket->io, [&](auto handler) { http::async_read(stream, m_socket->buf, parser, handler); });
+    parser.eager(true);
+    auto& buf = m_socket->buf;
+    while (readPace.pieceBytes > 0 && !ec && !parser.is_done()) {
+        std::size_t n = 0;
+        ec = runToCompletion(m_socket->io, [&](auto handler) {
+            stream.async_read_some(buf.prepare(readPace.pieceBytes), [&n, handler](const boost::system::error_code& readEc, std::size_t read) {
+                n = read;
+                handler(readEc);
+            });
+        });
+        buf.commit(n);
+        if (!ec)
+            buf.consume(parser.put(buf.data(), ec));
+        if (ec == http::error::need_more)
+            ec = {};
+        std::this_thread::sleep_for(readPace.pause);
+    }
+    if (!ec && !parser.is_done())
+        ec = runToCompletion(m_socket->io, [&](auto handler) { http::async_read(stream, buf, parser, handler); });
     const auto& response = parser.get();
     for (const auto& it : response) {
         std::string name(it.name_string());
--- a/test/soak/BlockingHttpClient.h
+++ b/test/soak/BlockingHttpClient.h
@@ -25,6 +25,12 @@
     std::chrono::milliseconds pause {};
 };
 
+/** How an answer is read. */
+struct ReadPace {
+    std::size_t pieceBytes = 0; ///< Largest size of the pieces between which the client pauses; 0 for no pauses.
+    std::chrono::milliseconds pause {};
+};
+
 /** Sends requests one after another over a persistent connection, which it opens when needed. Not thread-safe. */
 class BlockingHttpClient {
 public:
@@ -35,7 +41,7 @@
     BlockingHttpClient& operator=(const BlockingHttpClient&) = delete;
 
     /** Connecting takes up to one second, or `timeout` if that is shorter, in addition to the timeout of the call. */
-    ClientResponse call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& = SendPace {});
+    ClientResponse call(const std::string& method, const std::string& target, const std::map<std::string, std::string>& fields, const std::string& body, const SendPace& = SendPace {}, const ReadPace& = ReadPace {});
     const std::string& address() const { return m_address; }
     void close();
 
@@ -43,7 +49,7 @@
     struct Socket;
 
     /** Returns false if no connection is established in time. */
-    bool connect();
+    bool connect(const ReadPace&);
 
     std::string m_address;
     std::chrono::milliseconds m_timeout;
--- a/test/soak/Clients.cpp
+++ b/test/soak/Clients.cpp
@@ -1,7 +1,5 @@
 #include "soak/Clients.h"
 
-#include "soak/BlockingHttpClient.h"
-
 #include <fmt/format.h>
 
 namespace HickoryHollow::Soak {
@@ -57,13 +55,13 @@
         checker.recordViolation("valid requests are not denied", fmt::format("{} got status {}", id, answer.status));
 }
 
-bool sendRequest(BlockingHttpClient& client, GuaranteeChecker& checker, const std::string& id, RequestKind kind, bool isLong = false)
+unsigned sendRequest(BlockingHttpClient& client, GuaranteeChecker& checker, const std::string& id, RequestKind kind, std::chrono::milliseconds timeLimit, bool isLong = false)
 {
     checker.recordRequest(id);
-    const auto answer = client.call("POST", isLong ? "/o/long" : pathFor(kind), { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", "4000" }, { "Authorization", "Bearer " + (id.starts_with("f") ? revocableKey : permanentKey) } }, "plate " + id);
+    const auto answer = client.call("POST", isLong ? "/o/long" : pathFor(kind), { { "Host", "h.example" }, { "Attempt-Id", id }, { "Deadline-Ms", std::to_string(timeLimit.count()) }, { "Authorization", "Bearer " + (id.starts_with("f") ? revocableKey : permanentKey) } }, "plate " + id);
     checker.recordResponse(id, answer.status);
     checkResponse(answer, id, kind, checker);
-    return answer.status == ok;
+    return answer.status;
 }
 
 std::string configuration(std::uint64_t version, bool withRevocableKey)
@@ -75,8 +73,8 @@
     std::string more;
     for (int i = 0; i < furtherRoutes; ++i)
         more += ',' + route(fmt::format("more-{}", i).c_str(), fmt::format("/more-{}/", i).c_str(), "safe", "");
-    return fmt::format(R"({{"version":{},"routes":[{},{},{}{}],"services":[{{"name":"s","max-conns":200}}],"tenants":[{{"name":"steady","api-keys":["{}"]}},{{"name":"fickle","api-keys":[{}]}}]}})", version,
-        route("once", "/o/", "unsafe", R"(,"max-attempts":2)"), route("again", "/r/", "safe", R"(,"max-attempts":2)"), route("stream", "/t/", "streaming", R"(,"max-attempts":2,"sticky":true,"resumable":true,"itl-target-ms":500)"), more, permanentKey, withRevocableKey ? '"' + revocableKey + '"' : "");
+    return fmt::format(R"({{"version":{},"routes":[{},{},{},{}{}],"services":[{{"name":"s","max-conns":200}}],"tenants":[{{"name":"steady","api-keys":["{}"]}},{{"name":"fickle","api-keys":[{}]}}]}})", version,
+        route("once", "/o/", "unsafe", R"(,"max-attempts":2)"), route("again", "/r/", "safe", R"(,"max-attempts":2)"), route("stream", "/t/", "streaming", R"(,"max-attempts":2,"sticky":true,"resumable":true,"itl-target-ms":500)"), route("stream-once", "/u/", "streaming", R"(,"max-attempts":2,"sticky":true,"resumable":false,"itl-target-ms":500)"), more, permanentKey, withRevocableKey ? '"' + revocableKey + '"' : "");
 }
 
 } // namespace
@@ -95,10 +93,15 @@
         it.join();
 }
 
+unsigned Callers::request(BlockingHttpClient& client, GuaranteeChecker& checker, const std::string& id, RequestKind kind, std::chrono::milliseconds timeLimit)
+{
+    return sendRequest(client, checker, id, kind, timeLimit);
+}
+
 bool Callers::requestOnce(const std::string& address, GuaranteeChecker& checker, const std::string& id, RequestKind kind)
 {
     BlockingHttpClient client(address, callerTimeout);
-    return sendRequest(client, checker, id, kind);
+    return sendRequest(client, checker, id, kind, callerTimeout) == ok;
 }
 
 void Callers::run(const Deployment& deployment, int number, std::uint64_t seed)
@@ -118,7 +121,7 @@
             continue;
         }
         const auto isLong = kind == RequestKind::Once && request % longInterval == 0;
-        if (!sendRequest(*client, m_checker, fmt::format("{}{}-{}", usesRevocableKey ? 'f' : 's', number, request), kind, isLong))
+        if (sendRequest(*client, m_checker, fmt::format("{}{}-{}", usesRevocableKey ? 'f' : 's', number, request), kind, callerTimeout, isLong) != ok)
             client.reset();
         std::this_thread::sleep_for(requestPause);
     }
--- a/test/soak/Clients.h
+++ b/test/soak/Clients.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/SeededRandom.h"
+#include "soak/BlockingHttpClient.h"
 #include "soak/Deployment.h"
 #include "soak/GuaranteeChecker.h"
 
@@ -26,6 +27,8 @@
     Callers(const Callers&) = delete;
     Callers& operator=(const Callers&) = delete;
 
+    /** Sends one request with this time limit and checks its answer. Returns the status, or 0 if no complete answer came. */
+    static unsigned request(BlockingHttpClient&, GuaranteeChecker&, const std::string& id, RequestKind, std::chrono::milliseconds timeLimit);
     /** Sends one request over a new connection. Returns whether it was served. */
     static bool requestOnce(const std::string& address, GuaranteeChecker&, const std::string& id, RequestKind);
 
--- a/test/soak/Deployment.cpp
+++ b/test/soak/Deployment.cpp
@@ -1,5 +1,6 @@
 #include "soak/Deployment.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
 
@@ -16,6 +17,15 @@
 
 // The numbers of backend servers begin here, so that their addresses differ from those of the instances.
 constexpr int firstBackendNumber = 1000;
+constexpr int backendNetwork = 5; // Third number of their addresses.
+constexpr int firstPathNetwork = 16;
+constexpr int maxPaths = 8;
+
+// Built beside the soak.
+std::filesystem::path pathLibrary()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path() / "soak-server-path.so";
+}
 
 } // namespace
 
@@ -44,12 +54,17 @@
             addProxy(name + "-callers", i, callerPort);
         }
         writeSettings(i, true);
-        m_processes.push_back(std::make_unique<Process>(m_options.program, m_options.folder / (name + ".ini"), m_options.folder / (name + ".log")));
+        m_processes.push_back(std::make_unique<Process>(m_options.program, m_options.folder / (name + ".ini"), m_options.folder / (name + ".log"), environmentFor(i)));
     }
     for (int i = 0; i < m_options.backends; ++i) {
         addProxy(fmt::format("backend{}", i), firstBackendNumber + i, serverPort);
         m_backends.push_back(std::make_unique<Backend>(Backend::Options { .listen = boundAddress(firstBackendNumber + i, serverPort), .advertised = advertisedAddress(firstBackendNumber + i, serverPort), .number = i, .seed = m_options.seed + static_cast<std::uint64_t>(i) }, checker));
     }
+    for (int entry = 0; entry < std::min(maxPaths, m_options.entries); ++entry) {
+        auto& path = m_paths.emplace_back();
+        for (int i = 0; i < m_options.backends; ++i)
+            path.push_back(std::make_unique<FaultProxy>(m_loop, fmt::format("{}.{}:{}", pathNetwork(entry), i + 1, serverPort), advertisedAddress(firstBackendNumber + i, serverPort)));
+    }
     m_thread = std::thread([this] { m_loop.run(); });
     for (const auto& it : m_processes)
         it->start();
@@ -62,6 +77,31 @@
     m_thread.join();
 }
 
+std::string Deployment::pathNetwork(int entry) const
+{
+    return fmt::format("127.{}.{}", m_options.network, firstPathNetwork + entry);
+}
+
+std::vector<std::string> Deployment::environmentFor(int number) const
+{
+    const auto entry = number - m_options.states;
+    if (entry < 0 || entry >= maxPaths)
+        return {};
+    return { "LD_PRELOAD=" + pathLibrary().string(), fmt::format("SOAK_SERVERS=127.{}.{}", m_options.network, backendNetwork), "SOAK_PATH=" + pathNetwork(entry) };
+}
+
+void Deployment::setServerLinks(int entry, LinkFault fault)
+{
+    for (const auto& it : m_paths.at(static_cast<std::size_t>(entry)))
+        it->setFault(fault);
+}
+
+bool Deployment::usesServerLinks(int entry) const
+{
+    const auto& path = m_paths.at(static_cast<std::size_t>(entry));
+    return std::any_of(path.begin(), path.end(), [](const auto& it) { return it->wasUsed(); });
+}
+
 void Deployment::writeSettings(int number, bool isFirstStart) const
 {
     std::ofstream file(m_options.folder / fmt::format("n{}.ini", number));
@@ -108,4 +148,9 @@
     return advertisedAddress(m_options.states + entry, callerPort);
 }
 
+std::string Deployment::directCallerAddress(int entry) const
+{
+    return boundAddress(m_options.states + entry, callerPort);
+}
+
 } // namespace HickoryHollow::Soak
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -1,6 +1,6 @@
 /** \file
- * TCP proxy in front of one listener that injects network faults: delay, blocked traffic in one or both directions, and
- * connection resets.
+ * TCP proxy in front of one listener that injects network faults: delay, blocked traffic in one or both directions,
+ * connection resets and cuts.
  */
 #pragma once
 
@@ -22,6 +22,9 @@
     CutIn, ///< No data passes towards the listener.
     CutOut, ///< No data passes from the listener to its clients.
     Reset, ///< Open connections are reset, and new ones as soon as they are accepted.
+    CutSilently, ///< All packets are lost in both directions; new connections hang.
+    CutReset, ///< Open connections are reset, new ones refused.
+    CutNew, ///< Open connections live on, new ones are refused.
 };
 
 std::string_view toString(LinkFault);
@@ -36,6 +39,8 @@
 
     /** Replaces the present fault; LinkFault::None ends it. Thread-safe; it takes effect on the loop's thread. */
     void setFault(LinkFault);
+    /** Returns whether a connection was ever accepted. Thread-safe. */
+    bool wasUsed() const;
 
 private:
     struct State;
--- a/test/soak/GuaranteeChecker.cpp
+++ b/test/soak/GuaranteeChecker.cpp
@@ -44,6 +44,27 @@
     return it != m_requests.end() && it->second.executions > 0;
 }
 
+void GuaranteeChecker::recordAnswer(const std::string& id, bool isWhole)
+{
+    const std::lock_guard guard(m_mutex);
+    auto& request = m_requests[id];
+    (isWhole ? request.hasWholeAnswer : request.isBrokenOff) = true;
+}
+
+bool GuaranteeChecker::hasWholeAnswer(const std::string& id) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto it = m_requests.find(id);
+    return it != m_requests.end() && it->second.hasWholeAnswer;
+}
+
+bool GuaranteeChecker::isBrokenOff(const std::string& id) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto it = m_requests.find(id);
+    return it != m_requests.end() && it->second.isBrokenOff;
+}
+
 void GuaranteeChecker::recordKeyRevocation(Clock::time_point acknowledgedAt)
 {
     const std::lock_guard guard(m_mutex);
--- a/test/soak/GuaranteeChecker.h
+++ b/test/soak/GuaranteeChecker.h
@@ -58,6 +58,12 @@
     void recordOutage(Clock::time_point end);
     /** Returns whether a backend server has begun to run the request. */
     bool hasRun(const std::string& id) const;
+    /** A backend server has written its whole answer, or has broken it off. */
+    void recordAnswer(const std::string& id, bool isWhole);
+    /** Returns whether a backend server has written its whole answer to the request. */
+    bool hasWholeAnswer(const std::string& id) const;
+    /** Returns whether a backend server has broken an answer to the request off. */
+    bool isBrokenOff(const std::string& id) const;
     /** Reports a violation of `guarantee`. */
     void recordViolation(const std::string& guarantee, const std::string& details);
 
@@ -73,6 +79,8 @@
         RequestKind kind = RequestKind::Once;
         unsigned refusalStatus = 0; // Status of a refusal as not run, or 0.
         Clock::time_point sentAt {};
+        bool hasWholeAnswer = false;
+        bool isBrokenOff = false;
     };
 
     mutable std::mutex m_mutex;
--- a/test/soak/PlannedStops.cpp
+++ b/test/soak/PlannedStops.cpp
@@ -3,10 +3,12 @@
 #include "base/SeededRandom.h"
 #include "soak/Backend.h"
 #include "soak/BlockingHttpClient.h"
+#include "soak/SlowReaders.h"
 
 #include <atomic>
 #include <csignal>
 #include <fmt/format.h>
+#include <iostream>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -75,7 +77,7 @@
         while (process.isRunning() && !process.hasExited() && Clock::now() < end)
             std::this_thread::sleep_for(10ms);
         if (process.isRunning()) {
-            checker.recordViolation("a drain ends in time", fmt::format("n{} still runs", number));
+            checker.recordViolation("a drain ends in time", fmt::format("n{} still runs: {}", number, process.describeThreads()));
             process.sendSignal(SIGKILL);
             process.wait();
         }
@@ -90,6 +92,11 @@
 {
     SeededRandom random(seed);
     const StopCallers callers(deployment, checker, seed);
+    SlowReaders readers(deployment, checker, seed);
+    const auto stop = [&](int instance) {
+        readers.recordStop(instance);
+        deployment.process(instance).sendSignal(SIGTERM);
+    };
     std::this_thread::sleep_for(startTime);
     const auto entries = deployment.options().entries;
     const auto first = deployment.options().states + static_cast<int>(random.below(static_cast<std::uint64_t>(entries)));
@@ -98,17 +105,18 @@
         auto& process = deployment.process(entry(i));
         if (random.below(2) == 0)
             process.sendSignal(SIGHUP);
-        process.sendSignal(SIGTERM);
+        stop(entry(i));
         std::this_thread::sleep_for(std::chrono::milliseconds(random.below(maxPause)));
         process.sendSignal(random.below(2) == 0 ? SIGTERM : SIGHUP);
         awaitExits(deployment, checker, { entry(i) }, drainTimeout);
     }
     const auto one = entry(stopsInSeries);
     const auto other = entry(stopsInSeries + 1);
-    deployment.process(one).sendSignal(SIGTERM);
+    stop(one);
     std::this_thread::sleep_for(std::chrono::milliseconds(random.below(maxPause)));
-    deployment.process(other).sendSignal(SIGTERM);
+    stop(other);
     awaitExits(deployment, checker, { one, other }, drainTimeout);
+    std::cout << readers.summary() << '\n';
 }
 
 } // namespace HickoryHollow::Soak
--- a/test/soak/PlannedStops.h
+++ b/test/soak/PlannedStops.h
@@ -1,6 +1,6 @@
 /** \file
- * Stops entry instances by signal while callers send short and long requests that must not run twice, and checks that none of these is
- * cut off without an answer once it ran.
+ * Stops entry instances by signal while callers send short and long requests that must not run twice and read streams
+ * slowly, and checks that none of these is cut off without a whole answer once it ran.
  */
 #pragma once
 
--- a/test/soak/Process.cpp
+++ b/test/soak/Process.cpp
@@ -1,5 +1,6 @@
 #include "soak/Process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -23,10 +24,11 @@
 
 } // namespace
 
-Process::Process(std::string program, std::filesystem::path settings, std::filesystem::path log)
+Process::Process(std::string program, std::filesystem::path settings, std::filesystem::path log, std::vector<std::string> environment)
     : m_program(std::move(program))
     , m_settings(std::move(settings))
     , m_log(std::move(log))
+    , m_environment(std::move(environment))
 {
 }
 
@@ -41,6 +43,12 @@
 
 void Process::start()
 {
+    std::vector<char*> environment;
+    for (auto& it : m_environment)
+        environment.push_back(it.data());
+    for (auto** it = environ; *it; ++it)
+        environment.push_back(*it);
+    environment.push_back(nullptr);
     m_pid = ::fork();
     if (m_pid < 0)
         throw std::runtime_error("fork failed for " + m_program);
@@ -53,7 +61,7 @@
     const auto log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
-    ::execl(m_program.c_str(), m_program.c_str(), m_settings.c_str(), nullptr);
+    ::execle(m_program.c_str(), m_program.c_str(), m_settings.c_str(), nullptr, environment.data());
     ::_exit(127);
 }
 
@@ -84,6 +92,23 @@
     return true;
 }
 
+std::string Process::describeThreads() const
+{
+    std::string text;
+    std::error_code ec;
+    for (const auto& it : std::filesystem::directory_iterator("/proc/" + std::to_string(m_pid) + "/task", ec)) {
+        std::string name;
+        std::string state;
+        std::string place;
+        std::getline(std::ifstream(it.path() / "comm"), name);
+        std::ifstream status(it.path() / "status");
+        while (std::getline(status, state) && !state.starts_with("State:")) { }
+        std::getline(std::ifstream(it.path() / "wchan"), place);
+        text += (text.empty() ? "" : ", ") + name + " " + state.substr(std::min(state.size(), state.find('\t') + 1)) + " in " + place;
+    }
+    return text;
+}
+
 std::size_t Process::residentBytes() const
 {
     const auto folder = "/proc/" + std::to_string(m_pid);
--- a/test/soak/Process.h
+++ b/test/soak/Process.h
@@ -9,14 +9,15 @@
 #include <optional>
 #include <string>
 #include <sys/types.h>
+#include <vector>
 
 namespace HickoryHollow::Soak {
 
 /** Not thread-safe. The destructor kills the daemon if it still runs. */
 class Process {
 public:
-    /** The daemon's output is appended to `log` by each start. */
-    Process(std::string program, std::filesystem::path settings, std::filesystem::path log);
+    /** The daemon's output is appended to `log` by each start. `environment` has entries `NAME=VALUE` beside the soak's own. */
+    Process(std::string program, std::filesystem::path settings, std::filesystem::path log, std::vector<std::string> environment);
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
@@ -33,6 +34,8 @@
     bool isRunning() const { return m_pid > 0; }
     /** Makes the daemon's writes to files fail, as on a full disk, or succeed again. */
     void setDiskFull(bool isFull) const;
+    /** Names, states and places in the kernel of its threads, to tell what a process waits for that does not exit. */
+    std::string describeThreads() const;
     /** Memory that the daemon uses, in bytes; 0 if it does not run. May be called from any thread, as sendSignal(). */
     std::size_t residentBytes() const;
 
@@ -40,6 +43,7 @@
     std::string m_program;
     std::filesystem::path m_settings;
     std::filesystem::path m_log;
+    std::vector<std::string> m_environment;
     std::atomic<pid_t> m_pid = 0; // 0 while the daemon does not run. Atomic for residentBytes() and sendSignal().
     std::optional<int> m_exitCode; // Exit code of the last run; empty if a signal ended it.
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -6,8 +6,10 @@
  */
 #include "soak/Clients.h"
 #include "soak/Deployment.h"
+#include "soak/FullDisks.h"
 #include "soak/LargeCallers.h"
 #include "soak/PlannedStops.h"
+#include "soak/ServerCuts.h"
 #include "soak/TakenUpStreams.h"
 
 #include <algorithm>
@@ -18,6 +20,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Soak;
@@ -33,6 +36,20 @@
 constexpr int largeCallers = 10; // Their bodies together take more than half of an instance's memory.
 constexpr auto drainTimeout = 6s; // `drain-s` of the settings, and a margin for a busy machine.
 
+/** What a run consists of. */
+using Parts = std::set<std::string>;
+const Parts allParts { "faults", "disks", "cuts", "stops" };
+
+/** Throws std::runtime_error if one is unknown. */
+Parts parseParts(const std::vector<std::string>& names)
+{
+    for (const auto& it : names) {
+        if (!allParts.contains(it))
+            throw std::runtime_error(fmt::format("--parts: no part `{}`; the parts are {}", it, fmt::join(allParts, ", ")));
+    }
+    return { names.begin(), names.end() };
+}
+
 /** Injects random faults at random intervals and ends each after its duration. Faults may overlap. */
 class FaultSchedule {
 public:
@@ -218,7 +235,7 @@
             if (!m_deployment.process(number).hasExited() && Clock::now() < deadline)
                 return awaitExit(number, deadline);
             if (m_deployment.process(number).isRunning()) {
-                m_checker.recordViolation("a drain ends in time", fmt::format("n{} still runs {} s after SIGTERM", number, drainTimeout.count()));
+                m_checker.recordViolation("a drain ends in time", fmt::format("n{} still runs {} s after SIGTERM: {}", number, drainTimeout.count(), m_deployment.process(number).describeThreads()));
                 m_deployment.process(number).sendSignal(SIGKILL);
                 m_deployment.process(number).wait();
             }
@@ -305,21 +322,21 @@
 // Once all faults have ended, reports each entry instance that has not served some kind of request by the recovery bound and
 // in ten requests. Ten, because the backend servers go on failing three requests in a hundred and an instance may have spent
 // its retry budget.
-void checkRecovery(const Deployment& deployment, GuaranteeChecker& checker)
+void checkRecovery(const Deployment& deployment, GuaranteeChecker& checker, const std::string& after)
 {
     const auto end = Clock::now() + recoveryBound;
     for (int entry = 0; entry < deployment.options().entries; ++entry) {
         for (const auto kind : { RequestKind::Once, RequestKind::Repeatable, RequestKind::Stream }) {
             auto isServed = false;
             for (int request = 0; !isServed && (request < minRecoveryTries || Clock::now() < end); ++request)
-                isServed = Callers::requestOnce(deployment.callerAddress(entry), checker, fmt::format("s-end-{}-{}-{}", entry, static_cast<int>(kind), request), kind);
+                isServed = Callers::requestOnce(deployment.callerAddress(entry), checker, fmt::format("s-{}-{}-{}-{}", after, entry, static_cast<int>(kind), request), kind);
             if (!isServed)
-                checker.recordViolation("recovery", fmt::format("entry instance {} does not serve requests of kind {}", entry, static_cast<int>(kind)));
+                checker.recordViolation("recovery", fmt::format("entry instance {} does not serve requests of kind {} after {}", entry, static_cast<int>(kind), after));
         }
     }
 }
 
-int runSoak(const Deployment::Options& options, int callers, std::chrono::milliseconds length)
+int runSoak(const Deployment::Options& options, const Parts& parts, int callers, std::chrono::milliseconds length)
 {
     GuaranteeChecker checker;
     Deployment deployment(options, checker);
@@ -330,7 +347,7 @@
     {
         const Announcer announcer(deployment, options.backends);
         Operator configurator(deployment, checker, options.seed + 1);
-        {
+        if (parts.contains("faults")) {
             const Callers load(deployment, checker, callers, options.seed + 2);
             const TakenUpStreams streams(deployment, checker, streamCallers, options.seed + 5);
             const LargeCallers large(deployment, checker, largeCallers, options.seed + 3);
@@ -339,8 +356,15 @@
             servedLargeBodies = large.served();
             std::cout << streams.summary() << '\n';
         }
-        checkRecovery(deployment, checker);
-        checkPlannedStops(deployment, checker, options.seed + 4, drainTimeout);
+        checkRecovery(deployment, checker, "faults");
+        if (parts.contains("disks"))
+            checkFullDisks(deployment, checker, configurator, options.seed + 6, recoveryBound);
+        if (parts.contains("cuts")) {
+            checkServerCuts(deployment, checker, options.seed + 7);
+            checkRecovery(deployment, checker, "cuts");
+        }
+        if (parts.contains("stops"))
+            checkPlannedStops(deployment, checker, options.seed + 4, drainTimeout);
         configurator.checkReads(std::chrono::duration_cast<std::chrono::seconds>(recoveryBound));
         acknowledged = configurator.acknowledged();
     }
@@ -361,7 +385,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("hickory-soak", "Injects faults into a deployment of real daemons and checks its guarantees.");
-    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
+    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("parts", "What runs", cxxopts::value<std::vector<std::string>>()->default_value("faults,disks,cuts,stops"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -371,7 +395,7 @@
         constexpr int states = 5;
         const auto processes = std::max(states + 3, arguments["processes"].as<int>());
         const auto entries = processes - states;
-        return runSoak({ .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() }, arguments["callers"].as<int>(), std::chrono::milliseconds(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000)));
+        return runSoak({ .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() }, parseParts(arguments["parts"].as<std::vector<std::string>>()), arguments["callers"].as<int>(), std::chrono::milliseconds(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000)));
     } catch (const std::exception& error) {
         std::cerr << fmt::format("hickory-soak: {}\n", error.what());
         return EXIT_FAILURE;
