--- a/test/soak/Process.cpp
+++ b/test/soak/Process.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <fstream>
 #include <stdexcept>
 #include <string>
@@ -104,7 +105,7 @@
         std::ifstream status(it.path() / "status");
         while (std::getline(status, state) && !state.starts_with("State:")) { }
         std::getline(std::ifstream(it.path() / "wchan"), place);
-        text += (text.empty() ? "" : ", ") + name + " " + state.substr(std::min(state.size(), state.find('\t') + 1)) + " in " + place;
+        text += fmt::format("{}{} {} in {}", text.empty() ? "" : ", ", name, state.substr(std::min(state.size(), state.find('\t') + 1)), place);
     }
     return text;
 }
