Let a voter that was replaced while its disk was full come back

A voter that is silent for 3 s is replaced if another instance waits to join. The one that was replaced does not have that entry: by its own log it is still a voter, so it sends vote requests, to the voters that it knows, and no join requests. If the instance that took a place leads by then, it is not among these, and the leader sends nothing to a replica that is no voter. So the instance stayed out until the leader changed, never held a version sent since, and refused each change that it was given, as it knew no leader to pass it to.

A replica now asks all peers to join with each pre-vote. Only a leader for which the sender is no voter acts on that, so ordinary elections are as before.

--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -68,13 +68,8 @@
 void Replica::tick(TimePoint now, ReplicaOutput& out)
 {
     if (!isMember(m_options.self)) {
-        const auto isJoinRequestDue = now - m_joinRequestedAt >= joinRequestInterval;
-        for (const auto& it : m_options.peers) {
-            if (isJoinRequestDue)
-                out.messages.push_back({ .from = m_options.self, .fromIncarnation = m_options.incarnation, .to = it, .toReplica = std::nullopt, .payload = JoinRequest { .isLogEmpty = m_log.last().value() == 0 } });
-        }
-        if (isJoinRequestDue)
-            m_joinRequestedAt = now;
+        if (now - m_joinRequestedAt >= joinRequestInterval)
+            requestToJoin(now, out);
         if (m_role == Role::Leader)
             becomeFollower(m_vote.term, now, out);
         return;
@@ -95,6 +90,13 @@
         startHeartbeatRound(now, out);
 }
 
+void Replica::requestToJoin(TimePoint now, ReplicaOutput& out)
+{
+    m_joinRequestedAt = now;
+    for (const auto& it : m_options.peers)
+        out.messages.push_back({ .from = m_options.self, .fromIncarnation = m_options.incarnation, .to = it, .toReplica = std::nullopt, .payload = JoinRequest { .isLogEmpty = m_log.last().value() == 0 } });
+}
+
 void Replica::becomeFollower(Term term, TimePoint now, ReplicaOutput& out)
 {
     if (term > m_vote.term) {
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -145,6 +145,8 @@
 
     void becomeFollower(Term, TimePoint now, ReplicaOutput&);
     void startElection(bool isPreVote, TimePoint now, ReplicaOutput&);
+    /** Asks all peers for a place as a learner; only a leader that does not know this replica as a voter grants it. */
+    void requestToJoin(TimePoint now, ReplicaOutput&);
     void becomeLeader(TimePoint now, ReplicaOutput&);
     void handleVoteReply(const AgreementMessage&, const VoteReply&, TimePoint now, ReplicaOutput&);
     void handleVoteRequest(const AgreementMessage&, const VoteRequest&, TimePoint now, ReplicaOutput&);
--- a/src/agreement/ReplicaElection.cpp
+++ b/src/agreement/ReplicaElection.cpp
@@ -31,6 +31,10 @@
         if (it != m_options.self)
             send(it, VoteRequest { .isPreVote = isPreVote, .term = term, .lastIndex = m_log.last(), .lastTerm = m_log.lastTerm() }, out);
     }
+    // If this replica was replaced as a voter while it was away, the leader may be one that became a voter since: it is not
+    // among the voters known here, and sends nothing by itself.
+    if (isPreVote)
+        requestToJoin(now, out);
     if (!isQuorum(m_votesReceived.size()))
         return;
     if (isPreVote)
--- a/test/fakes/FakeFileSystem.h
+++ b/test/fakes/FakeFileSystem.h
@@ -22,6 +22,18 @@
         Crash, ///< This operation and all later ones fail, as if the process had died there. An append writes as for Error.
     };
 
+    /** What a full disk refuses. Reading, removing and syncing the folder succeed. */
+    enum class Full {
+        Nothing, ///< The disk has room.
+        Writes, ///< Appending, which still writes the first half of its bytes.
+        Syncs, ///< Syncing and truncating a file: space is allocated only then.
+        Names, ///< Creating and renaming files.
+        All, ///< All of these.
+    };
+
+    /** Fills the disk, or frees it, from the next operation on. */
+    void setFull(Full full) { m_full = full; }
+
     /** Injects the fault at the operation with this number, counted from now; 1 is the next one. */
     void failAt(std::uint64_t operation, Fault fault)
     {
@@ -89,7 +101,7 @@
     }
     std::error_code open(const std::string& name, std::unique_ptr<File>& file) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(m_names.contains(name) ? Full::Nothing : Full::Names))
             return ec;
         auto& content = m_names[name];
         if (!content)
@@ -99,7 +111,7 @@
     }
     std::error_code truncate(const std::string& name, std::size_t size) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(Full::Syncs))
             return ec;
         auto& content = *m_names.at(name);
         content.bytes.resize(size);
@@ -108,7 +120,7 @@
     }
     std::error_code rename(const std::string& from, const std::string& to) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(Full::Names))
             return ec;
         m_names[to] = m_names.at(from);
         m_names.erase(from);
@@ -145,7 +157,7 @@
         std::error_code append(std::string_view bytes) override
         {
             const auto wasRunning = !m_fileSystem.m_hasCrashed;
-            const auto ec = m_fileSystem.beginOperation();
+            const auto ec = m_fileSystem.beginOperation(Full::Writes);
             if (!ec)
                 m_content->bytes.append(bytes);
             else if (wasRunning)
@@ -154,7 +166,7 @@
         }
         std::error_code sync() override
         {
-            const auto ec = m_fileSystem.beginOperation();
+            const auto ec = m_fileSystem.beginOperation(Full::Syncs);
             if (!ec)
                 m_content->synced = m_content->bytes.size();
             return ec;
@@ -165,13 +177,14 @@
         std::shared_ptr<Content> m_content;
     };
 
-    /** Counts an operation and returns the error injected into it, if any. */
-    std::error_code beginOperation()
+    /** Counts an operation, which a disk that is full in this way refuses, and returns the error injected into it, if any. */
+    std::error_code beginOperation(Full refusedBy = Full::Nothing)
     {
         ++m_operations;
         const auto isFaulty = m_fault != Fault::None && m_operations == m_faultAt;
         m_hasCrashed = m_hasCrashed || (isFaulty && m_fault == Fault::Crash);
-        return isFaulty || m_hasCrashed ? std::make_error_code(std::errc::no_space_on_device) : std::error_code();
+        const auto isRefused = refusedBy != Full::Nothing && (m_full == Full::All || m_full == refusedBy);
+        return isFaulty || isRefused || m_hasCrashed ? std::make_error_code(std::errc::no_space_on_device) : std::error_code();
     }
 
     std::map<std::string, std::shared_ptr<Content>> m_names;
@@ -179,6 +192,7 @@
     std::uint64_t m_operations = 0;
     std::uint64_t m_faultAt = 0; // Number of the operation, by m_operations.
     Fault m_fault = Fault::None;
+    Full m_full = Full::Nothing;
     bool m_hasCrashed = false;
 };
 
