Form the state again if the disk was full at the first attempt

At a deployment's first start one instance forms the replicated state. It took it for formed as soon as the replica had accepted the members, before the flush. If the disk was full then, the flush failed, the folder was read again without a trace of the state, and nobody formed it any more: every change got 503 for as long as the processes ran.

The instance now looks at the replica after a flush, when what it says is on disk, and tries again at the next tick otherwise. Forming twice cannot happen: Replica::form refuses a log that is not empty, and nothing is sent to other instances before the flush.

--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -178,10 +178,10 @@
     const auto lowest = std::min_element(m_settings.seeds.begin(), m_settings.seeds.end());
     if (*lowest != m_mesh.self() || m_mesh.reachable().size() < std::size_t { 2 } * m_settings.toleratedLosses)
         return;
-    m_node->runBeforeFlush([this, alive = m_isAlive](StateCore& core, TimePoint now) {
-        const auto* replica = core.replica();
-        const auto isFormed = replica && replica->isFormed();
-        if (!isFormed && !core.form(now).empty())
+    m_node->runBeforeFlush([](StateCore& core, TimePoint now) { core.form(now); });
+    // On a full disk the flush fails, and the state does not exist.
+    m_node->runAfterFlush([this, alive = m_isAlive](const StateCore& core, TimePoint) {
+        if (!core.replica() || !core.replica()->isFormed())
             return;
         asio::post(m_loop, [this, alive] {
             if (*alive)
