Take no silent replica for the replacement of a silent voter

The leader tracks a replica that it has replaced for another 10 s, in case it comes back. Such a replica is caught up (no entries were added since), so it counted as a learner that may replace the next voter that is silent for 3 s: an instance that has ended took the place of one whose disk was full, that one took the place back, and so on until the log had moved on by the 64 entries that a learner may lack. Each step cost a sync at every instance, and for its time an ended instance was a voter that may be needed for a quorum.

A learner that has sent nothing for as long as makes a voter replaceable now becomes no voter. A replica that comes back is heard at once, by its requests to join or its replies.

--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -443,6 +443,9 @@
     for (const auto& [id, peer] : m_progress) {
         if (isMember(peer.member) || peer.matchIndex.value() + maxLearnerLagEntries < m_log.last().value())
             continue;
+        // A replica that was replaced as silent is no replacement for the next one.
+        if (now - peer.lastContactAt > m_options.voterReplacementTimeout)
+            continue;
         auto members = m_log.members();
         const auto joining = peer.member;
         const auto replaced = std::find_if(members.begin(), members.end(), [&joining](const auto& it) { return it.instance == joining.instance; });
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -45,7 +45,7 @@
     std::set<InstanceId> peers; ///< Other state instances. Only their replicas may become voters.
     ReplicaTimings timings;
     std::size_t maxVoters = 0; ///< Maximum number of voters; further replicas stay learners until one fails. 0: no maximum.
-    /** A voter that sends nothing for this long may be replaced by a learner. */
+    /** A voter that sends nothing for this long may be replaced by a learner, and a learner that does becomes no voter. */
     Duration voterReplacementTimeout = std::chrono::seconds(3);
 };
 
--- a/test/error/full_disks.cpp
+++ b/test/error/full_disks.cpp
@@ -168,7 +168,7 @@
 TEST_CASE("changes are acknowledged again after the disks were full one after another, in every order", "[state][disks]")
 {
     // With the smaller journal a snapshot is due after each change or two.
-    for (const std::uint64_t compactAfterBytes : { 500, 1'000'000 }) {
+    for (const std::uint64_t compactAfterBytes : { 500UL, 1'000'000UL }) {
         std::array<std::size_t, replicas> order { 0, 1, 2, 3, 4 };
         std::uint64_t seed = 0;
         do {
@@ -195,7 +195,7 @@
             StateFleet fleet(replicas, seed);
             start(fleet, 500);
             Operator client(fleet);
-            for (int i = 0; i < 6; ++i) {
+            for (std::uint64_t i = 0; i < 6; ++i) {
                 fill(fleet, client, leaderOf(fleet), full, 3s);
                 client.run(10ms * (seed * 7 % 100));
             }
@@ -333,3 +333,34 @@
         checkRecovered(fleet, client);
     }
 }
+
+TEST_CASE("no instance that has ended becomes a voter again while the disk of another is full", "[state][disks]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        StateFleet fleet(replicas, seed);
+        start(fleet, 1'000'000);
+        Operator client(fleet);
+        client.run(2s);
+        const auto ended = (leaderOf(fleet) + 1) % replicas;
+        const auto full = (leaderOf(fleet) + 2) % replicas;
+        fleet.crash(ended, true);
+        fleet.addNode("s5");
+        fleet.nodes[full]->files.setFull(Full::All);
+        const auto before = fleet.nodes[leaderOf(fleet)]->core->replica()->lastIndex().value();
+        for (int i = 0; i < 60; ++i) {
+            client.run(100ms);
+            const auto& members = fleet.nodes[leaderOf(fleet)]->core->replica()->members();
+            const auto hasEnded = std::any_of(members.begin(), members.end(), [&](const auto& it) { return it.instance == fleet.nodes[ended]->name; });
+            const auto hasNew = std::any_of(members.begin(), members.end(), [&](const auto& it) { return it.instance == fleet.nodes[replicas]->name; });
+            CHECK_FALSE((hasEnded && hasNew));
+        }
+        // The changes of six seconds, a removal and an addition for each of the two, and what an election adds.
+        CHECK(fleet.nodes[leaderOf(fleet)]->core->replica()->lastIndex().value() - before <= 12);
+        fleet.nodes[full]->files.setFull(Full::Nothing);
+        client.run(10s);
+        const auto& members = fleet.nodes[leaderOf(fleet)]->core->replica()->members();
+        CHECK(members.size() == replicas);
+        CHECK(std::none_of(members.begin(), members.end(), [&](const auto& it) { return it.instance == fleet.nodes[ended]->name; }));
+    }
+}
