Cut off what a failed sync left when the folder is opened again

Linux then drops the pages but still returns them to readers, and the next sync succeeds without them. The next loss of power left zeros in front of valid frames: the log was damaged, and the instance refused to start. With disks full in series that came to all five instances.

Opened again it cuts the log to that size. What is cut was never acknowledged: after a failed write no message is sent and each proposal is answered as unknown.

--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -39,7 +39,8 @@
 
 std::error_code StateCore::readDataFolder(RecoveredReplica& recovered)
 {
-    m_journal = std::make_unique<Journal>(m_files);
+    if (!m_journal)
+        m_journal = std::make_unique<Journal>(m_files);
     m_identity = {};
     Journal::Recovered read;
     if (const auto ec = m_journal->open(read))
@@ -113,6 +114,7 @@
     if (const auto ec = m_files.syncFolder())
         return ec;
     ++m_staleDiskCount;
+    m_journal.reset();
     logEvent(LogEvent::ReplicaRejected, "replica={:x} cause=stale-disk", m_identity.self.replica.value());
     return open(now);
 }
--- a/src/storage/Journal.cpp
+++ b/src/storage/Journal.cpp
@@ -63,6 +63,7 @@
 
 std::error_code Journal::open(Recovered& recovered)
 {
+    recovered = {};
     std::vector<std::string> names;
     if (const auto ec = m_fileSystem.list(names))
         return markFailed(ec);
@@ -72,11 +73,13 @@
     if (const auto ec = openGeneration(generation, recovered))
         return markFailed(ec);
     removeOldGenerations();
+    m_hasFailed = false;
     return {};
 }
 
 std::error_code Journal::openGeneration(std::uint64_t generation, Recovered& recovered)
 {
+    m_isLogDurable = m_isLogDurable && generation == m_generation;
     m_generation = generation;
     if (generation > 0) {
         std::string bytes;
@@ -96,6 +99,7 @@
     // from here on, so they must be durable.
     if (const auto ec = m_log->sync())
         return ec;
+    m_isLogDurable = true;
     return m_fileSystem.syncFolder();
 }
 
@@ -104,10 +108,18 @@
     const auto name = fileName(logPrefix, m_generation);
     std::string bytes;
     const auto readEc = m_fileSystem.read(name, bytes);
-    if (readEc == std::errc::no_such_file_or_directory)
+    if (readEc == std::errc::no_such_file_or_directory) {
+        m_logBytes = 0;
         return {};
+    }
     if (readEc)
         return readEc;
+    if (m_isLogDurable && bytes.size() > m_logBytes) {
+        recovered.truncatedBytes = bytes.size() - m_logBytes;
+        if (const auto ec = m_fileSystem.truncate(name, m_logBytes))
+            return ec;
+        bytes.resize(m_logBytes);
+    }
     auto rest = std::string_view(bytes);
     while (const auto payload = readFrame(rest)) {
         recovered.batches.emplace_back(*payload);
@@ -166,6 +178,7 @@
     m_generation = next;
     m_log = std::move(log);
     m_logBytes = 0;
+    m_isLogDurable = true;
     removeOldGenerations();
     return {};
 }
--- a/src/storage/Journal.h
+++ b/src/storage/Journal.h
@@ -23,7 +23,7 @@
 /** Errors of the journal itself; other error codes are those of the file system. */
 enum class JournalError {
     Damaged = 1, ///< Data that had been synced has changed since; the folder must not be used.
-    Failed, ///< An earlier operation failed; this Journal accepts no further ones. A new Journal may be opened.
+    Failed, ///< An earlier operation failed; the journal accepts no further ones until it is opened again.
 };
 
 std::error_code make_error_code(JournalError); // NOLINT(readability-identifier-naming)
@@ -45,13 +45,14 @@
     explicit Journal(FileSystem&);
 
     /**
-     * Reads the newest generation, truncates a torn tail and makes the journal ready for append(). Call it once, before
-     * any other operation. Returns JournalError::Damaged when the snapshot or a frame other than the last is invalid.
+     * Reads the newest generation, truncates a torn tail and makes the journal ready for append(). Call it before any other
+     * operation, and again after a failure; a batch whose append failed is removed then. Returns JournalError::Damaged when
+     * the snapshot or a frame other than the last is invalid.
      */
     std::error_code open(Recovered&);
     /**
-     * Appends one batch and syncs it. After an error the batch may or may not be found by the next open(), and the journal
-     * stays failed.
+     * Appends one batch and syncs it. After an error the journal stays failed, and the batch may or may not be found by
+     * another Journal that opens the folder.
      */
     std::error_code append(std::string_view batch);
     /** Starts a new generation that consists of this snapshot and an empty log, and removes the older one. */
@@ -71,6 +72,9 @@
     std::uint64_t m_generation = 0; // Number N of the current generation.
     std::unique_ptr<File> m_log; // The file log-N; set by a successful open().
     std::uint64_t m_logBytes = 0; // Size of log-N, without frames whose append failed.
+    // True once the first m_logBytes of log-N were synced. What is behind them then was never acknowledged, and may be in the
+    // page cache only: a failed sync drops it, and later ones succeed without it.
+    bool m_isLogDurable = false;
     bool m_hasFailed = false;
 };
 
--- a/test/error/full_disks.cpp
+++ b/test/error/full_disks.cpp
@@ -158,8 +158,10 @@
 {
     fleet.compactAfterBytes = compactAfterBytes;
     fleet.maxVoters = replicas;
-    for (std::size_t i = 0; i < fleet.nodes.size(); ++i)
+    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+        fleet.nodes[i]->files.dropUnsyncedOnFailure();
         fleet.start(i);
+    }
     REQUIRE(fleet.form());
 }
 
--- a/test/error/journal_faults.cpp
+++ b/test/error/journal_faults.cpp
@@ -183,3 +183,27 @@
     CHECK(journal.append("one"));
     CHECK(journal.append("two") == JournalError::Failed);
 }
+
+TEST_CASE("a batch whose sync failed takes no later one with it at a power loss", "[storage]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        SeededRandom random(seed);
+        FakeFileSystem files;
+        files.dropUnsyncedOnFailure();
+        Journal journal(files);
+        Journal::Recovered recovered;
+        REQUIRE_FALSE(journal.open(recovered));
+        REQUIRE_FALSE(journal.append("one"));
+        files.setFull(FakeFileSystem::Full::Syncs);
+        CHECK(journal.append("two"));
+        // The folder cannot be opened while the disk is full.
+        CHECK(journal.open(recovered));
+        files.setFull(FakeFileSystem::Full::Nothing);
+        REQUIRE_FALSE(journal.open(recovered));
+        CHECK(recovered.batches == std::vector<std::string> { "one" });
+        REQUIRE_FALSE(journal.append("three"));
+        files.losePower(random);
+        CHECK(recover(files) == std::vector<std::string> { "one", "three" });
+    }
+}
--- a/test/fakes/FakeFileSystem.h
+++ b/test/fakes/FakeFileSystem.h
@@ -6,6 +6,7 @@
 #include "base/RandomSource.h"
 #include "storage/FileSystem.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -34,6 +35,12 @@
     /** Fills the disk, or frees it, from the next operation on. */
     void setFull(Full full) { m_full = full; }
 
+    /**
+     * Lets a failed sync drop the bytes that it did not write, as Linux does: they can be read until the power is lost, but
+     * a later sync succeeds without them, and they are zeros then.
+     */
+    void dropUnsyncedOnFailure() { m_dropsOnFailure = true; }
+
     /** Injects the fault at the operation with this number, counted from now; 1 is the next one. */
     void failAt(std::uint64_t operation, Fault fault)
     {
@@ -52,6 +59,9 @@
         m_names = m_syncedNames;
         for (auto& [name, content] : m_names) {
             auto& bytes = content->bytes;
+            for (auto i = content->droppedFrom; i < std::min(content->droppedTo, bytes.size()); ++i)
+                bytes[i] = 0;
+            content->droppedTo = content->droppedFrom;
             const auto durableBytes = content->synced + (bytes.size() > content->synced ? random.below(bytes.size() - content->synced + 1) : 0);
             bytes.resize(durableBytes);
             content->synced = durableBytes;
@@ -116,6 +126,7 @@
         auto& content = *m_names.at(name);
         content.bytes.resize(size);
         content.synced = size;
+        content.droppedTo = std::min(content.droppedTo, size);
         return {};
     }
     std::error_code rename(const std::string& from, const std::string& to) override
@@ -144,7 +155,16 @@
 private:
     struct Content {
         std::string bytes;
-        std::size_t synced = 0; // Number of leading bytes that are durable.
+        std::size_t synced = 0; // Number of leading bytes that are durable, except for dropped ones.
+        std::size_t droppedFrom = 0; // First byte that a failed sync has dropped.
+        std::size_t droppedTo = 0; // End of the dropped bytes; none are if it is not behind droppedFrom.
+
+        void drop()
+        {
+            if (droppedTo <= droppedFrom)
+                droppedFrom = synced;
+            droppedTo = bytes.size();
+        }
     };
 
     class FakeFile final : public File {
@@ -169,6 +189,8 @@
             const auto ec = m_fileSystem.beginOperation(Full::Syncs);
             if (!ec)
                 m_content->synced = m_content->bytes.size();
+            else if (m_fileSystem.m_dropsOnFailure)
+                m_content->drop();
             return ec;
         }
 
@@ -193,6 +215,7 @@
     std::uint64_t m_faultAt = 0; // Number of the operation, by m_operations.
     Fault m_fault = Fault::None;
     Full m_full = Full::Nothing;
+    bool m_dropsOnFailure = false;
     bool m_hasCrashed = false;
 };
 
