Read a file into a buffer of its size

At the start of a process it does; in one that has recovered before it ran out of memory, as the string doubled while a log of 16 MB was read in pieces, and the freed entries stay with the allocator in between.

--- a/src/storage/PosixFileSystem.cpp
+++ b/src/storage/PosixFileSystem.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace HickoryHollow {
@@ -94,6 +95,10 @@
             return lastError();
         bytes.clear();
         constexpr std::size_t readChunkBytes = 1 << 20;
+        // Without it the string doubles as it grows, and a large log is held three times for a moment.
+        struct stat status { };
+        if (::fstat(file.get(), &status) == 0)
+            bytes.reserve(static_cast<std::size_t>(status.st_size) + readChunkBytes);
         for (;;) {
             const auto before = bytes.size();
             bytes.resize(before + readChunkBytes);
--- a/test/error/state_memory.cpp
+++ b/test/error/state_memory.cpp
@@ -6,6 +6,7 @@
 #include "storage/PosixFileSystem.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -92,6 +93,35 @@
     return !core.open(now) && lead(core, now) == RoutingVersion(versions);
 }
 
+/** As recover(); then the disk is full for some seconds after a change, and the folder is read again and again. */
+bool recoverFromFullDisk(const std::string& folder)
+{
+    const auto limit = addressSpace() + allowedBytes;
+    const rlimit limits { .rlim_cur = limit, .rlim_max = limit };
+    ::setrlimit(RLIMIT_AS, &limits);
+    std::signal(SIGXFSZ, SIG_IGN);
+    const auto files = openDataFolder(folder);
+    SeededRandom random(1);
+    StateCore core(options(), *files, random);
+    TimePoint now(2h);
+    if (core.open(now) || lead(core, now) != RoutingVersion(versions))
+        return false;
+    rlimit fileSize {};
+    ::getrlimit(RLIMIT_FSIZE, &fileSize);
+    const rlimit full { .rlim_cur = 1, .rlim_max = fileSize.rlim_max };
+    ::setrlimit(RLIMIT_FSIZE, &full);
+    core.propose(ProposalId(1), RoutingDocument { .version = RoutingVersion(versions + 1), .text = std::string(textBytes, 'x') }, LedgerTime(1), now);
+    core.flush(now);
+    auto hasFailed = static_cast<bool>(core.failure());
+    for (const auto end = now + 5s; now < end; now += 10ms) {
+        core.tick(now);
+        core.flush(now);
+        hasFailed = hasFailed && core.failure();
+    }
+    ::setrlimit(RLIMIT_FSIZE, &fileSize);
+    return hasFailed && lead(core, now) == RoutingVersion(versions);
+}
+
 } // namespace
 
 TEST_CASE("a state instance recovers from a storm of versions within a quarter of its memory", "[state][memory]")
@@ -102,3 +132,12 @@
     CHECK(runInProcess([&folder] { return recover(folder); }));
     std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("a state instance whose disk is full for a while reads a large journal again within a quarter of its memory", "[state][memory][disks]")
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("hickory-full-disk-memory-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    REQUIRE(runInProcess([&folder] { return writeJournal(folder); }));
+    CHECK(runInProcess([&folder] { return recoverFromFullDisk(folder); }));
+    std::filesystem::remove_all(folder);
+}
