--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -45,7 +45,7 @@
     std::set<InstanceId> peers; ///< Other state instances. Only their replicas may become voters.
     ReplicaTimings timings;
     std::size_t maxVoters = 0; ///< Maximum number of voters; further replicas stay learners until one fails. 0: no maximum.
-    /** A voter that sends nothing for this long may be replaced by a learner. */
+    /** A voter that sends nothing for this long may be replaced by a learner, and a learner that does becomes no voter. */
     Duration voterReplacementTimeout = std::chrono::seconds(3);
 };
 
@@ -145,6 +145,8 @@
 
     void becomeFollower(Term, TimePoint now, ReplicaOutput&);
     void startElection(bool isPreVote, TimePoint now, ReplicaOutput&);
+    /** Asks all peers for a place as a learner; only a leader that does not know this replica as a voter grants it. */
+    void requestToJoin(TimePoint now, ReplicaOutput&);
     void becomeLeader(TimePoint now, ReplicaOutput&);
     void handleVoteReply(const AgreementMessage&, const VoteReply&, TimePoint now, ReplicaOutput&);
     void handleVoteRequest(const AgreementMessage&, const VoteRequest&, TimePoint now, ReplicaOutput&);
--- a/test/fakes/FakeFileSystem.h
+++ b/test/fakes/FakeFileSystem.h
@@ -6,6 +6,7 @@
 #include "base/RandomSource.h"
 #include "storage/FileSystem.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,6 +23,24 @@
         Crash, ///< This operation and all later ones fail, as if the process had died there. An append writes as for Error.
     };
 
+    /** What a full disk refuses. Reading, removing and syncing the folder succeed. */
+    enum class Full {
+        Nothing, ///< The disk has room.
+        Writes, ///< Appending, which still writes the first half of its bytes.
+        Syncs, ///< Syncing and truncating a file: space is allocated only then.
+        Names, ///< Creating and renaming files.
+        All, ///< All of these.
+    };
+
+    /** Fills the disk, or frees it, from the next operation on. */
+    void setFull(Full full) { m_full = full; }
+
+    /**
+     * Lets a failed sync drop the bytes that it did not write, as Linux does: they can be read until the power is lost, but
+     * a later sync succeeds without them, and they are zeros then.
+     */
+    void dropUnsyncedOnFailure() { m_dropsOnFailure = true; }
+
     /** Injects the fault at the operation with this number, counted from now; 1 is the next one. */
     void failAt(std::uint64_t operation, Fault fault)
     {
@@ -40,6 +59,9 @@
         m_names = m_syncedNames;
         for (auto& [name, content] : m_names) {
             auto& bytes = content->bytes;
+            for (auto i = content->droppedFrom; i < std::min(content->droppedTo, bytes.size()); ++i)
+                bytes[i] = 0;
+            content->droppedTo = content->droppedFrom;
             const auto durableBytes = content->synced + (bytes.size() > content->synced ? random.below(bytes.size() - content->synced + 1) : 0);
             bytes.resize(durableBytes);
             content->synced = durableBytes;
@@ -89,7 +111,7 @@
     }
     std::error_code open(const std::string& name, std::unique_ptr<File>& file) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(m_names.contains(name) ? Full::Nothing : Full::Names))
             return ec;
         auto& content = m_names[name];
         if (!content)
@@ -99,16 +121,17 @@
     }
     std::error_code truncate(const std::string& name, std::size_t size) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(Full::Syncs))
             return ec;
         auto& content = *m_names.at(name);
         content.bytes.resize(size);
         content.synced = size;
+        content.droppedTo = std::min(content.droppedTo, size);
         return {};
     }
     std::error_code rename(const std::string& from, const std::string& to) override
     {
-        if (const auto ec = beginOperation())
+        if (const auto ec = beginOperation(Full::Names))
             return ec;
         m_names[to] = m_names.at(from);
         m_names.erase(from);
@@ -132,7 +155,16 @@
 private:
     struct Content {
         std::string bytes;
-        std::size_t synced = 0; // Number of leading bytes that are durable.
+        std::size_t synced = 0; // Number of leading bytes that are durable, except for dropped ones.
+        std::size_t droppedFrom = 0; // First byte that a failed sync has dropped.
+        std::size_t droppedTo = 0; // End of the dropped bytes; none are if it is not behind droppedFrom.
+
+        void drop()
+        {
+            if (droppedTo <= droppedFrom)
+                droppedFrom = synced;
+            droppedTo = bytes.size();
+        }
     };
 
     class FakeFile final : public File {
@@ -145,7 +177,7 @@
         std::error_code append(std::string_view bytes) override
         {
             const auto wasRunning = !m_fileSystem.m_hasCrashed;
-            const auto ec = m_fileSystem.beginOperation();
+            const auto ec = m_fileSystem.beginOperation(Full::Writes);
             if (!ec)
                 m_content->bytes.append(bytes);
             else if (wasRunning)
@@ -154,9 +186,11 @@
         }
         std::error_code sync() override
         {
-            const auto ec = m_fileSystem.beginOperation();
+            const auto ec = m_fileSystem.beginOperation(Full::Syncs);
             if (!ec)
                 m_content->synced = m_content->bytes.size();
+            else if (m_fileSystem.m_dropsOnFailure)
+                m_content->drop();
             return ec;
         }
 
@@ -165,13 +199,14 @@
         std::shared_ptr<Content> m_content;
     };
 
-    /** Counts an operation and returns the error injected into it, if any. */
-    std::error_code beginOperation()
+    /** Counts an operation, which a disk that is full in this way refuses, and returns the error injected into it, if any. */
+    std::error_code beginOperation(Full refusedBy = Full::Nothing)
     {
         ++m_operations;
         const auto isFaulty = m_fault != Fault::None && m_operations == m_faultAt;
         m_hasCrashed = m_hasCrashed || (isFaulty && m_fault == Fault::Crash);
-        return isFaulty || m_hasCrashed ? std::make_error_code(std::errc::no_space_on_device) : std::error_code();
+        const auto isRefused = refusedBy != Full::Nothing && (m_full == Full::All || m_full == refusedBy);
+        return isFaulty || isRefused || m_hasCrashed ? std::make_error_code(std::errc::no_space_on_device) : std::error_code();
     }
 
     std::map<std::string, std::shared_ptr<Content>> m_names;
@@ -179,6 +214,8 @@
     std::uint64_t m_operations = 0;
     std::uint64_t m_faultAt = 0; // Number of the operation, by m_operations.
     Fault m_fault = Fault::None;
+    Full m_full = Full::Nothing;
+    bool m_dropsOnFailure = false;
     bool m_hasCrashed = false;
 };
 
