Let entry instances learn each other's addresses through the state instances

An entry instance that reaches no backend server can have its requests served by another one only if it knows some before it is cut. Nothing told it: the state instances count entry instances, and know neither their addresses nor their failure domains.

Each entry instance now names in its hello the address at which it accepts relayed requests. State instances exchange the lists of those attached to them when a link opens and when a list has changed, and send each entry instance a selection: up to 4 of its failure domain and up to 8 of the others, by rendezvous hashing, at most once a second and only if it changed. The list of a lost state instance counts for 5 s, as its entry instances attach elsewhere meanwhile. Versions without the new members ignore them and are in no list.

StateMesh hands over what the hello said, reads one hello a link, and reports when nothing more comes from a state instance. The link that it dialled decides, because lists come on that one; the link dialled to it can be lost alone, and then no list would come again.

--- a/src/links/LinkQueue.h
+++ b/src/links/LinkQueue.h
@@ -26,6 +26,7 @@
     Routing, ///< The routing configuration.
     Usage, ///< Usage of the backend servers.
     PromptFindings, ///< Parts of prompts that are suspected or in quarantine.
+    EntryAddresses, ///< Entry instances to relay requests through.
 };
 
 class LinkQueue {
--- a/src/links/StateMesh.cpp
+++ b/src/links/StateMesh.cpp
@@ -155,10 +155,11 @@
 void StateMesh::State::handleHello(std::uint64_t number, const Wire::LinkHello& hello)
 {
     auto& peer = accepted[number];
-    peer.hasSentHello = true;
+    if (std::exchange(peer.hasSentHello, true))
+        return; // What a peer is does not change on a link.
     peer.state = InstanceId(hello.listen);
     if (hello.listen.empty()) {
-        events.entryJoined(EntryLinkId(number));
+        events.entryJoined(EntryLinkId(number), { .instance = hello.instance, .failureDomain = FailureDomainId(hello.failureDomain), .relayListen = hello.relayListen });
         return;
     }
     addresses.learn({ .listen = peer.state, .failureDomain = FailureDomainId(hello.failureDomain) }, monotonicNow());
@@ -168,8 +169,13 @@
 void StateMesh::State::handleAcceptedClosed(std::uint64_t number)
 {
     const auto peer = accepted.extract(number);
-    if (!peer.empty() && !isStopped && peer.mapped().isEntry())
+    if (peer.empty() || isStopped || !peer.mapped().hasSentHello)
+        return;
+    const auto& state = peer.mapped().state;
+    if (peer.mapped().isEntry())
         events.entryLeft(EntryLinkId(number));
+    else if (std::none_of(accepted.begin(), accepted.end(), [&state](const auto& it) { return it.second.state == state; }))
+        events.stateSilent(state);
 }
 
 Task<void> StateMesh::State::dialLoop(InstanceId to)
--- a/src/links/StateMesh.h
+++ b/src/links/StateMesh.h
@@ -37,16 +37,26 @@
         LinkOptions link = {};
     };
 
+    /** What an entry instance said of itself when it joined. */
+    struct EntryHello {
+        std::string instance; ///< Its name.
+        FailureDomainId failureDomain;
+        std::string relayListen; ///< `ip:port` at which it accepts relayed requests; empty if it accepts none.
+    };
+
     /** Callbacks to the owner; all are called on the event loop. */
     struct Events {
         /** A message of a state instance, on the link that it dialled. */
         std::function<void(const InstanceId& from, const Wire::LinkMessage&)> stateMessage;
         std::function<void(EntryLinkId from, const Wire::LinkMessage&)> entryMessage;
-        std::function<void(EntryLinkId)> entryJoined; ///< An entry instance sent its hello on an accepted link.
+        /** An entry instance sent its hello on an accepted link. Called once for each link. */
+        std::function<void(EntryLinkId, const EntryHello&)> entryJoined;
         std::function<void(EntryLinkId)> entryLeft;
         /** The link dialled to that state instance is open: messages can be sent to it. */
         std::function<void(const InstanceId&)> stateJoined;
         std::function<void(const InstanceId&)> stateLeft; ///< The link dialled to that state instance was lost.
+        /** The last link that that state instance dialled was lost: no message of it follows until it dials again. */
+        std::function<void(const InstanceId&)> stateSilent;
     };
 
     /** Opens the listener; throws UserError. */
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -54,7 +54,7 @@
     , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .maxRetryAfter = settings.bounds.maxRetryAfter }
     , m_handler(m_context)
     , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections })
-    , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .seed = m_random->next() },
+    , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .relayListen = settings.linkListen, .seed = m_random->next() },
           {
               .routing = [this](const auto& document) { applyRouting(document); },
               .confirmed = [this](auto newest, auto askedAt) { m_routing.confirm(newest, askedAt, m_settings.bounds.routingLease()); },
@@ -84,6 +84,7 @@
                   if (std::exchange(m_context.entryInstances, n) != n)
                       limitIdleConnections(); },
               .streamOrigins = [this] { return m_streams.all(); },
+              .relayTargets = [this](const auto& targets) { setRelayTargets(targets); },
           })
 {
 }
@@ -150,6 +151,11 @@
     m_upstream->setMaxIdleConnections(std::clamp<std::size_t>(static_cast<std::size_t>(limit), 1, maxIdleConnectionsPerServer));
 }
 
+void EntryInstance::setRelayTargets(const std::vector<EntryAddress>& targets)
+{
+    m_relayTargets = targets;
+}
+
 UsageReport EntryInstance::localUsage()
 {
     UsageReport report;
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -60,6 +60,7 @@
     UsageReport localUsage();
     HttpLimits callerLimits() const;
     void limitIdleConnections();
+    void setRelayTargets(const std::vector<EntryAddress>&);
 
     asio::io_context& m_loop;
     NodeSettings m_settings;
@@ -77,6 +78,7 @@
     HttpServer m_server;
     StateFeed m_feed;
     std::map<std::uint32_t, BackendUsage> m_reportedUsage; // This instance's last report, by backend hash.
+    std::vector<EntryAddress> m_relayTargets; // Entry instances to relay requests through; those of the own failure domain first.
     std::uint32_t m_minConnectionLimit = 0; // Smallest `maxConnections` of any service; 0 if no service sets one.
     bool m_isDraining = false;
     bool m_wasReady = false;
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -35,7 +35,8 @@
     FailureDomainId failureDomain;
     std::vector<InstanceId> seeds; ///< Link addresses of state instances, `ip:port`; at least one.
     std::vector<std::string> unusableSeeds; ///< Entries of the list that are no addresses. The platform writes it, so the others hold.
-    std::string linkListen; ///< State instance: `ip:port` that other instances dial for links.
+    /** State instance: `ip:port` that other instances dial for links. Entry instance: `ip:port` for requests that others relay. */
+    std::string linkListen;
     std::string linkBind; ///< State instance: `ip:port` to bind if `linkListen` belongs to a relay; may be empty.
 
     std::string callerListen; ///< Entry instance: `ip:port` for callers' HTTP.
--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -1,6 +1,7 @@
 #include "node/StateFeed.h"
 
 #include "base/LogEvent.h"
+#include "links/EntryAddressCodec.h"
 #include "links/StateMesh.h"
 #include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
@@ -127,6 +128,8 @@
     Wire::LinkHello hello;
     hello.instance = options.instance;
     hello.failureDomain = options.failureDomain.value();
+    if (!options.relayListen.empty())
+        hello.__set_relayListen(options.relayListen);
     Wire::LinkMessage message;
     message.__set_hello(hello);
     link->send(message);
@@ -243,6 +246,8 @@
         events.cachedPrefixes(HickoryHollow::fromWire(message.keptPrompts));
     } else if (message.__isset.promptFindings) {
         events.promptFindings(HickoryHollow::fromWire(message.promptFindings));
+    } else if (message.__isset.entryAddresses) {
+        events.relayTargets(HickoryHollow::fromWire(message.entryAddresses));
     } else if (message.__isset.limitUpdate) {
         events.limits(HickoryHollow::fromWire(message.limitUpdate));
     } else if (message.__isset.streamOriginReply) {
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "ledger/Commands.h"
+#include "links/EntryAddress.h"
 #include "links/Link.h"
 #include "links/StateAddresses.h"
 #include "membership/BackendRecord.h"
@@ -27,6 +28,7 @@
     struct Options {
         std::string instance; ///< Name of this entry instance.
         FailureDomainId failureDomain; ///< State instances in this failure domain are preferred.
+        std::string relayListen = {}; ///< `ip:port` at which this entry instance accepts relayed requests; empty if it accepts none.
         std::uint64_t seed = 0; ///< Spreads entry instances over equally suitable state instances.
         /** Time between two usage reports; unchanged usage is skipped. */
         Duration usageInterval = std::chrono::milliseconds(150);
@@ -63,6 +65,11 @@
         std::function<void(std::uint32_t)> entryInstances;
         /** Returns the streams of known version, for a state instance that may not know them. */
         std::function<std::vector<StreamOrigin>()> streamOrigins = [] { return std::vector<StreamOrigin>(); };
+        /**
+         * Receives the entry instances that this one may relay requests through, those of its own failure domain first; they replace
+         * earlier ones. A state instance of a former version sends none, so earlier ones may outlive their instances.
+         */
+        std::function<void(const std::vector<EntryAddress>&)> relayTargets = [](const auto&) {};
     };
     /** Receives the version of a stream; nothing if it is not known for certain. */
     using OriginCallback = std::function<void(std::optional<VersionId>)>;
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -1,6 +1,7 @@
 #include "node/StateInstance.h"
 
 #include "base/LogEvent.h"
+#include "links/EntryAddressCodec.h"
 #include "net/Timer.h"
 #include "node/ReportSource.h"
 #include "node/UsageCodec.h"
@@ -36,6 +37,7 @@
 // Recovery holds the journal up to four times: as read, as entries, in the log and as applied.
 constexpr std::size_t memoryPerJournalByte = 16;
 constexpr int ticksPerVersionCheck = 10;
+constexpr int ticksPerEntryAddresses = 10;
 constexpr std::size_t memoryShareOfStreams = 16;
 constexpr std::size_t bytesPerStream = 64; // With the nodes of the container.
 constexpr std::size_t maxPendingPrefixes = 2000; // 300 entry instances with 60 requests/s each report at most 1800 a tick.
@@ -65,19 +67,25 @@
           {
               .stateMessage = [this](const auto& from, const auto& message) { handleStateMessage(from, message); },
               .entryMessage = [this](auto from, const auto& message) { handleEntryMessage(from, message); },
-              .entryJoined = [this](auto id) { sendInitialStateToEntry(id); },
+              .entryJoined = [this](auto id, const auto& hello) {
+                  sendInitialStateToEntry(id);
+                  handleEntryHello(id, hello); },
               .entryLeft = [this](auto id) {
                   m_usage.remove(sourceOf(id));
                   m_limits.remove(sourceOf(id));
+                  m_entryAddresses.remove(sourceOf(id));
+                  m_relayingEntries.erase(id);
                   m_broadcast.remove(id); },
               .stateJoined = [this](const auto& id) {
                   sendRecordsToState(id);
                   sendLimitsToState(id);
                   sendQuarantinedToState(id);
-                  sendStreamsToState(id); },
+                  sendStreamsToState(id);
+                  sendEntryAddressesToState(id); },
               .stateLeft = [this](const auto& id) {
                   m_usage.remove(sourceOf(id));
                   m_limits.remove(sourceOf(id)); },
+              .stateSilent = [this](const auto& id) { m_entryAddresses.lose(sourceOf(id), monotonicNow()); },
           })
     , m_directory({ .self = m_mesh.self(), .lease = settings.bounds.announceInterval * missedAnnouncementsBeforeLapse })
     , m_streams({ .maxStreams = settings.memoryBytes / memoryShareOfStreams / bytesPerStream })
@@ -161,6 +169,9 @@
         reportCachedPrefixes();
         publishPromptFindings();
         sendStreamsToStates();
+        m_entryAddresses.expire(now);
+        if (tick % ticksPerEntryAddresses == 0)
+            publishEntryAddresses();
         if (tick % ticksPerVersionCheck == 0) {
             for (const auto& it : m_directory.all())
                 observeVersion(it);
@@ -325,6 +336,8 @@
         handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
     } else if (isset.streamOrigins) {
         recordStreams(HickoryHollow::fromWire(message.streamOrigins), false);
+    } else if (isset.entryAddresses) {
+        m_entryAddresses.set(sourceOf(from), HickoryHollow::fromWire(message.entryAddresses));
     } else if (isset.limitReport) {
         m_limits.reportFromState(sourceOf(from), HickoryHollow::fromWire(message.limitReport), monotonicNow());
     } else if (isset.freshnessPoll) {
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "links/EntryAddressBook.h"
 #include "links/StateMesh.h"
 #include "membership/BackendDirectory.h"
 #include "node/ControlPlane.h"
@@ -91,6 +92,12 @@
     void answerOriginQuery(EntryLinkId, std::uint64_t id, StreamId, const ServiceId&);
     void observeVersion(const BackendRecord&);
 
+    void handleEntryHello(EntryLinkId, const StateMesh::EntryHello&);
+    /** Sends changed lists of the entry instances here to the state instances, and changed selections to the entry instances. */
+    void publishEntryAddresses();
+    void sendEntryAddressesToState(const InstanceId&);
+    void sendSelection(EntryLinkId);
+
     /** Asks the leader for the newest accepted version, in this round or the next one. */
     void confirmNewest(ConfirmationCallback);
     void startConfirmationRound();
@@ -120,6 +127,15 @@
     StreamOrigins m_streams; // Of all entry instances.
     std::vector<StreamOrigin> m_streamsForStates; // From the entry instances attached here, to send at the next tick.
     ServiceVersions m_versions;
+    /** An attached entry instance that accepts relayed requests. */
+    struct RelayingEntry {
+        EntryAddress address;
+        std::vector<EntryAddress> selection; // As sent last.
+    };
+    EntryAddressBook m_entryAddresses;
+    std::map<EntryLinkId, RelayingEntry> m_relayingEntries;
+    std::uint64_t m_publishedEntryAddresses = 0; // Revision of m_entryAddresses that publishEntryAddresses() saw last.
+    std::vector<EntryAddress> m_lastEntriesToStates; // Addresses of the entry instances attached here, as sent last.
     std::optional<TimePoint> m_confirmedAt; // Last confirmation of the leader.
 
     // Newest committed document known here; never null. The version only grows.
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -8393,6 +8393,11 @@
 void LinkHello::__set_states(const std::vector<StateAddress> & val) {
   this->states = val;
 }
+
+void LinkHello::__set_relayListen(const std::string& val) {
+  this->relayListen = val;
+__isset.relayListen = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -8473,6 +8478,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relayListen);
+          this->__isset.relayListen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8518,6 +8531,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.relayListen) {
+    xfer += oprot->writeFieldBegin("relayListen", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->relayListen);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8530,6 +8548,7 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.incarnation, b.incarnation);
   swap(a.states, b.states);
+  swap(a.relayListen, b.relayListen);
   swap(a.__isset, b.__isset);
 }
 
@@ -8539,6 +8558,7 @@
   failureDomain = other232.failureDomain;
   incarnation = other232.incarnation;
   states = other232.states;
+  relayListen = other232.relayListen;
   __isset = other232.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other233) {
@@ -8547,6 +8567,7 @@
   failureDomain = other233.failureDomain;
   incarnation = other233.incarnation;
   states = other233.states;
+  relayListen = other233.relayListen;
   __isset = other233.__isset;
   return *this;
 }
@@ -8558,6 +8579,7 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "states=" << to_string(states);
+  out << ", " << "relayListen="; (__isset.relayListen ? (out << to_string(relayListen)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11424,6 +11446,230 @@
 }
 
 
+EntryAddress::~EntryAddress() noexcept {
+}
+
+
+void EntryAddress::__set_listen(const std::string& val) {
+  this->listen = val;
+}
+
+void EntryAddress::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryAddress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->listen);
+          this->__isset.listen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryAddress");
+
+  xfer += oprot->writeFieldBegin("listen", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->listen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryAddress &a, EntryAddress &b) {
+  using ::std::swap;
+  swap(a.listen, b.listen);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.__isset, b.__isset);
+}
+
+EntryAddress::EntryAddress(const EntryAddress& other342) {
+  listen = other342.listen;
+  failureDomain = other342.failureDomain;
+  __isset = other342.__isset;
+}
+EntryAddress& EntryAddress::operator=(const EntryAddress& other343) {
+  listen = other343.listen;
+  failureDomain = other343.failureDomain;
+  __isset = other343.__isset;
+  return *this;
+}
+void EntryAddress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryAddress(";
+  out << "listen=" << to_string(listen);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ")";
+}
+
+
+EntryAddresses::~EntryAddresses() noexcept {
+}
+
+
+void EntryAddresses::__set_entries(const std::vector<EntryAddress> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryAddresses& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryAddresses::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->entries.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
+            {
+              xfer += this->entries[_i348].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryAddresses::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryAddresses");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<EntryAddress> ::const_iterator _iter349;
+    for (_iter349 = this->entries.begin(); _iter349 != this->entries.end(); ++_iter349)
+    {
+      xfer += (*_iter349).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryAddresses &a, EntryAddresses &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+EntryAddresses::EntryAddresses(const EntryAddresses& other350) {
+  entries = other350.entries;
+  __isset = other350.__isset;
+}
+EntryAddresses& EntryAddresses::operator=(const EntryAddresses& other351) {
+  entries = other351.entries;
+  __isset = other351.__isset;
+  return *this;
+}
+void EntryAddresses::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryAddresses(";
+  out << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -11517,6 +11763,11 @@
   this->streamOriginReply = val;
 __isset.streamOriginReply = true;
 }
+
+void LinkMessage::__set_entryAddresses(const EntryAddresses& val) {
+  this->entryAddresses = val;
+__isset.entryAddresses = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -11689,6 +11940,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->entryAddresses.read(iprot);
+          this->__isset.entryAddresses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11796,6 +12055,11 @@
     xfer += this->streamOriginReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.entryAddresses) {
+    xfer += oprot->writeFieldBegin("entryAddresses", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->entryAddresses.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11821,50 +12085,53 @@
   swap(a.streamOrigins, b.streamOrigins);
   swap(a.streamOriginQuery, b.streamOriginQuery);
   swap(a.streamOriginReply, b.streamOriginReply);
+  swap(a.entryAddresses, b.entryAddresses);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other342) {
-  hello = other342.hello;
-  agreement = other342.agreement;
-  fleetNews = other342.fleetNews;
-  freshnessPoll = other342.freshnessPoll;
-  freshnessReply = other342.freshnessReply;
-  routingSubmit = other342.routingSubmit;
-  routingSubmitReply = other342.routingSubmitReply;
-  routing = other342.routing;
-  uses = other342.uses;
-  keptPrompts = other342.keptPrompts;
-  routingDelta = other342.routingDelta;
-  promptEvidence = other342.promptEvidence;
-  promptFindings = other342.promptFindings;
-  limitReport = other342.limitReport;
-  limitUpdate = other342.limitUpdate;
-  streamOrigins = other342.streamOrigins;
-  streamOriginQuery = other342.streamOriginQuery;
-  streamOriginReply = other342.streamOriginReply;
-  __isset = other342.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other343) {
-  hello = other343.hello;
-  agreement = other343.agreement;
-  fleetNews = other343.fleetNews;
-  freshnessPoll = other343.freshnessPoll;
-  freshnessReply = other343.freshnessReply;
-  routingSubmit = other343.routingSubmit;
-  routingSubmitReply = other343.routingSubmitReply;
-  routing = other343.routing;
-  uses = other343.uses;
-  keptPrompts = other343.keptPrompts;
-  routingDelta = other343.routingDelta;
-  promptEvidence = other343.promptEvidence;
-  promptFindings = other343.promptFindings;
-  limitReport = other343.limitReport;
-  limitUpdate = other343.limitUpdate;
-  streamOrigins = other343.streamOrigins;
-  streamOriginQuery = other343.streamOriginQuery;
-  streamOriginReply = other343.streamOriginReply;
-  __isset = other343.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other352) {
+  hello = other352.hello;
+  agreement = other352.agreement;
+  fleetNews = other352.fleetNews;
+  freshnessPoll = other352.freshnessPoll;
+  freshnessReply = other352.freshnessReply;
+  routingSubmit = other352.routingSubmit;
+  routingSubmitReply = other352.routingSubmitReply;
+  routing = other352.routing;
+  uses = other352.uses;
+  keptPrompts = other352.keptPrompts;
+  routingDelta = other352.routingDelta;
+  promptEvidence = other352.promptEvidence;
+  promptFindings = other352.promptFindings;
+  limitReport = other352.limitReport;
+  limitUpdate = other352.limitUpdate;
+  streamOrigins = other352.streamOrigins;
+  streamOriginQuery = other352.streamOriginQuery;
+  streamOriginReply = other352.streamOriginReply;
+  entryAddresses = other352.entryAddresses;
+  __isset = other352.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other353) {
+  hello = other353.hello;
+  agreement = other353.agreement;
+  fleetNews = other353.fleetNews;
+  freshnessPoll = other353.freshnessPoll;
+  freshnessReply = other353.freshnessReply;
+  routingSubmit = other353.routingSubmit;
+  routingSubmitReply = other353.routingSubmitReply;
+  routing = other353.routing;
+  uses = other353.uses;
+  keptPrompts = other353.keptPrompts;
+  routingDelta = other353.routingDelta;
+  promptEvidence = other353.promptEvidence;
+  promptFindings = other353.promptFindings;
+  limitReport = other353.limitReport;
+  limitUpdate = other353.limitUpdate;
+  streamOrigins = other353.streamOrigins;
+  streamOriginQuery = other353.streamOriginQuery;
+  streamOriginReply = other353.streamOriginReply;
+  entryAddresses = other353.entryAddresses;
+  __isset = other353.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -11888,6 +12155,7 @@
   out << ", " << "streamOrigins="; (__isset.streamOrigins ? (out << to_string(streamOrigins)) : (out << "<null>"));
   out << ", " << "streamOriginQuery="; (__isset.streamOriginQuery ? (out << to_string(streamOriginQuery)) : (out << "<null>"));
   out << ", " << "streamOriginReply="; (__isset.streamOriginReply ? (out << to_string(streamOriginReply)) : (out << "<null>"));
+  out << ", " << "entryAddresses="; (__isset.entryAddresses ? (out << to_string(entryAddresses)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -183,6 +183,10 @@
 
 class StreamOriginReply;
 
+class EntryAddress;
+
+class EntryAddresses;
+
 class LinkMessage;
 
 typedef struct _Member__isset {
@@ -3592,12 +3596,13 @@
 std::ostream& operator<<(std::ostream& out, const StateAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : instance(false), listen(false), failureDomain(false), incarnation(false), states(false) {}
+  _LinkHello__isset() : instance(false), listen(false), failureDomain(false), incarnation(false), states(false), relayListen(false) {}
   bool instance :1;
   bool listen :1;
   bool failureDomain :1;
   bool incarnation :1;
   bool states :1;
+  bool relayListen :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -3609,7 +3614,8 @@
             : instance(),
               listen(),
               failureDomain(),
-              incarnation(0) {
+              incarnation(0),
+              relayListen() {
   }
 
   virtual ~LinkHello() noexcept;
@@ -3618,6 +3624,7 @@
   std::string failureDomain;
   int64_t incarnation;
   std::vector<StateAddress>  states;
+  std::string relayListen;
 
   _LinkHello__isset __isset;
 
@@ -3631,6 +3638,8 @@
 
   void __set_states(const std::vector<StateAddress> & val);
 
+  void __set_relayListen(const std::string& val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -3643,6 +3652,10 @@
       return false;
     if (!(states == rhs.states))
       return false;
+    if (__isset.relayListen != rhs.__isset.relayListen)
+      return false;
+    else if (__isset.relayListen && !(relayListen == rhs.relayListen))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
@@ -4803,8 +4816,100 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj);
 
+typedef struct _EntryAddress__isset {
+  _EntryAddress__isset() : listen(false), failureDomain(false) {}
+  bool listen :1;
+  bool failureDomain :1;
+} _EntryAddress__isset;
+
+class EntryAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryAddress(const EntryAddress&);
+  EntryAddress& operator=(const EntryAddress&);
+  EntryAddress() noexcept
+               : listen(),
+                 failureDomain() {
+  }
+
+  virtual ~EntryAddress() noexcept;
+  std::string listen;
+  std::string failureDomain;
+
+  _EntryAddress__isset __isset;
+
+  void __set_listen(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  bool operator == (const EntryAddress & rhs) const
+  {
+    if (!(listen == rhs.listen))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryAddress &a, EntryAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryAddress& obj);
+
+typedef struct _EntryAddresses__isset {
+  _EntryAddresses__isset() : entries(false) {}
+  bool entries :1;
+} _EntryAddresses__isset;
+
+class EntryAddresses : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryAddresses(const EntryAddresses&);
+  EntryAddresses& operator=(const EntryAddresses&);
+  EntryAddresses() noexcept {
+  }
+
+  virtual ~EntryAddresses() noexcept;
+  std::vector<EntryAddress>  entries;
+
+  _EntryAddresses__isset __isset;
+
+  void __set_entries(const std::vector<EntryAddress> & val);
+
+  bool operator == (const EntryAddresses & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryAddresses &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryAddresses & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryAddresses &a, EntryAddresses &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryAddresses& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false), limitReport(false), limitUpdate(false), streamOrigins(false), streamOriginQuery(false), streamOriginReply(false) {}
+  _LinkMessage__isset() : hello(false), agreement(false), fleetNews(false), freshnessPoll(false), freshnessReply(false), routingSubmit(false), routingSubmitReply(false), routing(false), uses(false), keptPrompts(false), routingDelta(false), promptEvidence(false), promptFindings(false), limitReport(false), limitUpdate(false), streamOrigins(false), streamOriginQuery(false), streamOriginReply(false), entryAddresses(false) {}
   bool hello :1;
   bool agreement :1;
   bool fleetNews :1;
@@ -4823,6 +4928,7 @@
   bool streamOrigins :1;
   bool streamOriginQuery :1;
   bool streamOriginReply :1;
+  bool entryAddresses :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4852,6 +4958,7 @@
   StreamOrigins streamOrigins;
   StreamOriginQuery streamOriginQuery;
   StreamOriginReply streamOriginReply;
+  EntryAddresses entryAddresses;
 
   _LinkMessage__isset __isset;
 
@@ -4891,6 +4998,8 @@
 
   void __set_streamOriginReply(const StreamOriginReply& val);
 
+  void __set_entryAddresses(const EntryAddresses& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4965,6 +5074,10 @@
       return false;
     else if (__isset.streamOriginReply && !(streamOriginReply == rhs.streamOriginReply))
       return false;
+    if (__isset.entryAddresses != rhs.__isset.entryAddresses)
+      return false;
+    else if (__isset.entryAddresses && !(entryAddresses == rhs.entryAddresses))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -124,8 +124,9 @@
 // Address at which a state instance accepts links.
 struct StateAddress { 1: string listen, 2: string failureDomain }
 // First frame of each side of a link. `listen` is empty when the sender is not a state instance; `states` are the state
-// instances that the sender knows.
-struct LinkHello { 1: string instance, 2: string listen, 3: string failureDomain, 4: i64 incarnation, 5: list<StateAddress> states }
+// instances that the sender knows. `relayListen` is the `ip:port` at which an entry instance accepts relayed requests; left out
+// if it accepts none.
+struct LinkHello { 1: string instance, 2: string listen, 3: string failureDomain, 4: i64 incarnation, 5: list<StateAddress> states, 6: optional string relayListen }
 // Asks which accepted configuration is the newest; `held` is the version that the sender has. `needsWhole` is true after a
 // difference did not fit the text that the sender has; the next configuration is then sent whole. A sender that leaves it out
 // knows no differences.
@@ -184,6 +185,12 @@
 struct StreamOriginQuery { 1: i64 id, 2: i64 stream, 3: string serviceName }
 struct StreamOriginReply { 1: i64 id, 2: optional i64 version }
 
+// Address at which an entry instance accepts relayed requests.
+struct EntryAddress { 1: string listen, 2: string failureDomain }
+// From a state instance to another: all entry instances attached to the sender that accept relayed requests. From a state instance
+// to an entry instance: those that it may relay requests through. Replaces the sender's previous message of this type.
+struct EntryAddresses { 1: list<EntryAddress> entries }
+
 union LinkMessage {
   1: LinkHello hello
   2: AgreementMessage agreement
@@ -203,4 +210,5 @@
   16: StreamOrigins streamOrigins
   17: StreamOriginQuery streamOriginQuery
   18: StreamOriginReply streamOriginReply
+  19: EntryAddresses entryAddresses
 }
