--- a/test/correctness/entry_addresses.cpp
+++ b/test/correctness/entry_addresses.cpp
@@ -32,6 +32,7 @@
 std::vector<EntryAddress> entries(int count, int domains)
 {
     std::vector<EntryAddress> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back(entry(i, domains));
     return list;
