Soak: let daemons inherit no sockets of the proxies

soak-cuts failed in two of its three cuts with an instance that relays requests (50 of 120 and 61 of 120 served). The daemons' logs showed connections that were made and brought nothing: 504 after 2 s with sends=1, services out of reach and back within 1 ms, 100 times. Cause: the daemons inherited the proxies' listeners, so that a port refused nothing after its proxy had closed it; the kernel went on to accept. Cuts with resets and of new connections were neither.

--- a/test/soak/Process.cpp
+++ b/test/soak/Process.cpp
@@ -62,6 +62,8 @@
     const auto log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A listener of a proxy that lived on in a daemon would accept connections after the proxy has closed it.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execle(m_program.c_str(), m_program.c_str(), m_settings.c_str(), nullptr, environment.data());
     ::_exit(127);
 }
