Relay requests through another instance while the servers can't be reached

Cause: an instance that reaches no server could only refuse. It tried up to eight servers, found no connection, and answered `unreachable` or `no-other-server`; nothing told it that the path was cut and not the servers, and there was no other way. Class: each instance depends on its own links alone.

Change: a service of which two servers fail in a row with nothing heard in between is out of reach; its requests go through another entry instance, over HTTP at its port for links, admitted there like a caller's. Once at most: a relayed request is not relayed further. Probes are connections without a request, only while something is out of reach. Failures of servers out of reach are not reported to the other instances. A connection that timed out is taken for silent, not for broken off as by a crash.

Ruled out: refusing, closing or leaving the balancer (first tries fail), the state instances as a way (their links carry agreement), ejection that outlasts the cut as the main cause (refusals of 20 ms with no request sent).

--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Time.h"
 #include "forwarding/BufferBudget.h"
 #include "forwarding/DrainPolicy.h"
@@ -20,6 +21,7 @@
 class AsyncAdmissionQueue;
 class BackendSelector;
 class PromptGuard;
+class RelayPeers;
 class RandomSource;
 class RequestCodec;
 class StreamOriginSource;
@@ -36,6 +38,7 @@
     AsyncAdmissionQueue& admissionQueue;
     StreamOriginSource& streamOrigins;
     UpstreamClient& upstream;
+    RelayPeers& relayPeers;
     RandomSource& random;
     Metrics& metrics;
     RetryWindow::Options retryOptions; ///< Retry budget of each service.
@@ -46,6 +49,7 @@
     RouteDurations durations = {}; ///< Of the requests that were sent to a server.
     Interrupts interrupts = {}; ///< Gives up the exchanges in progress at the end of a drain.
     BufferBudget answerBytes = BufferBudget(); ///< Bytes of answers that are held until they are complete.
+    InstanceId instance = {}; ///< Name of this instance.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Upper limit of the retry-after time sent to shed requests.
     Duration minSilence = std::chrono::milliseconds(1200); ///< A paused or slowed server can be silent this long.
 };
--- a/src/forwarding/RequestCodec.h
+++ b/src/forwarding/RequestCodec.h
@@ -66,6 +66,8 @@
      * router may set, and the router's own.
      */
     virtual HttpFields fieldsForServer(const HttpFields&, const UpstreamMetadata&) const = 0;
+    /** Header fields for another instance of the router: the caller's without those of its connection, with what is left of its time. */
+    virtual HttpFields fieldsForRelay(const HttpFields&, Duration timeLeft, std::optional<std::uint64_t> lastEventId) const = 0;
     /** Classifies a response to the request with id `requestId`. */
     virtual ResponseKind classifyResponse(unsigned status, const HttpFields&, std::string_view requestId) const = 0;
     /** Reads what the server says of itself. Call for responses of the addressed server only. */
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-RoutedExchange::RoutedExchange(ForwardingContext& context, const HttpRequest& http, ResponseWriter& writer)
+RoutedExchange::RoutedExchange(ForwardingContext& context, const HttpRequest& http, ResponseWriter& writer, std::optional<RelayedRequest> relayed)
     : m_context(context)
     , m_http(http)
     , m_writer(writer)
+    , m_relayed(std::move(relayed))
     , m_interruption(context.interrupts)
     , m_arrival(http.receivedAt == TimePoint() ? monotonicNow() : http.receivedAt)
     , m_deadline(m_arrival)
@@ -92,7 +93,9 @@
     m_metrics = &m_context.metrics.forClass(ClassId(fmt::format("{}/{}", m_placementRequest.service.value(), m_route->priority)));
     ++m_metrics->requests;
     auto& window = m_context.retryWindows.try_emplace(m_placementRequest.service, m_context.retryOptions).first->second;
-    window.recordFirstAttempt(m_arrival);
+    // The instance that relays the request has counted it.
+    if (!m_relayed)
+        window.recordFirstAttempt(m_arrival);
     m_retryWindow = &window;
     if (const auto refusal = co_await bindToOrigin()) {
         co_await refuse(*refusal);
@@ -100,6 +103,20 @@
     }
     for (;;) {
         const auto now = monotonicNow();
+        const auto isOutOfReach = m_context.selector.isOutOfReach(m_placementRequest.service);
+        if (m_relayed && isOutOfReach) {
+            co_await refuse({ .code = "no-path", .retryAfter = shortRetryAfter });
+            co_return;
+        }
+        if (mustRelay()) {
+            releaseNext();
+            if (co_await relay(window))
+                co_return;
+            if (m_isRelayedStream || isOutOfReach) {
+                co_await refuse({ .code = "no-path", .retryAfter = shortRetryAfter });
+                co_return;
+            }
+        }
         co_await awaitCandidate();
         if (const auto quarantine = findQuarantine()) {
             releaseNext();
@@ -131,6 +148,7 @@
         auto result = co_await runAttempt(grant->placement, grant->call);
         m_lastCause = result.cause;
         m_placementRequest.excluded.insert(grant->placement.backend);
+        m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
         m_sends += result.wasSent ? 1 : 0;
         m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
         if (result.end == AttemptEnd::ServerError) {
@@ -151,7 +169,8 @@
 {
     if (!m_route->isStream() || !m_metadata.lastEventId)
         co_return std::nullopt;
-    const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.resumes);
+    const auto& attempt = m_relayed && m_relayed->continuesStream ? m_metadata.id : m_metadata.resumes;
+    const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), attempt);
     m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_deadline, monotonicNow() + maxOriginWait));
     if (!m_placementRequest.version)
         co_return NotSent { .code = "stream-version-unknown", .retryAfter = shortRetryAfter };
@@ -177,6 +196,9 @@
 
 bool RoutedExchange::mayStart() const
 {
+    // Any other instance serves a relayed request as well.
+    if (m_relayed && m_context.drain.hasStarted())
+        return false;
     return m_context.drain.mayStart(*m_route, m_deadline, m_context.durations, monotonicNow());
 }
 
@@ -251,17 +273,18 @@
     case AttemptEnd::Delivered:
     case AttemptEnd::CallerGone:
     case AttemptEnd::DeadlinePassed:
+    case AttemptEnd::Declined:
         return false;
     case AttemptEnd::NotRun:
         return m_sends <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
     case AttemptEnd::ServerError:
     case AttemptEnd::Failed:
-        return m_route->mayRunAgain() && m_possibleRuns < m_route->maxAttempts;
+        return m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts;
     }
     return false;
 }
 
-Task<void> RoutedExchange::finish(const AttemptResult& result)
+Task<void> RoutedExchange::finish(AttemptResult& result)
 {
     switch (result.end) {
     case AttemptEnd::Delivered:
@@ -283,6 +306,15 @@
     case AttemptEnd::Failed:
         co_await respondWithError(badGateway, result.cause, {});
         co_return;
+    case AttemptEnd::Declined:
+        // A refusal of the other instance says that the request did not run there; it may have run before.
+        if (m_streamStarted || (m_possibleRuns > 0 && !result.wasSent)) {
+            co_await respondWithError(badGateway, result.cause, {});
+            co_return;
+        }
+        logEnd(result.answer.status, result.cause);
+        co_await m_writer.send(std::move(result.answer));
+        co_return;
     }
 }
 
@@ -300,7 +332,15 @@
         m_writer.abandon();
         co_return;
     }
-    co_await m_writer.send(m_context.codec.makeErrorResponse(status, code, m_route->id.value(), retryAfter));
+    co_await m_writer.send(errorResponse(status, code, retryAfter));
+}
+
+HttpResponse RoutedExchange::errorResponse(unsigned status, std::string_view code, Duration retryAfter) const
+{
+    auto response = m_context.codec.makeErrorResponse(status, code, m_route ? m_route->id.value() : m_http.target, retryAfter);
+    if (m_relayed)
+        response.fields.add(std::string(relayField), std::string(code));
+    return response;
 }
 
 void RoutedExchange::countOutcome(unsigned status, std::string_view outcome, Duration took)
@@ -326,9 +366,9 @@
         m_context.durations.add(m_route->id, now - m_arrival, now);
     const auto stopAge = m_context.drain.age(now);
     const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
-    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={} events={} bytes={} silent_ms={} stop_ms={}",
+    logEvent(LogEvent::RoutedEnd, "id={} route={} workspace={} version={} lease_ms={} outcome={} status={} backend={} via={} from={} aside={} tokens={} unread={} at_home={} apart={} expected_ms={} burden_ms={} backlog_ms={} choices={} sends={} last_cause={} first_ms={} pause_ms={} took_ms={} events={} bytes={} silent_ms={} stop_ms={}",
         m_metadata.id, m_route ? m_route->id.value() : "", m_workspace ? m_workspace->id.value() : "", m_table ? m_table->version().value() : 0, milliseconds(m_context.routing.leaseEnd() - now), outcome, status,
-        m_lastPlacement.backend.value(), m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival), m_relayedEvents, m_relayedBytes, m_lastChunkAt ? milliseconds(now - *m_lastChunkAt) : 0, stopAge ? fmt::format("{}", milliseconds(*stopAge)) : "none");
+        m_lastPlacement.backend.value(), m_lastPeer.value(), m_relayed ? m_relayed->from.value() : "", m_lastPlacement.isFallback, m_metadata.prompt.tokens, m_lastPlacement.uncachedTokens, m_lastPlacement.isPreferredEngine, m_lastPlacement.isReserved, milliseconds(m_lastPlacement.expectedTime), milliseconds(m_lastPlacement.loadAdjustedTime), milliseconds(m_lastPlacement.prefillBacklog), m_placements, m_sends, m_lastCause, milliseconds(m_timeToFirstToken), milliseconds(m_longestPause), milliseconds(now - m_arrival), m_relayedEvents, m_relayedBytes, m_lastChunkAt ? milliseconds(now - *m_lastChunkAt) : 0, stopAge ? fmt::format("{}", milliseconds(*stopAge)) : "none");
 }
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -4,16 +4,19 @@
 #pragma once
 
 #include "forwarding/ForwardingContext.h"
+#include "forwarding/RelayedRequest.h"
 #include "forwarding/RequestCodec.h"
 #include "http/EventStreamScanner.h"
 #include "net/Task.h"
 #include "placement/AdmissionQueue.h"
 #include "placement/BackendSelector.h"
 #include "placement/OverloadPolicy.h"
+#include "placement/RelayPeers.h"
 #include "routing/RouteTable.h"
 
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace HickoryHollow {
 
@@ -34,8 +37,8 @@
 
 class RoutedExchange {
 public:
-    /** All arguments outlive the exchange. */
-    RoutedExchange(ForwardingContext&, const HttpRequest&, ResponseWriter&);
+    /** All references outlive the exchange. `relayed` is set if another instance relays the request. */
+    RoutedExchange(ForwardingContext&, const HttpRequest&, ResponseWriter&, std::optional<RelayedRequest> relayed = std::nullopt);
 
     /** Serves the request. Returns once the answer was sent, the connection was abandoned or the caller disconnected. */
     Task<void> run();
@@ -49,6 +52,7 @@
         Failed, ///< The request may have run, and no usable whole answer came.
         ServerError, ///< The server answered with a 5xx status; that answer may be passed on.
         DeadlinePassed,
+        Declined, ///< Another instance refused the request or ended it with an error; its answer is passed on.
     };
 
     struct AttemptResult {
@@ -57,7 +61,7 @@
         CallOutcome outcome = CallOutcome::Broken; ///< Reported to the selector for the server's health.
         std::string_view cause; ///< One-word cause for logs and error codes.
         bool hasBrokenOff = false; ///< The server ended the connection before its answer was whole, as a crash does.
-        HttpResponse answer; ///< The server's answer if `end` is ServerError.
+        HttpResponse answer; ///< The answer if `end` is ServerError or Declined.
         std::shared_ptr<HeldAnswer> held; ///< Counts the memory of `answer`.
     };
 
@@ -99,8 +103,13 @@
     Task<AttemptResult> sendAttempt(UpstreamCall&, const Placement&, CallId);
     /** Takes over what the server says of itself in the header of its answer. */
     void applyNotice(const Placement&, const UpstreamHead&, TimePoint sentAt);
-    Task<AttemptResult> relayWholeAnswer(UpstreamCall&, const UpstreamHead&);
-    Task<AttemptResult> relayStream(UpstreamCall&, const UpstreamHead&, CallId);
+    /** The call is null if another instance made it. */
+    Task<AttemptResult> relayWholeAnswer(UpstreamCall&, const UpstreamHead&, std::optional<CallId>);
+    Task<AttemptResult> relayStream(UpstreamCall&, const UpstreamHead&, std::optional<CallId>);
+    /** True if the answer with this header is relayed event by event. */
+    bool isStreamAnswer(const UpstreamHead&) const;
+    /** True if the caller has no event of a stream yet, or the answer with this header can continue it. */
+    bool continuesStream(const UpstreamHead&) const;
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
     Task<std::error_code> startStream(const UpstreamHead&);
     /** True if the request may go to a further server after this attempt. */
@@ -133,22 +142,40 @@
     /** Logs an answer that was broken off after `sentFor`, with the prompt's parts, which show what such answers have in common. */
     void logBroken(const Placement&, std::string_view cause, Duration sentFor) const;
     /** Records that a chunk of the stream came from the server. */
-    void recordChunk(CallId);
+    void recordChunk(std::optional<CallId>);
+
+    // Through another instance, while this one does not reach the servers.
+    /** True if the request is to go through another instance now. */
+    bool mustRelay() const;
+    /** Sends the request through other instances, one after the other. Returns false if none took it; otherwise the exchange has ended. */
+    Task<bool> relay(RetryWindow&);
+    /** Why the request must not be sent to another instance any more. */
+    std::optional<NotSent> findRelayRefusal() const;
+    Task<AttemptResult> runRelayAttempt(const InstanceId&);
+    Task<AttemptResult> sendRelayAttempt(UpstreamCall&, RelayOutcome&);
+    /** Takes an answer that the other instance gave itself. */
+    Task<AttemptResult> readPeersOwnAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
+    HttpRequest makeRelayRequest() const;
 
     // End of the exchange.
-    Task<void> finish(const AttemptResult&);
+    Task<void> finish(AttemptResult&);
     /**
      * Ends the exchange with an error: the last server error if there is one, otherwise the router's own. `status` must
      * not be `unavailable` if the request has run or may have run.
      */
     Task<void> respondWithError(unsigned status, std::string_view code, Duration retryAfter);
     void countOutcome(unsigned status, std::string_view outcome, Duration took);
+    /** The router's own error response, marked as such for an instance that relays the request. */
+    HttpResponse errorResponse(unsigned status, std::string_view code, Duration retryAfter) const;
+    /** Attempts that may have executed the request, here and at the instance that relays it. */
+    std::uint32_t possibleRuns() const { return m_possibleRuns + (m_relayed ? m_relayed->earlierRuns : 0); }
     /** Counts and logs the end of the exchange. `status` is 0 if the caller disconnected. */
     void logEnd(unsigned status, std::string_view outcome);
 
     ForwardingContext& m_context;
     const HttpRequest& m_http;
     ResponseWriter& m_writer;
+    std::optional<RelayedRequest> m_relayed; // Set if another instance relays the request; it is not relayed further.
     Interrupts::Subscription m_interruption;
     TimePoint m_arrival;
     TimePoint m_deadline; // Arrival plus the shorter of route timeout and caller timeout.
@@ -161,6 +188,10 @@
     PlacementRequest m_placementRequest; // Excludes the servers of earlier attempts.
     std::uint32_t m_sends = 0; // Attempts of which at least one byte may have reached a server.
     std::uint32_t m_possibleRuns = 0; // Attempts that may have executed the request.
+    std::uint32_t m_unreachable = 0; // Attempts that found no connection to the server.
+    std::set<InstanceId> m_triedPeers; // Instances that the request was relayed to.
+    InstanceId m_lastPeer; // The last of them.
+    bool m_isRelayedStream = false; // The events that the caller has came through another instance, so their version is not known here.
     std::uint32_t m_placements = 0; // Attempts begun, also those without a connection.
     ClassMetrics* m_metrics = nullptr; // Metrics of the request's service and priority; null until admission.
     Placement m_lastPlacement;
--- a/src/forwarding/RoutedExchangeAdmission.cpp
+++ b/src/forwarding/RoutedExchangeAdmission.cpp
@@ -50,7 +50,7 @@
 {
     const auto refusal = [this](unsigned status, std::string_view code, Duration retryAfter) {
         logEnd(status, code);
-        return m_context.codec.makeErrorResponse(status, code, m_route ? m_route->id.value() : m_http.target, retryAfter);
+        return errorResponse(status, code, retryAfter);
     };
     if (!m_table)
         return refusal(unavailable, "no-configuration", shortRetryAfter);
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -68,7 +68,10 @@
     const auto silentUntil = std::max(begunAt, m_lastChunkAt.value_or(begunAt)) + silenceLimit();
     if (now < silentUntil)
         return silentUntil;
-    if (m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence) || !prepareNext(placement))
+    const auto isActive = m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence);
+    if (!isActive)
+        m_context.selector.recordSilence(placement.backend, now);
+    if (isActive || !prepareNext(placement))
         return now + m_context.minSilence / 4;
     return std::nullopt;
 }
@@ -79,6 +82,11 @@
     const auto now = monotonicNow();
     if (!mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !m_retryWindow->mayRetry(m_context.entryInstances, now))
         return false;
+    const auto& service = m_placementRequest.service;
+    if (!m_relayed && m_context.selector.isOutOfReach(service) && m_context.relayPeers.select(service, m_triedPeers, now)) {
+        m_hasRetry = m_retryWindow->tryRetry(m_context.entryInstances, now);
+        return m_hasRetry;
+    }
     auto request = m_placementRequest;
     request.excluded.insert(present.backend);
     m_next = m_context.admissionQueue.placeAtOnce(request, now);
@@ -99,7 +107,7 @@
 {
     const auto now = monotonicNow();
     const auto left = m_deadline - now;
-    const auto mayTryElsewhere = m_route->mayRunAgain() && m_possibleRuns + 1 < m_route->maxAttempts;
+    const auto mayTryElsewhere = m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts;
     const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
     const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
     setInterruption([&call = *call] { call.cancel(); });
@@ -115,6 +123,7 @@
             result.cause = "deadline-passed";
         } else if (!isWhole && silence.hasPassed()) {
             result.cause = "server-silent";
+            result.outcome = CallOutcome::Silent;
             result.hasBrokenOff = false;
         } else if (!isWhole && result.end != AttemptEnd::NotRun && m_context.interrupts.isInterrupted()) {
             // The caller may not be left without an answer because this process ends; the server is not to blame.
@@ -180,8 +189,9 @@
         co_return forbid();
     if (head.ec) {
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
-        result.outcome = result.wasSent ? CallOutcome::Broken : CallOutcome::Unreachable;
-        result.cause = result.wasSent ? (head.ec == RouterError::UpstreamTimeout ? "server-silent" : "answer-broken") : "unreachable";
+        const auto isSilent = head.ec == RouterError::UpstreamTimeout;
+        result.outcome = result.wasSent ? (isSilent ? CallOutcome::Silent : CallOutcome::Broken) : CallOutcome::Unreachable;
+        result.cause = result.wasSent ? (isSilent ? "server-silent" : "answer-broken") : "unreachable";
         result.hasBrokenOff = result.wasSent && head.ec == RouterError::UpstreamBroken;
         co_return result;
     }
@@ -196,7 +206,7 @@
     if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer || kind == ResponseKind::UnnamedRefusal) {
         const auto isOtherServer = kind == ResponseKind::OtherServer || (kind == ResponseKind::UnnamedRefusal && head.status == misdirectedRequest);
         result.end = AttemptEnd::NotRun;
-        result.outcome = isOtherServer ? CallOutcome::Unreachable : CallOutcome::Rejected;
+        result.outcome = isOtherServer ? CallOutcome::Replaced : CallOutcome::Rejected;
         result.cause = isOtherServer ? "address-reused" : "server-rejected";
         co_return result;
     }
@@ -204,22 +214,31 @@
         result.cause = "answer-not-signed";
         co_return result;
     }
-    const auto type = head.fields.find("Content-Type");
-    const auto isEventStream = type.starts_with("text/event-stream");
-    const auto isStream = m_route->isStream() && head.status < firstRedirect && (isEventStream || type.empty());
-    // Once the caller has received events of the stream, only an event stream of the same status can continue them.
-    if (m_streamStarted && !(isStream && isEventStream && head.status == m_streamStatus)) {
+    const auto isStream = isStreamAnswer(head);
+    if (!continuesStream(head)) {
         result.cause = "no-stream";
         co_return result;
     }
     if (isStream)
         result = co_await relayStream(call, head, callId);
     else
-        result = co_await relayWholeAnswer(call, head);
+        result = co_await relayWholeAnswer(call, head, callId);
     result.wasSent = true;
     co_return result;
 }
 
+bool RoutedExchange::isStreamAnswer(const UpstreamHead& head) const
+{
+    const auto type = head.fields.find("Content-Type");
+    return m_route->isStream() && head.status < firstRedirect && (type.starts_with("text/event-stream") || type.empty());
+}
+
+// Once the caller has received events of the stream, only an event stream of the same status can continue them.
+bool RoutedExchange::continuesStream(const UpstreamHead& head) const
+{
+    return !m_streamStarted || (isStreamAnswer(head) && !head.fields.find("Content-Type").empty() && head.status == m_streamStatus);
+}
+
 void RoutedExchange::applyNotice(const Placement& placement, const UpstreamHead& head, TimePoint sentAt)
 {
     const auto now = monotonicNow();
@@ -236,7 +255,7 @@
     m_context.selector.recordBackoff(placement.backend, placement.incarnation, now + notice.retryAfter);
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::relayWholeAnswer(UpstreamCall& call, const UpstreamHead& head)
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayWholeAnswer(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
@@ -258,7 +277,8 @@
         co_return result;
     }
     result.outcome = CallOutcome::Answered;
-    m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    if (callId)
+        m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
@@ -273,7 +293,7 @@
     co_return co_await m_writer.startStream(head.status, m_context.codec.fieldsForCaller(head.fields));
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, CallId callId)
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
     const auto last = m_events.lastEventId();
@@ -287,6 +307,7 @@
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
+            result.outcome = chunk.ec == RouterError::UpstreamTimeout ? CallOutcome::Silent : CallOutcome::Broken;
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
@@ -308,15 +329,15 @@
         if (!bytes.empty() || isComplete) {
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
             if (isComplete || m_events.progressCount() > progressBefore) {
-                if (!firstEventAt && !m_context.selector.isSameStart(m_lastPlacement)) {
+                if (callId && !firstEventAt && !m_context.selector.isSameStart(m_lastPlacement)) {
                     result.cause = "server-replaced";
                     co_return result;
                 }
-                if (!m_lastChunkAt)
+                if (callId && !m_lastChunkAt)
                     recordOrigin();
                 recordChunk(callId);
                 firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
-                isSound = isSound || m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt);
+                isSound = isSound || (callId && m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt));
             }
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
@@ -340,19 +361,22 @@
         if (isComplete)
             break;
     }
-    m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    if (callId)
+        m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
     result.end = AttemptEnd::Delivered;
     result.outcome = CallOutcome::Answered;
     result.cause = "none";
     co_return result;
 }
 
-void RoutedExchange::recordChunk(CallId callId)
+void RoutedExchange::recordChunk(std::optional<CallId> callId)
 {
     const auto now = monotonicNow();
-    m_context.selector.recordActivity(callId, now);
-    m_context.selector.recordFirstToken(callId, now);
-    if (!m_lastChunkAt)
+    if (callId) {
+        m_context.selector.recordActivity(*callId, now);
+        m_context.selector.recordFirstToken(*callId, now);
+    }
+    if (callId && !m_lastChunkAt)
         m_context.admissionQueue.placeWaiting(now);
     if (m_lastChunkAt)
         m_longestPause = std::max(m_longestPause, now - *m_lastChunkAt);
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -87,18 +87,52 @@
         }
     }
 
-    asio::io_context& loop() { return m_loop; }
+    /** Makes a connection that is not open and not in the pool. */
+    std::shared_ptr<Connection> make() { return std::make_shared<Connection>(m_loop); }
+
+    /** Opens a connection. Closing it meanwhile makes that fail. */
+    Task<std::error_code> open(std::shared_ptr<Connection> connection, std::string address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint)
+            co_return make_error_code(RouterError::UpstreamConnectFailed);
+        connection->stream.expires_after(m_options.connectTimeout);
+        const auto [ec] = co_await connection->stream.async_connect(*endpoint, asTuple);
+        if (ec)
+            co_return make_error_code(RouterError::UpstreamConnectFailed);
+        setSocketOptions(connection->stream.socket());
+        co_return std::error_code();
+    }
+
     const UpstreamOptions& options() const { return m_options; }
 
 private:
+    static constexpr int maxLostProbes = 2; // A working link may lose a single probe.
+
+    // A server that lost power neither responds nor resets the connection; keep-alive probes and the user timeout detect it.
+    void setSocketOptions(Stream::socket_type& socket) const
+    {
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const auto timeout = m_options.tcpUserTimeout;
+        const auto set = [&socket](int level, int name, int value) { ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)); };
+        const auto seconds = std::max(1, static_cast<int>(timeout / std::chrono::seconds(2)));
+        set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout / std::chrono::milliseconds(1)));
+        set(SOL_SOCKET, SO_KEEPALIVE, 1);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+        set(IPPROTO_TCP, TCP_KEEPCNT, maxLostProbes);
+    }
+
     asio::io_context& m_loop;
     UpstreamOptions m_options;
     std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> m_idle; // By the address of the server.
 };
 
+// A peer whose host does not acknowledge for so long is silent; a server that ends closes or resets its connections.
 std::error_code timeoutOr(const boost::system::error_code& ec, RouterError otherwise)
 {
-    return make_error_code(ec == beast::error::timeout ? RouterError::UpstreamTimeout : otherwise);
+    return make_error_code(ec == beast::error::timeout || ec == asio::error::timed_out ? RouterError::UpstreamTimeout : otherwise);
 }
 
 class SocketCall final : public UpstreamCall {
@@ -115,8 +149,10 @@
         UpstreamHead head;
         m_connection = m_pool->take(m_address, m_timeouts.maxIdleTime);
         m_reusedConnection = m_connection != nullptr;
-        if (!m_connection)
-            head.ec = co_await connect();
+        if (!m_connection) {
+            m_connection = m_pool->make();
+            head.ec = co_await m_pool->open(m_connection, m_address);
+        }
         if (head.ec || m_isCancelled) {
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
@@ -207,7 +243,6 @@
     static constexpr std::size_t maxSynchronousBodyBytes = 8192; // A server may respond before it has read a larger body.
     static constexpr int maxSkippedResponses = 2;
     static constexpr std::size_t maxSkippedBytes = 256UL << 10U; // Of one response; reading on would delay the request's own.
-    static constexpr int maxLostProbes = 2; // A working link may lose a single probe.
     static constexpr Duration keepAliveMargin = std::chrono::milliseconds(1500); // Servers count whole seconds of their clock.
 
     static bool isMalformed(const boost::system::error_code& ec)
@@ -216,35 +251,6 @@
             && ec != http::error::end_of_stream && ec != http::error::partial_message;
     }
 
-    Task<std::error_code> connect()
-    {
-        const auto endpoint = parseEndpoint(m_address);
-        if (!endpoint)
-            co_return make_error_code(RouterError::UpstreamConnectFailed);
-        m_connection = std::make_shared<Connection>(m_pool->loop());
-        m_connection->stream.expires_after(m_pool->options().connectTimeout);
-        const auto [ec] = co_await m_connection->stream.async_connect(*endpoint, asTuple);
-        if (ec)
-            co_return make_error_code(RouterError::UpstreamConnectFailed);
-        setSocketOptions(m_connection->stream.socket());
-        co_return std::error_code();
-    }
-
-    // A server that lost power neither responds nor resets the connection; keep-alive probes and the user timeout detect it.
-    void setSocketOptions(Stream::socket_type& socket)
-    {
-        boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        const auto timeout = m_pool->options().tcpUserTimeout;
-        const auto set = [&socket](int level, int name, int value) { ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)); };
-        const auto seconds = std::max(1, static_cast<int>(timeout / std::chrono::seconds(2)));
-        set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout / std::chrono::milliseconds(1)));
-        set(SOL_SOCKET, SO_KEEPALIVE, 1);
-        set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
-        set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-        set(IPPROTO_TCP, TCP_KEEPCNT, maxLostProbes);
-    }
-
     void fillMessage(const HttpRequest& request)
     {
         m_request = std::make_shared<Outgoing>();
@@ -361,6 +367,16 @@
         return std::make_unique<SocketCall>(m_pool, address, timeouts);
     }
 
+    Task<std::error_code> connect(const std::string& address) override
+    {
+        const auto pool = m_pool; // The client may be destroyed meanwhile.
+        auto connection = pool->make();
+        const auto ec = co_await pool->open(connection, address);
+        if (!ec)
+            pool->put(address, std::move(connection));
+        co_return ec;
+    }
+
     void setMaxIdleConnections(std::size_t limit) override { m_pool->setMaxIdleConnections(limit); }
 
 private:
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -89,6 +89,8 @@
 
     /** Prepares a call without connecting; `address` is the `ip:port` of the backend server. */
     virtual std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) = 0;
+    /** Opens a connection that a later call may use, to learn whether the server can be reached. */
+    virtual Task<std::error_code> connect(const std::string& address) = 0;
     /** Sets the number of idle connections kept for each server and closes those above it. */
     virtual void setMaxIdleConnections(std::size_t) { }
     std::unique_ptr<UpstreamCall> open(const std::string& address) { return open(address, UpstreamTimeouts {}); }
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -33,6 +33,8 @@
 // Low, because the connection limit of a server counts the connections of all entry instances.
 constexpr std::size_t maxIdleConnectionsPerServer = 24;
 
+constexpr std::size_t relayedShare = 4; // Of the connections that fit into the memory, for requests that other instances relay.
+
 std::uint64_t systemSeed()
 {
     std::random_device device;
@@ -47,14 +49,18 @@
     , m_decoder(decoder)
     , m_random(std::make_unique<SeededRandom>(systemSeed()))
     , m_selector({ .ownDomain = settings.failureDomain }, *m_random)
+    , m_relayPeers(*m_random)
     , m_admissionQueue(m_loop, m_selector, [this] {
         if (m_selector.limits().isReportDue())
             m_feed.reportNow(); })
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
     , m_streams(m_loop, m_feed)
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .maxRetryAfter = settings.bounds.maxRetryAfter }
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .relayPeers = m_relayPeers, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .instance = settings.instance, .maxRetryAfter = settings.bounds.maxRetryAfter }
+    , m_prober(m_loop, m_selector, *m_upstream)
     , m_handler(m_context)
-    , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections })
+    , m_relayHandler(m_context, planMemory(settings.memoryBytes).connections / relayedShare)
+    , m_server(loops, m_handler, { .address = settings.callerListen, .limits = [this] { return callerLimits(); }, .bodies = bodies, .maxConnections = planMemory(settings.memoryBytes).connections })
+    , m_relayServer(loops, m_relayHandler, { .address = settings.linkListen, .limits = [this] { return callerLimits(); }, .bodies = std::move(bodies), .maxConnections = planMemory(settings.memoryBytes).connections / relayedShare })
     , m_feed(m_loop, { .instance = settings.instance.value(), .failureDomain = settings.failureDomain, .relayListen = settings.linkListen, .seed = m_random->next() },
           {
               .routing = [this](const auto& document) { applyRouting(document); },
@@ -154,7 +160,10 @@
 
 void EntryInstance::setRelayTargets(const std::vector<EntryAddress>& targets)
 {
-    m_relayTargets = targets;
+    std::vector<RelayPeer> peers;
+    for (const auto& it : targets)
+        peers.push_back({ .address = InstanceId(it.listen), .isInOwnDomain = it.failureDomain == m_settings.failureDomain });
+    m_relayPeers.set(peers);
 }
 
 UsageReport EntryInstance::localUsage()
@@ -234,6 +243,7 @@
         timer.expires_after(m_admissionQueue.waitingCount() > 0 ? queuePumpInterval : tickInterval);
         co_await timer.async_wait(asTuple);
         m_admissionQueue.placeWaiting(monotonicNow());
+        m_prober.tick();
         if (const auto ready = isReady(); std::exchange(m_wasReady, ready) != ready)
             logEvent(LogEvent::ReadinessChanged, "ready={} version={} home={}", ready, m_routing.version().value(), m_feed.attachedInstance().value());
     }
@@ -242,15 +252,15 @@
 // New connections keep coming until the load balancer has noticed, and callers keep using their open connections.
 Task<void> EntryInstance::serveUntilIdle(TimePoint startedAt)
 {
-    auto requestsRead = m_server.requestsRead();
+    auto requestsRead = m_server.requestsRead() + m_relayServer.requestsRead();
     auto idleSince = startedAt;
     Timer timer(m_loop.get_executor());
     for (;;) {
         timer.expires_after(std::min(drainPollInterval, m_context.drain.end() - monotonicNow()));
         co_await timer.async_wait(asTuple);
         const auto now = monotonicNow();
-        const auto total = m_server.requestsRead();
-        if (std::exchange(requestsRead, total) != total || m_server.hasRequests())
+        const auto total = m_server.requestsRead() + m_relayServer.requestsRead();
+        if (std::exchange(requestsRead, total) != total || hasRequests())
             idleSince = now;
         const auto isIdle = now - startedAt > balancerDetectionTime && now - idleSince > idleBeforeClose;
         if (isIdle || now >= m_context.drain.end())
@@ -264,7 +274,7 @@
     for (;;) {
         // A read that has ended counts as a request only after its handler has run, which is queued before this one.
         co_await asio::post(m_loop, asTuple);
-        if (!m_server.hasRequests() || monotonicNow() >= end)
+        if (!hasRequests() || monotonicNow() >= end)
             co_return;
         timer.expires_after(drainEndPollInterval);
         co_await timer.async_wait(asTuple);
@@ -277,14 +287,16 @@
     const auto startedAt = monotonicNow();
     m_context.drain.start(startedAt, m_settings.bounds.drainTime - exitMargin);
     m_server.startDrain();
-    logEvent(LogEvent::DrainStarted, "in_progress={}", m_server.requestsInProgress());
+    m_relayServer.startDrain();
+    logEvent(LogEvent::DrainStarted, "in_progress={}", requestsInProgress());
     co_await serveUntilIdle(startedAt);
     m_server.closeIdleConnections();
+    m_relayServer.closeIdleConnections();
     co_await awaitRequests(m_context.drain.end()); // Requests that crossed the closing of their connections.
-    const auto givenUp = m_server.requestsInProgress();
+    const auto givenUp = requestsInProgress();
     m_context.interrupts.interruptAll();
     co_await awaitRequests(std::max(m_context.drain.end(), monotonicNow()) + answerTimeAtEnd);
-    const auto aborted = m_server.requestsInProgress();
+    const auto aborted = requestsInProgress();
     logEvent(aborted == 0 ? LogEvent::DrainFinished : LogEvent::DrainCut, "given_up={} cut={}", givenUp, aborted);
     co_return aborted;
 }
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -7,6 +7,8 @@
 #include "base/RandomSource.h"
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/ForwardingContext.h"
+#include "forwarding/PathProber.h"
+#include "forwarding/RelayHandler.h"
 #include "forwarding/RoutedHandler.h"
 #include "http/HttpServer.h"
 #include "http/UpstreamClient.h"
@@ -15,6 +17,7 @@
 #include "node/StreamRegistry.h"
 #include "placement/BackendSelector.h"
 #include "placement/PromptGuard.h"
+#include "placement/RelayPeers.h"
 #include "routing/ActiveRouting.h"
 
 #include <memory>
@@ -60,6 +63,8 @@
     UsageReport localUsage();
     HttpLimits callerLimits() const;
     void limitIdleConnections();
+    bool hasRequests() const { return m_server.hasRequests() || m_relayServer.hasRequests(); }
+    std::size_t requestsInProgress() const { return m_server.requestsInProgress() + m_relayServer.requestsInProgress(); }
     void setRelayTargets(const std::vector<EntryAddress>&);
 
     asio::io_context& m_loop;
@@ -69,16 +74,19 @@
     ActiveRouting m_routing;
     BackendSelector m_selector;
     PromptGuard m_promptGuard;
+    RelayPeers m_relayPeers;
     AsyncAdmissionQueue m_admissionQueue;
     Metrics m_metrics;
     std::unique_ptr<UpstreamClient> m_upstream;
     StreamRegistry m_streams;
     ForwardingContext m_context;
+    PathProber m_prober;
     RoutedHandler m_handler;
+    RelayHandler m_relayHandler;
     HttpServer m_server;
+    HttpServer m_relayServer; // For requests that other entry instances relay.
     StateFeed m_feed;
     std::map<std::uint32_t, BackendUsage> m_reportedUsage; // This instance's last report, by backend hash.
-    std::vector<EntryAddress> m_relayTargets; // Entry instances to relay requests through; those of the own failure domain first.
     std::uint32_t m_minConnectionLimit = 0; // Smallest `maxConnections` of any service; 0 if no service sets one.
     bool m_isDraining = false;
     bool m_wasReady = false;
--- a/src/placement/BackendHealth.cpp
+++ b/src/placement/BackendHealth.cpp
@@ -33,7 +33,7 @@
         return;
     }
     ++m_consecutiveFailures;
-    if (outcome == CallOutcome::Unreachable || m_consecutiveFailures >= consecutiveFailuresToEject)
+    if (outcome == CallOutcome::Unreachable || outcome == CallOutcome::Replaced || m_consecutiveFailures >= consecutiveFailuresToEject)
         eject(now);
 }
 
--- a/src/placement/BackendHealth.h
+++ b/src/placement/BackendHealth.h
@@ -16,14 +16,16 @@
     Rejected, ///< The server stated that it did not run the request.
     ServerError, ///< The server answered with an error of its own.
     Unreachable, ///< No connection could be made.
-    Broken, ///< The answer was cut off, never came, or was malformed.
+    Replaced, ///< Another server answered at the address.
+    Broken, ///< The answer was cut off or was malformed.
+    Silent, ///< No more data came for so long that the call was given up.
 };
 
 /** Health of one incarnation of a backend server. */
 class BackendHealth {
 public:
     /**
-     * Ejects the server after 3 consecutive failures, or at once if it is unreachable. Answered and Rejected are no
+     * Ejects the server after 3 consecutive failures, or at once if it is unreachable or replaced. Answered and Rejected are no
      * failures, and Answered ends an ejection early.
      */
     void record(CallOutcome, TimePoint now);
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -73,6 +73,8 @@
         server.health.reset();
         if (const auto fleet = m_fleetEjections.find(record.service); fleet != m_fleetEjections.end())
             fleet->second.reset(record.id);
+        if (const auto reach = m_reach.find(record.service); reach != m_reach.end())
+            reach->second.forget(record.id);
     }
     if (isNewStart) {
         server.recentCalls = {};
@@ -193,7 +195,8 @@
     std::map<BackendId, CallCounts> calls;
     for (const auto& [id, server] : m_servers) {
         const auto counts = server.recentCalls.counts(now);
-        if (counts.calls() > 0)
+        // What this instance sees of servers that it does not reach says nothing about them.
+        if (counts.calls() > 0 && !isOutOfReach(server.record.service))
             calls.emplace(id, counts);
     }
     return calls;
@@ -318,6 +321,81 @@
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& it) { return isCandidate(it.second, request); });
 }
 
+bool BackendSelector::isOutOfReach(const ServiceId& service) const
+{
+    const auto it = m_reach.find(service);
+    return it != m_reach.end() && it->second.isOutOfReach();
+}
+
+std::set<ServiceId> BackendSelector::services() const
+{
+    std::set<ServiceId> services;
+    for (const auto& [id, server] : m_servers) {
+        if (server.record.state == BackendState::Serving)
+            services.insert(server.record.service);
+    }
+    return services;
+}
+
+std::vector<BackendId> BackendSelector::servingServers(const ServiceId& service) const
+{
+    std::vector<BackendId> serving;
+    for (const auto& [id, server] : m_servers) {
+        if (server.record.service == service && server.record.state == BackendState::Serving)
+            serving.push_back(id);
+    }
+    return serving;
+}
+
+std::optional<BackendId> BackendSelector::nextProbe(const ServiceId& service) const
+{
+    const auto it = m_reach.find(service);
+    return (it == m_reach.end() ? ServiceReach() : it->second).nextProbe(servingServers(service));
+}
+
+bool BackendSelector::recordProbe(const BackendId& id, bool wasReached, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return false;
+    const auto& service = it->second.record.service;
+    auto& reach = m_reach[service];
+    const auto wasOutOfReach = reach.isOutOfReach();
+    reach.recordProbe(id, wasReached, servingServers(service).size(), now);
+    // What ejected the server while it could not be reached is over.
+    if (wasReached && wasOutOfReach)
+        it->second.health.reset();
+    return wasOutOfReach != reach.isOutOfReach();
+}
+
+void BackendSelector::recordSilence(const BackendId& id, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it != m_servers.end())
+        recordReach(it->second, CallOutcome::Silent, now);
+}
+
+void BackendSelector::recordReach(const Server& server, CallOutcome outcome, TimePoint now)
+{
+    const auto& service = server.record.service;
+    switch (outcome) {
+    case CallOutcome::Answered:
+    case CallOutcome::ServerError:
+    case CallOutcome::Replaced:
+        m_reach[service].recordReached();
+        break;
+    case CallOutcome::Unreachable:
+    case CallOutcome::Silent:
+        // That a server does not answer which has stopped announcing itself says nothing of the path to it.
+        if (server.record.state == BackendState::Serving)
+            m_reach[service].recordFailure(server.record.id, servingServers(service).size(), now);
+        break;
+    case CallOutcome::Rejected:
+    case CallOutcome::Broken:
+        break;
+    }
+}
+
 bool BackendSelector::wasActiveSince(const BackendId& id, TimePoint since) const
 {
     const auto it = m_servers.find(id);
@@ -328,8 +406,11 @@
 {
     const auto call = m_calls.find(id);
     const auto it = call == m_calls.end() ? m_servers.end() : m_servers.find(call->second.backend);
-    if (it != m_servers.end())
-        it->second.lastActivityAt = now;
+    if (it == m_servers.end())
+        return;
+    it->second.lastActivityAt = now;
+    if (const auto reach = m_reach.find(it->second.record.service); reach != m_reach.end())
+        reach->second.recordReached();
 }
 
 // A service that keeps up has time to spare, so that a repeated prefill delays no other request.
@@ -494,6 +575,7 @@
     if (!call.hasFirstToken && outcome != CallOutcome::Answered)
         server.cache.remove(call.addedPrefixes);
     server.health.record(outcome, now);
+    recordReach(server, outcome, now);
     if (outcome == CallOutcome::Answered)
         server.recentCalls.recordAnswer(now);
     else if (outcome != CallOutcome::Rejected)
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -17,6 +17,7 @@
 #include "placement/FleetEjection.h"
 #include "placement/LimitedServers.h"
 #include "placement/Prompt.h"
+#include "placement/ServiceReach.h"
 #include "placement/StreamOrigins.h"
 
 #include <map>
@@ -117,7 +118,7 @@
      * ejected now.
      */
     std::vector<FleetEjected> setFleetCalls(const std::map<BackendId, CallCounts>&, std::uint32_t instances, TimePoint now);
-    /** Returns this instance's recent calls at each server that it had any from. */
+    /** Returns this instance's recent calls at each server that it had any from, without those of services that are out of reach. */
     std::map<BackendId, CallCounts> localCalls(TimePoint now) const;
     /**
      * Recomputes which engines are reserved for interactive requests: at least a quarter and at most half of a service's
@@ -127,6 +128,16 @@
 
     /** Returns true if some server might take the request now or later; it may be ejected, lapsed or backing off at present. */
     bool hasCandidate(const PlacementRequest&) const;
+    /** Returns true if this instance does not reach the servers of the service; see ServiceReach. */
+    bool isOutOfReach(const ServiceId&) const;
+    /** Records that a call to the server has brought no data for so long that the path to it may be cut. The call may go on. */
+    void recordSilence(const BackendId&, TimePoint now);
+    /** Returns the services that have serving servers. */
+    std::set<ServiceId> services() const;
+    /** Returns the server of the service to probe next; nothing if it has none that serves. */
+    std::optional<BackendId> nextProbe(const ServiceId&) const;
+    /** Records whether a connection to the server could be made. Returns true if that changed whether its service is in reach. */
+    bool recordProbe(const BackendId&, bool wasReached, TimePoint now);
     /** Returns true if the server sent any data to this instance at or after `since`, on any call. */
     bool wasActiveSince(const BackendId&, TimePoint since) const;
     /** Records that the server of this call sent data. */
@@ -212,6 +223,9 @@
         bool isPrefixCached = false; ///< Some engine is known to hold the prefix, so no probabilities are assumed.
     };
 
+    std::vector<BackendId> servingServers(const ServiceId&) const;
+    /** Takes the outcome of a call as evidence of whether its service is in reach. */
+    void recordReach(const Server&, CallOutcome, TimePoint now);
     /** Returns true if the server is ejected, by this instance's outcomes or by those of all instances. */
     bool isEjected(const Server&, TimePoint now) const;
     double serviceSlowness(const ServiceId&) const;
@@ -234,6 +248,7 @@
     std::map<ServiceId, FleetEjection> m_fleetEjections; // By service; created with the service's first failure.
     std::map<ServiceId, Reservation> m_reservations; // Holds exactly the services that have interactive requests.
     LimitedServers m_limits;
+    std::map<ServiceId, ServiceReach> m_reach; // Created with the service's first call that ended.
     std::map<CallId, Call> m_calls; // Calls that have not ended.
     std::vector<CachedPrefix> m_unreportedPrefixes; // Waits for takeCachedPrefixes(); bounded by maxUnreportedPrefixes.
     std::uint64_t m_lastCall = 0;
--- a/test/error/repeated_refusals.cpp
+++ b/test/error/repeated_refusals.cpp
@@ -119,7 +119,7 @@
 public:
     KeptConnectionBench()
         : m_client(makeUpstreamClient(loop, {}))
-        , m_context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = *m_client, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = 10s } }
+        , m_context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = *m_client, .relayPeers = relayPeers, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = 10s } }
         , m_handler(m_context)
     {
         m_context.startedAt = monotonicNow() - 1h;
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     std::optional<Script> otherwise; ///< For the attempts after these.
     std::vector<std::string> addresses; ///< One for each attempt that was made.
     std::vector<HttpRequest> requests;
+    std::set<std::string> unreachable; ///< Servers to which connect() fails.
+    std::vector<std::string> probes; ///< Calls of connect().
 
     std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) override
     {
@@ -55,6 +58,12 @@
         return std::make_unique<Call>(*this, std::move(script));
     }
 
+    Task<std::error_code> connect(const std::string& address) override
+    {
+        probes.push_back(address);
+        co_return unreachable.contains(address) ? make_error_code(RouterError::UpstreamConnectFailed) : std::error_code();
+    }
+
 private:
     class Call final : public UpstreamCall {
     public:
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -10,6 +10,7 @@
 #include "forwarding/RoutedHandler.h"
 #include "placement/BackendSelector.h"
 #include "placement/PromptGuard.h"
+#include "placement/RelayPeers.h"
 #include "platform/HeaderCodec.h"
 #include "routing/ActiveRouting.h"
 #include "test/fakes/FakeStreamOrigins.h"
@@ -27,9 +28,10 @@
     RoutedBench()
         : random(1)
         , selector({ .ownDomain = FailureDomainId("a") }, random)
+        , relayPeers(random)
         , admissionQueue(loop, selector)
         , streamOrigins(selector)
-        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = upstream, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
+        , context { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = upstream, .relayPeers = relayPeers, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) } }
         , handler(context)
     {
         routing.apply(configuration());
@@ -154,6 +156,7 @@
     ActiveRouting routing;
     BackendSelector selector;
     PromptGuard promptGuard;
+    RelayPeers relayPeers;
     AsyncAdmissionQueue admissionQueue;
     FakeStreamOrigins streamOrigins;
     FakeUpstream upstream;
