Ask all state instances before a stream goes on at the only known version

An entry instance does not conclude anything from its own list of servers: it asks its state instance, and without an answer the version is unknown. The state instance answered "the only version of the last 30 s" if a leader had confirmed at most 1.5 s ago. That proves a link to the leader at that time, not that the records of all servers have arrived: a server of a new version announces itself at any state instance, which may be cut off from this one for less than 1.5 s, in a minority that runners and entry instances still reach, behind a slow link, or just back. If the stream's origin is still on its way too, or was told to that other instance only, the stream went on at the old version.

Now an unrecorded stream has the only version known here if all state instances known here, asked at that moment, know the same one. One that is not linked, is silent for 150 ms, knows another one, or has run for less than 30 s makes it unknown: 503, not run. The stream began before the question, so an answer to it does not grow old in a pause. The existing question and answer are used between state instances; those of an earlier build ignore it, and unrecorded streams are refused during a rolling update.

Ruled out: an answer read after a pause of the entry instance; a record that the answer overtakes (one link, in order); an origin that waits for the tick while the server's record has arrived (several versions: unknown, asked again after 120 ms).

--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -161,6 +161,7 @@
         reportCachedPrefixes();
         publishPromptFindings();
         sendStreamsToStates();
+        expireOriginLookups();
         if (tick % ticksPerVersionCheck == 0) {
             for (const auto& it : m_directory.all())
                 observeVersion(it);
@@ -325,6 +326,12 @@
         handlePromptEvidence(HickoryHollow::fromWire(message.promptEvidence));
     } else if (isset.streamOrigins) {
         recordStreams(HickoryHollow::fromWire(message.streamOrigins), false);
+    } else if (isset.streamOriginQuery) {
+        const auto& query = message.streamOriginQuery;
+        answerStateOriginQuery(from, toUnsigned(query.id), StreamId(toUnsigned(query.stream)), ServiceId(query.serviceName));
+    } else if (isset.streamOriginReply) {
+        const auto& reply = message.streamOriginReply;
+        handleStateOriginReply(from, toUnsigned(reply.id), reply.__isset.version ? std::optional(VersionId(toUnsigned(reply.version))) : std::nullopt);
     } else if (isset.limitReport) {
         m_limits.reportFromState(sourceOf(from), HickoryHollow::fromWire(message.limitReport), monotonicNow());
     } else if (isset.freshnessPoll) {
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -89,6 +89,11 @@
     void sendStreamsToStates();
     void sendStreamsToState(const InstanceId&);
     void answerOriginQuery(EntryLinkId, std::uint64_t id, StreamId, const ServiceId&);
+    void answerStateOriginQuery(const InstanceId& from, std::uint64_t id, StreamId, const ServiceId&);
+    /** Takes what another state instance knows; without a version, it does not know it for certain. */
+    void handleStateOriginReply(const InstanceId& from, std::uint64_t id, std::optional<VersionId>);
+    void expireOriginLookups();
+    void replyOriginToEntry(EntryLinkId, std::uint64_t id, std::optional<VersionId>);
     void observeVersion(const BackendRecord&);
 
     /** Asks the leader for the newest accepted version, in this round or the next one. */
@@ -120,6 +125,16 @@
     StreamOrigins m_streams; // Of all entry instances.
     std::vector<StreamOrigin> m_streamsForStates; // From the entry instances attached here, to send at the next tick.
     ServiceVersions m_versions;
+    /** A question of an entry instance about a stream that is not recorded here, while the other state instances are asked. */
+    struct OriginLookup {
+        EntryLinkId entry;
+        std::uint64_t entryQuery = 0;
+        VersionId version; ///< The only one that is known here.
+        std::set<InstanceId> awaited; ///< Have not said yet that they know no other version; never empty.
+        TimePoint end;
+    };
+    std::map<std::uint64_t, OriginLookup> m_originLookups; // Not decided yet, by the id of the question to the state instances.
+    std::uint64_t m_lastOriginLookup = 0;
     std::optional<TimePoint> m_confirmedAt; // Last confirmation of the leader.
 
     // Newest committed document known here; never null. The version only grows.
