--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -172,6 +172,7 @@
         m_entryAddresses.expire(now);
         if (tick % ticksPerEntryAddresses == 0)
             publishEntryAddresses();
+        expireOriginLookups();
         if (tick % ticksPerVersionCheck == 0) {
             for (const auto& it : m_directory.all())
                 observeVersion(it);
@@ -338,6 +339,12 @@
         recordStreams(HickoryHollow::fromWire(message.streamOrigins), false);
     } else if (isset.entryAddresses) {
         m_entryAddresses.set(sourceOf(from), HickoryHollow::fromWire(message.entryAddresses));
+    } else if (isset.streamOriginQuery) {
+        const auto& query = message.streamOriginQuery;
+        answerStateOriginQuery(from, toUnsigned(query.id), StreamId(toUnsigned(query.stream)), ServiceId(query.serviceName));
+    } else if (isset.streamOriginReply) {
+        const auto& reply = message.streamOriginReply;
+        handleStateOriginReply(from, toUnsigned(reply.id), reply.__isset.version ? std::optional(VersionId(toUnsigned(reply.version))) : std::nullopt);
     } else if (isset.limitReport) {
         m_limits.reportFromState(sourceOf(from), HickoryHollow::fromWire(message.limitReport), monotonicNow());
     } else if (isset.freshnessPoll) {
