Judge a server's silence only while its bytes are waited for

An exchange that writes to a caller that reads slowly reads nothing from its server, and took that time for the server's silence: it took a retry and a place at another server, and closed a sound server's connection once the write was over.

The time of writes does not count any more.

Tests: `a caller that reads slowly is not taken for a silent server`, `asking for a further server in vain leaves an ejected one as it was`.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -71,6 +71,26 @@
         Duration retryAfter {}; ///< Time after which the caller may come back.
     };
 
+    /** Marks the time in which the exchange writes to the caller and reads nothing from the server. */
+    class WriteGuard {
+    public:
+        explicit WriteGuard(RoutedExchange& exchange)
+            : m_exchange(exchange)
+        {
+            m_exchange.m_isWriting = true;
+        }
+        ~WriteGuard()
+        {
+            m_exchange.m_isWriting = false;
+            m_exchange.m_wroteAt = monotonicNow();
+        }
+        WriteGuard(const WriteGuard&) = delete;
+        WriteGuard& operator=(const WriteGuard&) = delete;
+
+    private:
+        RoutedExchange& m_exchange;
+    };
+
     // Admission.
     /** Finds route and workspace and sets the deadline. Returns the error response if the request is refused. */
     std::optional<HttpResponse> admit();
@@ -203,6 +223,8 @@
     std::string_view m_lastCause = "none"; // Cause of the last attempt.
     RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
     std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, if the present one was given up for it.
+    bool m_isWriting = false; // To the caller; see WriteGuard.
+    TimePoint m_wroteAt {}; // End of the last write to the caller.
     bool m_hasRetry = false; // The next attempt's retry was taken from the budget.
     std::optional<HttpResponse> m_serverError; // Last signed 5xx answer of a server.
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -65,9 +65,12 @@
 std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement)
 {
     const auto now = monotonicNow();
-    const auto silentUntil = std::max(begunAt, m_lastChunkAt.value_or(begunAt)) + silenceLimit();
+    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + silenceLimit();
     if (now < silentUntil)
         return silentUntil;
+    // What the server has sent meanwhile is not read.
+    if (m_isWriting)
+        return now + m_context.minSilence / 4;
     const auto isActive = m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence);
     if (!isActive)
         m_context.selector.recordSilence(placement.backend, now);
@@ -89,10 +92,8 @@
     }
     auto request = m_placementRequest;
     request.excluded.insert(present.backend);
-    m_next = m_context.admissionQueue.placeAtOnce(request, now);
     // A server that is ejected or has stopped announcing itself is no better than a silent one.
-    if (m_next && m_next->placement.isFallback)
-        releaseNext();
+    m_next = m_context.admissionQueue.placeAtOnce(request, now);
     m_hasRetry = m_next && m_retryWindow->tryRetry(m_context.entryInstances, now);
     return m_next.has_value();
 }
@@ -279,6 +280,7 @@
     result.outcome = CallOutcome::Answered;
     if (callId)
         m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    const WriteGuard guard(*this);
     const auto ec = co_await m_writer.send(std::move(result.answer));
     result.end = ec ? AttemptEnd::CallerGone : AttemptEnd::Delivered;
     co_return result;
@@ -339,6 +341,7 @@
                 firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
                 isSound = isSound || (callId && m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt));
             }
+            const WriteGuard guard(*this);
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
                 ec = co_await m_writer.write(bytes);
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -111,8 +111,11 @@
     const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
     const auto silenceEnd = [this, begunAt]() -> std::optional<TimePoint> {
         const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-        const auto end = std::max(begunAt, m_lastChunkAt.value_or(begunAt)) + std::max<Duration>(minPeerSilence, target * peerSilenceTargetFactor);
-        return monotonicNow() < end ? std::optional(end) : std::nullopt;
+        const auto now = monotonicNow();
+        const auto end = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(minPeerSilence, target * peerSilenceTargetFactor);
+        if (m_isWriting)
+            return std::max(end, now + minPeerSilence);
+        return now < end ? std::optional(end) : std::nullopt;
     };
     const auto call = m_context.upstream.open(peer.value(), timeouts);
     setInterruption([&call = *call] { call.cancel(); });
--- a/src/placement/AdmissionQueue.cpp
+++ b/src/placement/AdmissionQueue.cpp
@@ -19,6 +19,15 @@
     return placement.prefillBacklog > maxBacklogAtLowest + maxBacklogPerLevel * request.levelsAboveLowest;
 }
 
+std::optional<AdmissionQueue::Grant> AdmissionQueue::placeAtOnce(const PlacementRequest& request, TimePoint now)
+{
+    auto placement = m_selector.select(request, now);
+    if (!placement || placement->isFallback)
+        return std::nullopt;
+    const auto call = m_selector.beginCall(*placement, request, now);
+    return Grant { .placement = std::move(*placement), .call = call };
+}
+
 std::optional<AdmissionQueue::Grant> AdmissionQueue::place(const PlacementRequest& request, bool ignoreBacklog, TimePoint now)
 {
     auto placement = m_selector.select(request, now);
--- a/src/placement/AdmissionQueue.h
+++ b/src/placement/AdmissionQueue.h
@@ -42,8 +42,11 @@
      * Interactive requests and requests without a prompt never wait for others.
      */
     std::optional<Grant> tryPlace(const PlacementRequest&, TimePoint now);
-    /** Places the request at the best server, regardless of the backlog there and of requests that wait. */
-    std::optional<Grant> placeAtOnce(const PlacementRequest& request, TimePoint now) { return place(request, true, now); }
+    /**
+     * Places the request at the best server, regardless of the backlog there and of requests that wait. Returns nothing if every
+     * candidate is ejected or has stopped announcing itself.
+     */
+    std::optional<Grant> placeAtOnce(const PlacementRequest&, TimePoint now);
     /** Queues the request. From `queueUntil` on it goes to the best engine regardless of the backlog there. */
     WaiterId enqueue(PlacementRequest, TimePoint queueUntil, TimePoint now);
     /** Returns true if some server of the service might take the request, now or later. */
--- a/test/error/http_drain.cpp
+++ b/test/error/http_drain.cpp
@@ -97,6 +97,7 @@
     }
 
     void send(std::string_view bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    void close() { m_socket.close(); }
     std::string readAll()
     {
         std::string bytes;
@@ -144,6 +145,7 @@
     CHECK(idle.readAll().empty());
     arriving.send("b");
     CHECK(arriving.readAll().ends_with("\r\n\r\nb"));
+    arriving.close();
     server.await([](auto& it) { return !it.hasRequests(); });
 }
 
--- a/test/error/silent_server_processes.cpp
+++ b/test/error/silent_server_processes.cpp
@@ -47,7 +47,7 @@
 TEST_CASE("a server's silence during a stop does not cut a stream that no other server may continue", "[platform][loopback][drain]")
 {
     PausingService services[2];
-    LoopbackDeployment deployment({ .name = "pauses", .firstPort = firstPort, .configuration = configuration, .servers = { &services[0], &services[1] }, .entries = 1, .drainSeconds = "5.6" });
+    LoopbackDeployment deployment({ .name = "pauses", .firstPort = firstPort, .configuration = configuration, .servers = { &services[0], &services[1] }, .entries = 1, .drainSeconds = "4.7" });
     Answer answer;
     std::thread caller([&] { answer = deployment.ask(0, "/d/1", "body"); });
     while (services[0].begun + services[1].begun == 0)
--- a/test/error/silent_servers.cpp
+++ b/test/error/silent_servers.cpp
@@ -116,3 +116,44 @@
     CHECK(bench.writer.isFinished);
     CHECK(bench.writer.streamed == wholeStream);
 }
+
+// Guards against sound servers that are left, and cut streams, because their callers read slowly.
+TEST_CASE("a caller that reads slowly is not taken for a silent server", "[routed]")
+{
+    ImpatientBench bench;
+    bench.writer.readTime = 60ms;
+    const auto* path = GENERATE("/draft/7", "/look/7");
+    bench.upstream.scripts = { std::string(path) == "/draft/7" ? pausingStream() : RoutedBench::answer("whole") };
+    bench.upstream.otherwise = RoutedBench::rejection();
+    bench.run(RoutedBench::request(path));
+    CHECK(bench.upstream.requests.size() == 1);
+    CHECK((bench.writer.isFinished || bench.writer.response->body == "whole"));
+    CHECK(bench.selector.localUsage().empty());
+    auto& window = bench.context.retryWindows.begin()->second;
+    // The whole budget is left: ten, and a fifth of one first attempt.
+    for (int i = 0; i < 7; ++i)
+        CHECK(window.tryRetry(1, monotonicNow()));
+}
+
+TEST_CASE("asking for a further server in vain leaves an ejected one as it was", "[routed]")
+{
+    ImpatientBench bench;
+    auto script = pausingStream();
+    script.silence = 60ms;
+    script.silentAfter = 1;
+    script.afterSending = [&bench] {
+        for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" }) {
+            if (address == bench.upstream.addresses[0])
+                continue;
+            const Placement placement { .backend = BackendId(address), .incarnation = Incarnation(1) };
+            const PlacementRequest request { .service = ServiceId("models") };
+            for (int i = 0; i < 3; ++i)
+                bench.selector.endCall(bench.selector.beginCall(placement, request, monotonicNow()), CallOutcome::Broken, monotonicNow());
+        }
+    };
+    bench.upstream.scripts = { script };
+    bench.upstream.otherwise = RoutedBench::rejection();
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 1);
+    CHECK(bench.writer.streamed == wholeStream);
+}
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -160,10 +160,12 @@
     bool isAbandoned = false;
     bool isDisconnected = false;
     std::function<void()> written = [] {}; ///< Called after each write of a part of a stream.
+    Duration readTime {}; ///< Time that the caller takes to read an answer or a part of a stream.
 
     Task<std::error_code> send(HttpResponse sent) override
     {
         response = std::move(sent);
+        co_await read();
         co_return std::error_code();
     }
     Task<std::error_code> startStream(unsigned status, const HttpFields&) override
@@ -175,6 +177,7 @@
     {
         streamed.append(chunk);
         written();
+        co_await read();
         co_return std::error_code();
     }
     Task<std::error_code> finishStream() override
@@ -185,6 +188,15 @@
     void abandon() override { isAbandoned = true; }
     void onCallerDisconnect(std::function<void()>) override { }
     bool isCallerDisconnected() const override { return isDisconnected; }
+
+private:
+    Task<void> read()
+    {
+        if (readTime == Duration::zero())
+            co_return;
+        Timer pause(co_await asio::this_coro::executor, readTime);
+        co_await pause.async_wait(asTuple);
+    }
 };
 
 class MemoryLedger final : public IdempotencyLedger {
