--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -161,6 +161,7 @@
 void EntryInstance::setRelayTargets(const std::vector<EntryAddress>& targets)
 {
     std::vector<RelayPeer> peers;
+    peers.reserve(targets.size());
     for (const auto& it : targets)
         peers.push_back({ .address = InstanceId(it.listen), .isInOwnDomain = it.failureDomain == m_settings.failureDomain });
     m_relayPeers.set(peers);
