Log the attempts of streams that were cut or went on, and how late the event loop ran

Event 2107 names all attempts of a stream that was cut or went on elsewhere, each with the event after which it was to go on and the first that it brought, and the state of the instance: age of the configuration, lease, delay of the event loop, bytes held, retries left. The last but one and the delay are metrics too.

A stream of one attempt that is whole writes no further line.

--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -28,6 +28,7 @@
     BodyRefused = 2104,
     ConnectionCut = 2105,
     RelayFailed = 2106,
+    StreamAttempts = 2107,
     FramingRefused = 2110,
     ConnectionsExceeded = 2111,
     FrameRefused = 2112,
--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/LoopLag.h"
 #include "base/Time.h"
 #include "forwarding/BufferBudget.h"
 #include "forwarding/DrainPolicy.h"
@@ -51,6 +52,8 @@
     RouteDurations durations = {}; ///< Of the requests that were sent to a server.
     Interrupts interrupts = {}; ///< Gives up the exchanges in progress at the end of a drain.
     BufferBudget answerBytes = BufferBudget(); ///< Bytes of answers that are held until they are complete.
+    LoopLag loopLag = {}; ///< Of `loop`.
+    TimePoint configuredAt = monotonicNow(); ///< Time at which the configuration in force was taken in.
     InstanceId instance = {}; ///< Name of this instance.
     Duration maxRetryAfter = std::chrono::seconds(8); ///< Upper limit of the retry-after time sent to shed requests.
     StartCounter* starts = nullptr; ///< Null if the provider gets no usage reports.
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -156,7 +156,9 @@
         m_lastPlacement = grant->placement;
         const auto begunAt = monotonicNow();
         const auto requestsAtStart = requestsAt(grant->placement);
+        m_attempt = m_trace.begin(grant->placement.backend.value(), lastEventId(), begunAt);
         auto result = co_await runAttempt(grant->placement, grant->call);
+        m_trace.end(m_attempt, result.cause, monotonicNow());
         recordCompletion(grant->placement, result, begunAt, requestsAtStart);
         m_lastCause = result.cause;
         m_placementRequest.excluded.insert(grant->placement.backend);
@@ -379,6 +381,9 @@
 {
     const auto now = monotonicNow();
     countOutcome(status, outcome, now - m_arrival);
+    const auto wasCut = m_streamStarted && outcome != "delivered" && outcome != "caller-gone";
+    if (wasCut || (m_lastChunkAt && m_trace.size() > 1))
+        logAttempts(outcome);
     if (m_possibleRuns > 0 && status > 0)
         m_context.durations.add(m_route->id, now - m_arrival, now);
     const auto stopAge = m_context.drain.age(now);
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "forwarding/AttemptTrace.h"
 #include "forwarding/ForwardingContext.h"
 #include "forwarding/RelayedRequest.h"
 #include "forwarding/RequestCodec.h"
@@ -208,6 +209,10 @@
     std::uint32_t possibleRuns() const { return m_possibleRuns + (m_relayed ? m_relayed->earlierRuns : 0); }
     /** Counts and logs the end of the exchange. `status` is 0 if the caller disconnected. */
     void logEnd(unsigned status, std::string_view outcome);
+    /** Logs the attempts of a stream that was cut or went on elsewhere, with the state of the instance. */
+    void logAttempts(std::string_view outcome) const;
+    /** Id of the event after which the next attempt goes on; nothing if the stream begins. */
+    std::optional<std::uint64_t> lastEventId() const { return m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId; }
 
     ForwardingContext& m_context;
     const HttpRequest& m_http;
@@ -238,6 +243,8 @@
     std::uint64_t m_relayedBytes = 0; // Of the body of the stream.
     Duration m_longestPause {}; // Longest time between two chunks of the stream.
     std::string_view m_lastCause = "none"; // Cause of the last attempt.
+    AttemptTrace m_trace;
+    AttemptTrace::Index m_attempt = 0; // Of the attempt that runs.
     RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
     std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, if the present one was given up for it.
     bool m_isWriting = false; // To the caller; see WriteGuard.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -49,7 +49,7 @@
         .workspace = m_workspace ? m_workspace->id : WorkspaceId(),
         .timeLeft = m_deadline - monotonicNow(),
         .priority = std::min(m_placementRequest.priority, lastPriority),
-        .lastEventId = m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId,
+        .lastEventId = lastEventId(),
     };
     return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForServer(m_http.fields, metadata), .body = m_http.body };
 }
@@ -320,6 +320,7 @@
         }
         const auto progressBefore = m_events.progressCount();
         auto bytes = m_events.feed(chunk.bytes);
+        m_trace.recordEvents(m_attempt, m_events.firstEventId(), m_events.progressCount());
         if (m_events.isOversized() || !held.resize(copiesOfEvent * m_events.incompleteEvent().size())) {
             result.cause = "event-oversized";
             co_return result;
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -76,7 +76,9 @@
         }
         m_triedPeers.insert(*peer);
         m_lastPeer = *peer;
+        m_attempt = m_trace.begin(peer->value(), lastEventId(), now);
         auto result = co_await runRelayAttempt(*peer);
+        m_trace.end(m_attempt, result.cause, monotonicNow());
         m_lastCause = result.cause;
         m_sends += result.wasSent ? 1 : 0;
         m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
@@ -96,9 +98,8 @@
 
 HttpRequest RoutedExchange::makeRelayRequest() const
 {
-    const auto lastEventId = m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId;
     const RelayedRequest relayed { .from = m_context.instance, .earlierRuns = m_possibleRuns, .continuesStream = m_lastChunkAt.has_value() };
-    HttpRequest request { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForRelay(withoutRelayField(m_http.fields), m_deadline - monotonicNow(), lastEventId), .body = m_http.body };
+    HttpRequest request { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForRelay(withoutRelayField(m_http.fields), m_deadline - monotonicNow(), lastEventId()), .body = m_http.body };
     request.fields.add(std::string(relayField), toText(relayed));
     return request;
 }
--- a/src/forwarding/RoutedExchangeReports.cpp
+++ b/src/forwarding/RoutedExchangeReports.cpp
@@ -2,6 +2,7 @@
 
 #include "base/LogEvent.h"
 #include "forwarding/AsyncAdmissionQueue.h"
+#include "routing/ActiveRouting.h"
 #include "scaling/DemandMeter.h"
 #include "usage/StartCounter.h"
 
@@ -69,4 +70,12 @@
     logEvent(LogEvent::RoutedBroken, "id={} backend={} cause={} sent_for_ms={} request={:x} parts={}", m_metadata.id, placement.backend.value(), cause, sentFor / std::chrono::milliseconds(1), m_parts.back().value(), parts);
 }
 
+void RoutedExchange::logAttempts(std::string_view outcome) const
+{
+    const auto now = monotonicNow();
+    const auto milliseconds = [](Duration time) { return time / std::chrono::milliseconds(1); };
+    logEvent(LogEvent::StreamAttempts, "id={} route={} outcome={} written={} attempts={} version={} configured_ms={} lease_ms={} loop_ms={} held={} retries={}", m_metadata.id, m_route->id.value(), outcome, m_relayedEvents, m_trace.toText(),
+        m_context.routing.version().value(), milliseconds(now - m_context.configuredAt), milliseconds(m_context.routing.leaseEnd() - now), milliseconds(m_context.loopLag.worst(now)), m_context.answerBytes.used(), m_retryWindow ? m_retryWindow->left(m_context.entryInstances, now) : 0);
+}
+
 } // namespace HickoryHollow
--- a/src/http/EventStreamScanner.cpp
+++ b/src/http/EventStreamScanner.cpp
@@ -73,6 +73,7 @@
             const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), id);
             if (ec != std::errc() || end == text.data())
                 return true;
+            m_firstId = m_firstId.value_or(id);
             if (m_lastId && id <= *m_lastId)
                 return false;
             m_lastId = id;
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -33,6 +33,8 @@
     void skipThrough(std::uint64_t id) { m_lastId = id; }
     /** Largest numeric `id` of an event that feed() returned or that skipThrough() set; nothing before the first. */
     std::optional<std::uint64_t> lastEventId() const { return m_lastId; }
+    /** Numeric `id` of the first event that was received, also of one that was left out. */
+    std::optional<std::uint64_t> firstEventId() const { return m_firstId; }
     /** The bytes received of an event that is still incomplete. */
     std::string_view incompleteEvent() const { return m_pending; }
     /**
@@ -55,6 +57,7 @@
 
     EndMarker m_endMarker;
     std::optional<std::uint64_t> m_lastId; // Never decreases.
+    std::optional<std::uint64_t> m_firstId;
     std::string m_output; // Result of the last feed().
     std::string m_pending; // Start of an incomplete event.
     std::uint32_t m_eventCount = 0;
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -143,6 +143,7 @@
     }
     const auto services = decoded.configuration.services;
     m_routing.apply(std::move(decoded.configuration));
+    m_context.configuredAt = monotonicNow();
     m_minConnectionLimit = 0;
     for (const auto& it : services) {
         if (it.maxConnections > 0 && (m_minConnectionLimit == 0 || it.maxConnections < m_minConnectionLimit))
@@ -248,8 +249,11 @@
 {
     Timer timer(m_loop.get_executor());
     for (;;) {
-        timer.expires_after(m_admissionQueue.waitingCount() > 0 ? queuePumpInterval : tickInterval);
+        const auto pause = m_admissionQueue.waitingCount() > 0 ? queuePumpInterval : tickInterval;
+        const auto due = monotonicNow() + pause;
+        timer.expires_after(pause);
         co_await timer.async_wait(asTuple);
+        m_context.loopLag.record(due, monotonicNow());
         m_admissionQueue.placeWaiting(monotonicNow());
         m_prober.tick();
         if (const auto ready = isReady(); std::exchange(m_wasReady, ready) != ready)
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -53,6 +53,10 @@
     Task<std::size_t> drain();
 
     Metrics& metrics() { return m_metrics; }
+    /** The longest delay of the event loop in the last seconds. */
+    Duration loopLag() { return m_context.loopLag.worst(monotonicNow()); }
+    /** Bytes of servers' answers that are held until they are complete. */
+    std::size_t heldAnswerBytes() const { return m_context.answerBytes.used(); }
     RoutingVersion routingVersion() const { return m_routing.version(); }
     /** Metrics of what is counted for the provider in Prometheus text format; empty if nothing is. */
     std::string providerMetricsText() const { return m_reports.metricsText(monotonicNow()); }
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -151,7 +151,7 @@
 std::string NodeProcess::Impl::metricsText() const
 {
     if (entry)
-        return entry->metrics().toText() + fmt::format("hickoryhollow_routing_version {}\nhickoryhollow_ready {}\nhickoryhollow_connections_closed_for_room_total {}\nhickoryhollow_framing_refused_total {}\n", entry->routingVersion().value(), entry->isReady() ? 1 : 0, entry->connectionsClosedForRoom(), entry->framingRefusals()) + entry->providerMetricsText();
+        return entry->metrics().toText() + fmt::format("hickoryhollow_routing_version {}\nhickoryhollow_ready {}\nhickoryhollow_connections_closed_for_room_total {}\nhickoryhollow_framing_refused_total {}\nhickoryhollow_loop_lag_seconds {:.3f}\nhickoryhollow_held_answer_bytes {}\n", entry->routingVersion().value(), entry->isReady() ? 1 : 0, entry->connectionsClosedForRoom(), entry->framingRefusals(), std::chrono::duration<double>(entry->loopLag()).count(), entry->heldAnswerBytes()) + entry->providerMetricsText();
     return fmt::format("hickoryhollow_routing_version {}\nhickoryhollow_entry_links {}\nhickoryhollow_reachable_states {}\nhickoryhollow_announcements_refused_total {}\nhickoryhollow_links_refused_total {}\n", state->routingVersion().value(), state->entryLinks(), state->reachableStates(), state->announcementsRefused(), state->linksClosed()) + state->metricsText() + state->providerMetricsText();
 }
 
--- a/src/placement/RetryWindow.cpp
+++ b/src/placement/RetryWindow.cpp
@@ -27,12 +27,22 @@
     m_firstAttempts.push_back(now);
 }
 
+double RetryWindow::budget(std::uint32_t instances) const
+{
+    const auto slackShare = static_cast<double>(m_options.slack) / std::max(1U, instances);
+    return usableShare * (m_options.ratio * static_cast<double>(m_firstAttempts.size()) + slackShare);
+}
+
 bool RetryWindow::mayRetry(std::uint32_t instances, TimePoint now)
 {
     expire(now);
-    const auto slackShare = static_cast<double>(m_options.slack) / std::max(1U, instances);
-    const auto budget = usableShare * (m_options.ratio * static_cast<double>(m_firstAttempts.size()) + slackShare);
-    return static_cast<double>(m_retries.size() + 1) <= budget;
+    return static_cast<double>(m_retries.size() + 1) <= budget(instances);
+}
+
+std::uint64_t RetryWindow::left(std::uint32_t instances, TimePoint now)
+{
+    expire(now);
+    return static_cast<std::uint64_t>(std::max(0.0, budget(instances) - static_cast<double>(m_retries.size())));
 }
 
 bool RetryWindow::tryRetry(std::uint32_t instances, TimePoint now)
--- a/src/placement/RetryWindow.h
+++ b/src/placement/RetryWindow.h
@@ -29,12 +29,16 @@
     void recordFirstAttempt(TimePoint now);
     /** True if the budget has a retry left. `instances` is the number that share the slack. */
     bool mayRetry(std::uint32_t instances, TimePoint now);
+    /** Number of retries that the budget has left. */
+    std::uint64_t left(std::uint32_t instances, TimePoint now);
     /** Takes one retry from the budget; false if the budget is spent. */
     bool tryRetry(std::uint32_t instances, TimePoint now);
 
 private:
     /** Drops the times that are older than the window. */
     void expire(TimePoint now);
+    /** Retries permitted in the present window, in fractions too. */
+    double budget(std::uint32_t instances) const;
 
     Options m_options;
     std::deque<TimePoint> m_firstAttempts; // Times within the window, oldest first.
