Failing tests: a silent stream is cut when the server that is asked to go on refuses

What callers see: their stream's connection is closed while the server is silent, although it would have gone on. The next server refuses (or can't be reached, breaks off, is silent too), or the lease or the instance's stop forbids the send after the silent attempt has been ended. The same through another instance that relays the request: there the silent attempt is ended without asking whether a further one may begin.

The time after which an instance that relays a request is silent becomes a member of the context, for the tests.

--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -60,6 +60,8 @@
     DemandMeter* demand = nullptr; ///< Null if no servers are ordered from the provider.
     bool limitsOverload = false; ///< Learn how long requests take at engines, and refuse early those that would not end in time.
     Duration minSilence = std::chrono::milliseconds(1200); ///< A paused or slowed server can be silent this long.
+    /** Longer than another instance that relays a request waits for a silent server before it tries a further one. */
+    Duration minPeerSilence = std::chrono::milliseconds(2500);
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -20,8 +20,6 @@
 constexpr std::uint32_t unreachableServersIfCut = 2; // One server that can't be reached has probably ended.
 constexpr int maxPeersTried = 3;
 constexpr Duration minTimeLeftToRelay = std::chrono::milliseconds(25);
-// Longer than the other instance waits for a silent server before it tries another one.
-constexpr Duration minPeerSilence = std::chrono::milliseconds(2500);
 constexpr int peerSilenceTargetFactor = 4;
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500); // As for servers.
 constexpr std::chrono::hours maxIdleForRepeatable(1);
@@ -113,9 +111,9 @@
     const auto silenceEnd = [this, begunAt]() -> std::optional<TimePoint> {
         const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
         const auto now = monotonicNow();
-        const auto end = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(minPeerSilence, target * peerSilenceTargetFactor);
+        const auto end = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(m_context.minPeerSilence, target * peerSilenceTargetFactor);
         if (m_isWriting)
-            return std::max(end, now + minPeerSilence);
+            return std::max(end, now + m_context.minPeerSilence);
         return now < end ? std::optional(end) : std::nullopt;
     };
     const auto call = m_context.upstream.open(peer.value(), timeouts);
--- a/test/error/relayed_requests.cpp
+++ b/test/error/relayed_requests.cpp
@@ -248,6 +248,54 @@
     }
 }
 
+// Guards against streams that were cut because an instance was silent, and the next one that was asked could not help.
+TEST_CASE("a silent stream through another instance is not given up for one that can't help", "[relay][routed]")
+{
+    RelayBench bench;
+    bench.context.minPeerSilence = 20ms;
+    auto configuration = RoutedBench::configuration();
+    configuration.version = RoutingVersion(8);
+    for (auto& it : configuration.routes)
+        it.firstTokenTarget = 1ms;
+    bench.routing.apply(configuration);
+    bench.confirm(5s);
+    bench.cut();
+    auto silent = RelayBench::stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    silent.silence = 60ms;
+    silent.silentAfter = GENERATE(as<std::size_t> {}, 0, 1);
+    bench.upstream.scripts = { silent };
+    bench.upstream.otherwise = RelayBench::ownAnswer(503, "no-path");
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.addresses == std::vector<std::string> { firstPeer, secondPeer });
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_CASE("a silent stream goes on through another instance that takes it over", "[relay][routed]")
+{
+    RelayBench bench;
+    bench.context.minPeerSilence = 20ms;
+    auto configuration = RoutedBench::configuration();
+    configuration.version = RoutingVersion(8);
+    for (auto& it : configuration.routes)
+        it.firstTokenTarget = 1ms;
+    bench.routing.apply(configuration);
+    bench.confirm(5s);
+    bench.cut();
+    auto silent = RelayBench::stream({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    silent.silence = 1h;
+    silent.silentAfter = 1;
+    bench.upstream.scripts = { silent, RelayBench::stream({ "id: 2\ndata: b\n\n" }) };
+    bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
+    REQUIRE(bench.upstream.requests.size() == 2);
+    CHECK(bench.upstream.requests[1].fields.find("Last-Event-Id") == "1");
+    const auto relayed = parseRelayedRequest(bench.upstream.requests[1].fields);
+    REQUIRE(relayed);
+    CHECK(relayed->earlierRuns == 1);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 TEST_CASE("a stopping instance relays nothing that could outlast its stop", "[relay][routed][drain]")
 {
     RelayBench bench;
--- a/test/error/silent_server_processes.cpp
+++ b/test/error/silent_server_processes.cpp
@@ -24,7 +24,7 @@
 "services":[{"name":"s"}],"tenants":[{"name":"w","api-keys":["good-key"]}]})";
 
 /** Is silent for 1.6 s between the two events of a stream. */
-class PausingService final : public HttpHandler {
+class PausingService : public HttpHandler {
 public:
     Task<void> handle(const HttpRequest& request, ResponseWriter& writer) override
     {
@@ -41,6 +41,25 @@
     std::atomic<int> begun = 0;
 };
 
+/** The same, and takes over no stream of another server. */
+class RefusingService final : public PausingService {
+public:
+    Task<void> handle(const HttpRequest& request, ResponseWriter& writer) override
+    {
+        if (request.fields.find("Last-Event-Id").empty()) {
+            co_await PausingService::handle(request, writer);
+            co_return;
+        }
+        ++refused;
+        HttpResponse refusal { .status = 503, .fields = {}, .body = {} };
+        refusal.fields.add("Attempt-Id", std::string(request.fields.find("Attempt-Id")));
+        refusal.fields.add("Not-Executed", "1");
+        co_await writer.send(std::move(refusal));
+    }
+
+    std::atomic<int> refused = 0;
+};
+
 } // namespace
 
 // Guards against streams that were cut at an instance after SIGTERM, because their server was silent and no other one might begin.
@@ -72,3 +91,15 @@
     CHECK(answer.body == wholeStream);
     CHECK(services[0].begun + services[1].begun == 1);
 }
+
+// Guards against streams that were cut while their server was silent, because the one that was asked to go on had no room.
+TEST_CASE("a server's silence does not cut a stream that the other server refuses", "[platform][loopback]")
+{
+    RefusingService services[2];
+    const LoopbackDeployment deployment({ .name = "pauses", .firstPort = firstPort, .configuration = configuration, .servers = { &services[0], &services[1] }, .entries = 1 });
+    const auto answer = deployment.ask(0, "/d/1", "body");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == wholeStream);
+    CHECK(services[0].begun + services[1].begun == 1);
+    CHECK(services[0].refused + services[1].refused >= 1);
+}
--- a/test/error/silent_servers.cpp
+++ b/test/error/silent_servers.cpp
@@ -99,6 +99,124 @@
     CHECK(bench.writer.streamed == wholeStream);
 }
 
+// Guards against streams that were cut because the server that was asked to go on refused, while the silent one would have gone on.
+TEST_CASE("a silent stream is not given up for a server that does not take it over", "[routed]")
+{
+    ImpatientBench bench;
+    auto script = pausingStream();
+    script.silence = 60ms;
+    script.silentAfter = GENERATE(as<std::size_t> {}, 0, 1);
+    SECTION("the other servers refuse")
+    {
+        bench.upstream.otherwise = RoutedBench::rejection();
+    }
+    SECTION("the other servers are unreachable")
+    {
+        bench.upstream.otherwise = RoutedBench::failure(RouterError::UpstreamConnectFailed, Verdict::NotRun);
+    }
+    SECTION("the other server breaks off before its answer")
+    {
+        bench.upstream.otherwise = RoutedBench::failure(RouterError::UpstreamBroken, Verdict::MayHaveRun);
+    }
+    SECTION("the other server is silent as well")
+    {
+        Script stalled;
+        stalled.isStalled = true;
+        bench.upstream.otherwise = stalled;
+    }
+    SECTION("the instance stops while the other server is asked")
+    {
+        auto late = pausingStream();
+        late.beforeSending = [&bench] { bench.context.drain.start(monotonicNow() - 6s, 7s); };
+        bench.upstream.otherwise = late;
+    }
+    SECTION("the configuration is not confirmed any more while the other server is asked")
+    {
+        auto late = pausingStream();
+        late.beforeSending = [&bench] { bench.expireLease(); };
+        bench.upstream.otherwise = late;
+    }
+    bench.upstream.scripts = { script };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.addresses.size() >= 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
+
+// The server that was asked may have run the request, so the attempts of the route are used up.
+TEST_CASE("a silent stream that goes on ends the attempt that was begun for it", "[routed]")
+{
+    ImpatientBench bench;
+    auto script = pausingStream();
+    script.silence = 60ms;
+    script.silentAfter = 1;
+    script.bodyError = make_error_code(RouterError::UpstreamBroken);
+    Script stalled;
+    stalled.isStalled = true;
+    bench.upstream.scripts = { script, stalled };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isAbandoned);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
+
+TEST_CASE("a silent stream that breaks off goes on at the server that was asked meanwhile", "[routed]")
+{
+    ImpatientBench bench;
+    auto broken = pausingStream();
+    broken.chunks = { "id: 1\ndata: a\n\n" };
+    broken.silence = 60ms;
+    broken.silentAfter = 1;
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    auto late = pausingStream();
+    late.silence = 120ms;
+    bench.upstream.scripts = { broken, late };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.upstream.requests.back().fields.find("Last-Event-Id") == "1");
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
+
+// An engine must not run the request for long beside the one that goes on with it.
+TEST_CASE("a silent stream ends soon after another server has begun to read it", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = pausingStream();
+    silent.silence = 1h;
+    silent.silentAfter = 1;
+    auto slow = pausingStream();
+    slow.silence = 700ms;
+    bench.upstream.scripts = { silent, slow };
+    const auto begunAt = monotonicNow();
+    Duration calls {};
+    bench.writer.written = [&] { calls = monotonicNow() - begunAt; };
+    bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
+    CHECK(calls >= 700ms);
+    CHECK(bench.upstream.cancelled == std::vector<std::string> { bench.upstream.addresses[0] });
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
+
+TEST_CASE("a caller that leaves ends the silent attempt and the one that was begun for it", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = pausingStream();
+    silent.silence = 1h;
+    silent.silentAfter = 1;
+    Script stalled;
+    stalled.isStalled = true;
+    stalled.afterSending = [&bench] { bench.writer.disconnect(); };
+    bench.upstream.scripts = { silent, stalled };
+    bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
+    CHECK(bench.upstream.cancelled.size() == 2);
+    CHECK_FALSE(bench.writer.isFinished);
+    CHECK(bench.selector.localUsage().empty());
+}
+
 // The reasons not to move on may end while the server is silent.
 TEST_CASE("an attempt that stays at a silent server goes on elsewhere once it may", "[routed]")
 {
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -48,6 +48,7 @@
     std::vector<HttpRequest> requests;
     std::set<std::string> unreachable; ///< Servers to which connect() fails.
     std::vector<std::string> probes; ///< Calls of connect().
+    std::vector<std::string> cancelled; ///< Servers of the calls that were cancelled, in this order.
 
     std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) override
     {
@@ -55,7 +56,7 @@
         auto script = scripts.empty() && otherwise ? *otherwise : scripts.at(0);
         if (!scripts.empty())
             scripts.pop_front();
-        return std::make_unique<Call>(*this, std::move(script));
+        return std::make_unique<Call>(*this, address, std::move(script));
     }
 
     Task<std::error_code> connect(const std::string& address) override
@@ -67,8 +68,9 @@
 private:
     class Call final : public UpstreamCall {
     public:
-        Call(FakeUpstream& owner, Script script)
+        Call(FakeUpstream& owner, std::string address, Script script)
             : m_owner(owner)
+            , m_address(std::move(address))
             , m_script(std::move(script))
         {
         }
@@ -128,7 +130,8 @@
 
         void cancel() override
         {
-            m_isCancelled = true;
+            if (!std::exchange(m_isCancelled, true))
+                m_owner.cancelled.push_back(m_address);
             if (m_stall)
                 m_stall->cancel();
         }
@@ -143,6 +146,7 @@
         }
 
         FakeUpstream& m_owner;
+        std::string m_address;
         Script m_script;
         std::size_t m_next = 0;
         std::unique_ptr<Timer> m_stall;
@@ -186,10 +190,20 @@
         co_return std::error_code();
     }
     void abandon() override { isAbandoned = true; }
-    void onCallerDisconnect(std::function<void()>) override { }
+    void onCallerDisconnect(std::function<void()> callback) override { m_disconnectCallback = std::move(callback); }
     bool isCallerDisconnected() const override { return isDisconnected; }
 
+    /** The caller leaves. */
+    void disconnect()
+    {
+        isDisconnected = true;
+        if (const auto callback = std::exchange(m_disconnectCallback, {}))
+            callback();
+    }
+
 private:
+    std::function<void()> m_disconnectCallback;
+
     Task<void> read()
     {
         if (readTime == Duration::zero())
