End a silent stream only once the next server has accepted it

Cause: the silent attempt was ended first, and the next server could still refuse, be unreachable or be silent too; the lease could end or the instance stop before the send. Through another instance nobody asked whether a further attempt may begin at all.

Change: a stream's next attempt begins beside the silent one (Successor). The silent one ends when the other's header has come, or 0.3 s after the request was sent if neither a header nor a refusal came, so that no engine runs the request for long beside another. A refusal, an obstacle of this instance or a failure leaves the silent attempt as it was; an event of the silent one cancels the other. Possible runs, sends, placements and the retry budget count both. The same through other instances. Whole answers keep their order: a caller of one has nothing yet and gets an error that says so, and a plain service runs a request until its header.

relay() and runAttempts() share the bookkeeping after an attempt (recordResult).

Not changed: a server that accepts late, after 0.3 s without a header, and then refuses still cuts the stream.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -6,6 +6,7 @@
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/HeldAnswer.h"
 #include "forwarding/StreamOriginSource.h"
+#include "forwarding/Successor.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 #include "placement/RequestParts.h"
@@ -27,10 +28,6 @@
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
 
-// A server that rejects a request has not run it, so a rejected request may be sent more often than the route's maxAttempts.
-constexpr std::uint32_t extraSendsAfterRejection = 2;
-// An attempt at an unreachable server is cheap for the servers, but may cost the caller a connect timeout.
-constexpr std::uint32_t maxPlacements = 8;
 constexpr Duration maxStartupWait = std::chrono::milliseconds(2000);
 constexpr Duration maxOriginWait = std::chrono::milliseconds(400);
 constexpr double startupWaitShare = 0.3; // Largest share of the caller timeout that is spent on the startup wait.
@@ -51,6 +48,8 @@
 {
 }
 
+RoutedExchange::~RoutedExchange() = default;
+
 Task<void> RoutedExchange::run()
 {
     co_await awaitConfiguration();
@@ -58,7 +57,8 @@
         co_await m_writer.send(std::move(*refused));
         co_return;
     }
-    co_await runAttempts();
+    if (co_await prepareAttempts())
+        co_await runAttempts();
 }
 
 const ServiceId& RoutedExchange::pickService() const
@@ -81,7 +81,7 @@
     return workspacePriority * (m_table->lowestPriority(m_placementRequest.service) + 1) + m_route->priority;
 }
 
-Task<void> RoutedExchange::runAttempts()
+Task<bool> RoutedExchange::prepareAttempts()
 {
     m_parts = sharedPartsOf(m_metadata.prompt);
     const auto whole = wholeRequestOf(m_http.method, m_http.target, m_workspace ? m_workspace->id : WorkspaceId(), m_http.body);
@@ -103,73 +103,52 @@
         m_context.admissionQueue.completions().recordArrival(m_placementRequest.service, m_placementRequest.priority, m_deadline - m_arrival);
     if (const auto refusal = co_await bindToOrigin()) {
         co_await refuse(*refusal);
-        co_return;
+        co_return false;
     }
+    co_return true;
+}
+
+Task<void> RoutedExchange::runAttempts()
+{
+    std::shared_ptr<Successor> accepted; // Of the last attempt.
     for (;;) {
-        const auto now = monotonicNow();
         const auto isOutOfReach = m_context.selector.isOutOfReach(m_placementRequest.service);
-        if (m_relayed && isOutOfReach) {
+        if (!accepted && m_relayed && isOutOfReach) {
             co_await refuse({ .code = "no-path", .retryAfter = shortRetryAfter });
             co_return;
         }
-        if (mustRelay()) {
+        if (accepted ? !accepted->grant : mustRelay()) {
             releaseNext();
-            if (co_await relay(window))
+            if (co_await relay(std::move(accepted)))
                 co_return;
+            accepted.reset();
             if (m_isRelayedStream || isOutOfReach) {
                 co_await refuse({ .code = "no-path", .retryAfter = shortRetryAfter });
                 co_return;
             }
         }
-        co_await awaitCandidate();
-        if (const auto quarantine = findQuarantine()) {
-            releaseNext();
-            co_await refuse(*quarantine);
-            co_return;
-        }
-        auto grant = std::exchange(m_next, std::nullopt);
-        std::optional<AdmissionQueue::Refusal> overload;
-        if (!grant) {
-            const DemandMeter::Wait wait(m_context.demand, m_placementRequest.service);
-            auto admission = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), queueTiming(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
-            grant = std::move(admission.grant);
-            overload = admission.refusal;
-        }
-        if (m_writer.isCallerDisconnected()) {
-            if (grant)
-                m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
-            logEnd(0, "caller-gone");
-            co_return;
-        }
-        if (const auto refusal = overload ? overloadRefusal(*overload) : findRefusal(grant ? &grant->placement : nullptr, window)) {
-            if (grant) {
-                m_lastPlacement = grant->placement;
-                m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
-            }
-            co_await refuse(*refusal);
+        std::optional<AdmissionQueue::Grant> grant;
+        if (accepted)
+            grant = accepted->grant;
+        else
+            grant = co_await awaitGrant();
+        if (!grant)
             co_return;
+        const auto begunAt = monotonicNow();
+        if (!accepted) {
+            ++m_placements;
+            ++m_metrics->attempts;
+            m_metrics->retries += m_sends > 0 ? 1 : 0;
         }
-        m_metrics->queueing.add(monotonicNow() - now);
-        ++m_metrics->attempts;
-        m_metrics->retries += m_sends > 0 ? 1 : 0;
-        ++m_placements;
         m_lastPlacement = grant->placement;
-        const auto begunAt = monotonicNow();
+        m_attempt = accepted ? accepted->attempt : m_trace.begin(grant->placement.backend.value(), lastEventId(), begunAt);
         const auto requestsAtStart = requestsAt(grant->placement);
-        m_attempt = m_trace.begin(grant->placement.backend.value(), lastEventId(), begunAt);
-        auto result = co_await runAttempt(grant->placement, grant->call);
-        m_trace.end(m_attempt, result.cause, monotonicNow());
+        auto result = co_await runAttempt(grant->placement, grant->call, std::move(accepted));
         recordCompletion(grant->placement, result, begunAt, requestsAtStart);
-        m_lastCause = result.cause;
         m_placementRequest.excluded.insert(grant->placement.backend);
-        m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
-        m_sends += result.wasSent ? 1 : 0;
-        m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
-        if (result.end == AttemptEnd::ServerError) {
-            m_serverError = std::move(result.answer);
-            m_heldError = std::move(result.held);
-        }
-        if (!mayRetry(result)) {
+        recordResult(m_attempt, result);
+        accepted = co_await awaitSuccessor(result);
+        if (!accepted && !mayRetry(result)) {
             releaseNext();
             co_await finish(result);
             co_return;
@@ -178,6 +157,54 @@
     }
 }
 
+Task<std::optional<AdmissionQueue::Grant>> RoutedExchange::awaitGrant()
+{
+    const auto now = monotonicNow();
+    co_await awaitCandidate();
+    if (const auto quarantine = findQuarantine()) {
+        releaseNext();
+        co_await refuse(*quarantine);
+        co_return std::nullopt;
+    }
+    auto grant = std::exchange(m_next, std::nullopt);
+    std::optional<AdmissionQueue::Refusal> overload;
+    if (!grant) {
+        const DemandMeter::Wait wait(m_context.demand, m_placementRequest.service);
+        auto admission = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), queueTiming(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
+        grant = std::move(admission.grant);
+        overload = admission.refusal;
+    }
+    if (m_writer.isCallerDisconnected()) {
+        if (grant)
+            m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
+        logEnd(0, "caller-gone");
+        co_return std::nullopt;
+    }
+    if (const auto refusal = overload ? overloadRefusal(*overload) : findRefusal(grant ? &grant->placement : nullptr, *m_retryWindow)) {
+        if (grant) {
+            m_lastPlacement = grant->placement;
+            m_context.selector.endCall(grant->call, CallOutcome::Rejected, monotonicNow());
+        }
+        co_await refuse(*refusal);
+        co_return std::nullopt;
+    }
+    m_metrics->queueing.add(monotonicNow() - now);
+    co_return grant;
+}
+
+void RoutedExchange::recordResult(AttemptTrace::Index attempt, AttemptResult& result)
+{
+    m_trace.end(attempt, result.cause, monotonicNow());
+    m_lastCause = result.cause;
+    m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
+    m_sends += result.wasSent ? 1 : 0;
+    m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
+    if (result.end == AttemptEnd::ServerError) {
+        m_serverError = std::move(result.answer);
+        m_heldError = std::move(result.held);
+    }
+}
+
 // Servers do not check which version wrote the events before Last-Event-Id, so the stream goes on only where that is certain.
 Task<std::optional<RoutedExchange::NotSent>> RoutedExchange::bindToOrigin()
 {
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -27,6 +27,11 @@
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
 constexpr Duration drainRetryAfter = std::chrono::milliseconds(50); // Another instance can take the request at once.
 constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
+// A server that rejects a request has not run it, so a rejected request may be sent more often than the route's maxAttempts.
+constexpr std::uint32_t extraSendsAfterRejection = 2;
+// An attempt at an unreachable server is cheap for the servers, but may cost the caller a connect timeout.
+constexpr std::uint32_t maxPlacements = 8;
+constexpr int silencePolls = 4; // Looks at a silent attempt in the time in which a sound server may be silent.
 
 } // namespace Internal
 
@@ -34,12 +39,17 @@
 class HeldAnswer;
 class ResponseWriter;
 class UpstreamCall;
+struct Successor;
 struct UpstreamHead;
+struct UpstreamTimeouts;
 
 class RoutedExchange {
 public:
     /** All references outlive the exchange. `relayed` is set if another instance relays the request. */
     RoutedExchange(ForwardingContext&, const HttpRequest&, ResponseWriter&, std::optional<RelayedRequest> relayed = std::nullopt);
+    ~RoutedExchange();
+    RoutedExchange(const RoutedExchange&) = delete;
+    RoutedExchange& operator=(const RoutedExchange&) = delete;
 
     /** Serves the request. Returns once the answer was sent, the connection was abandoned or the caller disconnected. */
     Task<void> run();
@@ -66,6 +76,12 @@
         std::shared_ptr<HeldAnswer> held; ///< Counts the memory of `answer`.
     };
 
+    /** An attempt up to the header of its answer. */
+    struct Opening {
+        std::unique_ptr<UpstreamHead> head; ///< Null if the attempt has ended.
+        AttemptResult result; ///< How it ended.
+    };
+
     /** Why the request is not sent (again). */
     struct NotSent {
         std::string_view code; ///< Error code for the caller and the log.
@@ -111,20 +127,30 @@
 
     // Attempts.
     Task<void> runAttempts();
+    /** Sets what the attempts need. Returns false if the request was refused. */
+    Task<bool> prepareAttempts();
+    /** Waits for a server. Returns nothing if the request was refused or its caller has left. */
+    Task<std::optional<AdmissionQueue::Grant>> awaitGrant();
     /** Binds a stream that the caller resumes to the version that began it. Returns the refusal if it cannot go on there. */
     Task<std::optional<NotSent>> bindToOrigin();
     /** Binds the stream to the version of the server that brings its first event, and records that. */
     void recordOrigin();
     /** Waits, after a start of the process, until some backend server of the service is known. */
     Task<void> awaitCandidate();
-    /** Runs one attempt and reports its outcome to the selector. */
-    Task<AttemptResult> runAttempt(const Placement&, CallId);
+    /** Runs one attempt, or the rest of one that was accepted, and reports its outcome to the selector. */
+    Task<AttemptResult> runAttempt(const Placement&, CallId, std::shared_ptr<Successor> accepted);
+    /** Reports the outcome of an attempt to the selector, and a crash to the quarantine. */
+    void settle(const Placement&, CallId, const AttemptResult&, TimePoint begunAt);
+    /** Takes over what the result of an attempt says for those that may follow. */
+    void recordResult(AttemptTrace::Index, AttemptResult&);
     /** Why the selected server must not get the request any more, as an error code; empty if it may be sent. */
     std::string_view findObstacle(const Placement&) const;
-    Task<AttemptResult> sendAttempt(UpstreamCall&, const Placement&, CallId);
+    /** Sends the request and reads the header of the answer. `sentAt` is set when the first byte is sent. */
+    Task<Opening> openAttempt(UpstreamCall&, const Placement&, CallId, std::optional<TimePoint>& sentAt);
+    /** Relays the answer with this header. The call is null if another instance made it. */
+    Task<AttemptResult> relayAnswer(UpstreamCall&, const UpstreamHead&, std::optional<CallId>);
     /** Takes over what the server says of itself in the header of its answer. */
     void applyNotice(const Placement&, const UpstreamHead&, TimePoint sentAt);
-    /** The call is null if another instance made it. */
     Task<AttemptResult> relayWholeAnswer(UpstreamCall&, const UpstreamHead&, std::optional<CallId>);
     Task<AttemptResult> relayStream(UpstreamCall&, const UpstreamHead&, std::optional<CallId>);
     /** True if the answer with this header is relayed event by event. */
@@ -135,6 +161,7 @@
     Task<std::error_code> startStream(const UpstreamHead&);
     /** True if the request may go to a further server after this attempt. */
     bool mayRetry(const AttemptResult&);
+    UpstreamTimeouts upstreamTimeouts(TimePoint now) const;
     /** Longest time without bytes from the server before a further attempt is considered. */
     Duration silenceLimit() const;
     /** Time at which a silent attempt is looked at again, or nothing if it is to end now; then the next one is prepared. */
@@ -143,6 +170,26 @@
     bool prepareNext(const Placement& present);
     /** Gives the server back if the next attempt does not begin. */
     void releaseNext();
+    /** Takes a retry from the budget unless one is taken already. */
+    bool takeRetry(TimePoint now);
+
+    // Further attempts beside a silent one, for streams: see Successor.
+    /** True if one more attempt may be made beside the present one. */
+    bool mayAddAttempt() const;
+    /** Begins an attempt at the server of `m_next`, or through `m_nextPeer`. */
+    void beginSuccessor();
+    Task<void> runSuccessor(std::shared_ptr<Successor>);
+    Task<Opening> openSuccessor(Successor&);
+    /** Reports how the attempt of a successor ended that has not been accepted, or is not needed any more. */
+    void endSuccessor(Successor&, AttemptResult&);
+    /** Gives the successor up, if it has not been accepted. `cause` outlives the exchange. */
+    void cancelSuccessor(std::string_view cause = "not-needed");
+    /** True if a successor has been accepted, so that the present attempt is over. */
+    bool isSucceeded() const;
+    /** Time until which the present attempt goes on beside its successor; nothing if that is over. */
+    std::optional<TimePoint> overlapEnd(TimePoint now) const;
+    /** After the end of an attempt: waits until its successor is accepted, and returns it; null if there is none, or none is needed. */
+    Task<std::shared_ptr<Successor>> awaitSuccessor(AttemptResult&);
     /** Error code of a request that crashes servers, or a part of its prompt does; empty if it may be sent. */
     std::string_view quarantineCode() const;
     /** The refusal of such a request. */
@@ -185,15 +232,22 @@
     // Through another instance, while this one does not reach the servers.
     /** True if the request is to go through another instance now. */
     bool mustRelay() const;
-    /** Sends the request through other instances, one after the other. Returns false if none took it; otherwise the exchange has ended. */
-    Task<bool> relay(RetryWindow&);
+    /**
+     * Sends the request through other instances, one after the other; the first attempt may have been accepted already. Returns false if
+     * none took it; otherwise the exchange has ended.
+     */
+    Task<bool> relay(std::shared_ptr<Successor> accepted);
     /** Why the request must not be sent to another instance any more. */
     std::optional<NotSent> findRelayRefusal() const;
-    Task<AttemptResult> runRelayAttempt(const InstanceId&);
-    Task<AttemptResult> sendRelayAttempt(UpstreamCall&, RelayOutcome&);
+    Task<AttemptResult> runRelayAttempt(const InstanceId&, std::shared_ptr<Successor> accepted);
+    /** Sends the request and reads the header of a server's answer, or the whole answer that the other instance gave itself. */
+    Task<Opening> openRelayAttempt(UpstreamCall&, RelayOutcome&, std::optional<TimePoint>& sentAt);
+    Task<AttemptResult> relayPeersAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
+    /** As silenceDeadline(), for an attempt through another instance. */
+    std::optional<TimePoint> relaySilenceDeadline(TimePoint begunAt);
     /** Takes an answer that the other instance gave itself. */
     Task<AttemptResult> readPeersOwnAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
-    HttpRequest makeRelayRequest() const;
+    HttpRequest makeRelayRequest(const UpstreamCall&) const;
 
     // End of the exchange.
     Task<void> finish(AttemptResult&);
@@ -247,6 +301,9 @@
     AttemptTrace::Index m_attempt = 0; // Of the attempt that runs.
     RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
     std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, if the present one was given up for it.
+    std::shared_ptr<Successor> m_successor; // Beside the present attempt; null once it is over or the present one.
+    UpstreamCall* m_presentCall = nullptr; // Of the attempt that runs.
+    std::optional<InstanceId> m_nextPeer; // Instance of the next attempt, if that is to be relayed.
     bool m_isWriting = false; // To the caller; see WriteGuard.
     TimePoint m_wroteAt {}; // End of the last write to the caller.
     bool m_hasRetry = false; // The next attempt's retry was taken from the budget.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -4,6 +4,7 @@
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/HeldAnswer.h"
+#include "forwarding/Successor.h"
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
@@ -25,7 +26,6 @@
 
 // Held twice for a moment, with the bytes that follow it.
 constexpr std::size_t copiesOfEvent = 2;
-constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
@@ -54,75 +54,43 @@
     return { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForServer(m_http.fields, metadata), .body = m_http.body };
 }
 
-Duration RoutedExchange::silenceLimit() const
+UpstreamTimeouts RoutedExchange::upstreamTimeouts(TimePoint now) const
 {
-    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-    return std::max<Duration>(m_context.minSilence, target * silenceTargetFactor);
-}
-
-// A request that may run again does not wait for a silent server until its deadline. But a server that sends data on other calls
-// of this instance is busy, and one that is silent may go on, so the attempt ends only for another one that may begin.
-std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement)
-{
-    const auto now = monotonicNow();
-    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + silenceLimit();
-    if (now < silentUntil)
-        return silentUntil;
-    // What the server has sent meanwhile is not read.
-    if (m_isWriting)
-        return now + m_context.minSilence / 4;
-    const auto isActive = m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence);
-    if (!isActive)
-        m_context.selector.recordSilence(placement.backend, now);
-    if (isActive || !prepareNext(placement))
-        return now + m_context.minSilence / 4;
-    return std::nullopt;
-}
-
-// What could refuse the next attempt is asked, and taken, while the present one still runs.
-bool RoutedExchange::prepareNext(const Placement& present)
-{
-    const auto now = monotonicNow();
-    if (!mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !m_retryWindow->mayRetry(m_context.entryInstances, now))
-        return false;
-    const auto& service = m_placementRequest.service;
-    if (!m_relayed && m_context.selector.isOutOfReach(service) && m_context.relayPeers.select(service, m_triedPeers, now)) {
-        m_hasRetry = m_retryWindow->tryRetry(m_context.entryInstances, now);
-        return m_hasRetry;
-    }
-    auto request = m_placementRequest;
-    request.excluded.insert(present.backend);
-    // A server that is ejected or has stopped announcing itself is no better than a silent one.
-    m_next = m_context.admissionQueue.placeAtOnce(request, now);
-    m_hasRetry = m_next && m_retryWindow->tryRetry(m_context.entryInstances, now);
-    return m_next.has_value();
-}
-
-void RoutedExchange::releaseNext()
-{
-    if (const auto next = std::exchange(m_next, std::nullopt))
-        m_context.selector.endCall(next->call, CallOutcome::Rejected, monotonicNow());
+    const auto left = m_deadline - now;
+    return { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::runAttempt(const Placement& placement, CallId callId)
+Task<RoutedExchange::AttemptResult> RoutedExchange::runAttempt(const Placement& placement, CallId callId, std::shared_ptr<Successor> accepted)
 {
     const auto now = monotonicNow();
-    const auto left = m_deadline - now;
-    const auto mayTryElsewhere = m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts;
-    const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
-    const auto call = m_context.upstream.open(placement.backend.value(), timeouts);
-    setInterruption([&call = *call] { call.cancel(); });
+    const auto call = accepted ? std::move(accepted->call) : m_context.upstream.open(placement.backend.value(), upstreamTimeouts(now));
+    setInterruption([this, &call = *call] {
+        call.cancel();
+        cancelSuccessor();
+    });
+    // A caller that has left since is not reported again.
+    if (accepted && m_writer.isCallerDisconnected())
+        call->cancel();
+    m_presentCall = call.get();
     AttemptResult result;
     {
         const auto executor = m_context.loop.get_executor();
         const DeadlineWatch deadline(executor, m_deadline, *call);
-        const DeadlineWatch silence(executor, mayTryElsewhere ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
-        result = co_await sendAttempt(*call, placement, callId);
+        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
+        if (accepted) {
+            result = co_await relayAnswer(*call, accepted->head, callId);
+        } else {
+            std::optional<TimePoint> sentAt;
+            auto opening = co_await openAttempt(*call, placement, callId, sentAt);
+            result = std::move(opening.result);
+            if (opening.head)
+                result = co_await relayAnswer(*call, *opening.head, callId);
+        }
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
         if (!isWhole && deadline.hasPassed()) {
             result.end = AttemptEnd::DeadlinePassed;
             result.cause = "deadline-passed";
-        } else if (!isWhole && silence.hasPassed()) {
+        } else if (!isWhole && (silence.hasPassed() || isSucceeded())) {
             result.cause = "server-silent";
             result.outcome = CallOutcome::Silent;
             result.hasBrokenOff = false;
@@ -134,19 +102,26 @@
             result.hasBrokenOff = false;
         }
     }
+    m_presentCall = nullptr;
     setInterruption({});
     if (result.end != AttemptEnd::Delivered && m_writer.isCallerDisconnected()) {
         result.end = AttemptEnd::CallerGone;
         // A disconnecting caller must not count against the server's health.
         result.outcome = CallOutcome::Rejected;
     }
+    settle(placement, callId, result, now);
+    co_return result;
+}
+
+void RoutedExchange::settle(const Placement& placement, CallId callId, const AttemptResult& result, TimePoint begunAt)
+{
+    const auto now = monotonicNow();
     if (result.end == AttemptEnd::Failed && result.hasBrokenOff) {
-        logBroken(placement, result.cause, monotonicNow() - now);
-        m_context.promptGuard.recordCrash(m_parts, placement.backend, placement.incarnation, monotonicNow() - now, monotonicNow());
+        logBroken(placement, result.cause, now - begunAt);
+        m_context.promptGuard.recordCrash(m_parts, placement.backend, placement.incarnation, now - begunAt, now);
     }
-    m_context.selector.endCall(callId, result.outcome, monotonicNow());
-    m_context.admissionQueue.placeWaiting(monotonicNow());
-    co_return result;
+    m_context.selector.endCall(callId, result.outcome, now);
+    m_context.admissionQueue.placeWaiting(now);
 }
 
 // A request may wait for a connection, and the process may be suspended meanwhile. Since its admission the route may have been
@@ -162,68 +137,79 @@
     return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::sendAttempt(UpstreamCall& call, const Placement& placement, CallId callId)
+Task<RoutedExchange::Opening> RoutedExchange::openAttempt(UpstreamCall& call, const Placement& placement, CallId callId, std::optional<TimePoint>& sentAt)
 {
-    AttemptResult result;
+    Opening opening;
+    auto& result = opening.result;
     std::string_view obstacle = findObstacle(placement);
     const auto forbid = [&result, &obstacle] {
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
         result.cause = obstacle;
-        return result;
     };
-    if (!obstacle.empty())
-        co_return forbid();
-    call.checkBeforeSending([this, &placement, &obstacle](HttpRequest& request) {
+    if (!obstacle.empty()) {
+        forbid();
+        co_return opening;
+    }
+    call.checkBeforeSending([this, &placement, &obstacle, &sentAt](HttpRequest& request) {
         obstacle = findObstacle(placement);
         if (!obstacle.empty())
             return false;
         request = makeUpstreamRequest(placement); // With the time that is left now.
+        sentAt = monotonicNow();
         return true;
     });
     call.skipMismatchedResponses([this](unsigned status, const HttpFields& fields) { return m_context.codec.classifyResponse(status, fields, m_metadata.id) == ResponseKind::OtherRequest; });
-    const auto sentAt = monotonicNow();
-    m_context.selector.recordSent(callId, m_metadata.prompt, sentAt);
+    const auto begunAt = monotonicNow();
+    m_context.selector.recordSent(callId, m_metadata.prompt, begunAt);
     countPromptSent(placement.uncachedTokens);
-    const auto head = co_await call.begin(makeUpstreamRequest(placement));
+    auto head = co_await call.begin(makeUpstreamRequest(placement));
     result.wasSent = head.verdict != Verdict::NotRun;
-    if (head.ec == RouterError::SendForbidden)
-        co_return forbid();
+    if (head.ec == RouterError::SendForbidden) {
+        forbid();
+        co_return opening;
+    }
     if (head.ec) {
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
         const auto isSilent = head.ec == RouterError::UpstreamTimeout;
         result.outcome = result.wasSent ? (isSilent ? CallOutcome::Silent : CallOutcome::Broken) : CallOutcome::Unreachable;
         result.cause = result.wasSent ? (isSilent ? "server-silent" : "answer-broken") : "unreachable";
         result.hasBrokenOff = result.wasSent && head.ec == RouterError::UpstreamBroken;
-        co_return result;
+        co_return opening;
     }
     const auto kind = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id);
     // A faulty server may write an earlier refusal once more; this request may be running then. On a new connection there was none.
     if (kind == ResponseKind::UnnamedRefusal && call.reusedConnection()) {
         result.cause = "refusal-not-named";
-        co_return result;
+        co_return opening;
     }
     if (kind == ResponseKind::NotRun || kind == ResponseKind::UnnamedRefusal || kind == ResponseKind::Authentic)
-        applyNotice(placement, head, sentAt);
+        applyNotice(placement, head, begunAt);
     if (kind == ResponseKind::NotRun || kind == ResponseKind::OtherServer || kind == ResponseKind::UnnamedRefusal) {
         const auto isOtherServer = kind == ResponseKind::OtherServer || (kind == ResponseKind::UnnamedRefusal && head.status == misdirectedRequest);
         result.end = AttemptEnd::NotRun;
         result.outcome = isOtherServer ? CallOutcome::Replaced : CallOutcome::Rejected;
         result.cause = isOtherServer ? "address-reused" : "server-rejected";
-        co_return result;
+        co_return opening;
     }
     if (kind != ResponseKind::Authentic) {
         result.cause = "answer-not-signed";
-        co_return result;
+        co_return opening;
     }
-    const auto isStream = isStreamAnswer(head);
-    if (!isStream || !continuesStream(head))
+    if (!isStreamAnswer(head) || !continuesStream(head))
         countStart();
     if (!continuesStream(head)) {
         result.cause = "no-stream";
-        co_return result;
+        co_return opening;
     }
-    if (isStream)
+    opening.head = std::make_unique<UpstreamHead>(std::move(head));
+    co_return opening;
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayAnswer(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
+{
+    AttemptResult result;
+    if (isStreamAnswer(head))
         result = co_await relayStream(call, head, callId);
     else
         result = co_await relayWholeAnswer(call, head, callId);
@@ -312,6 +298,10 @@
     auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
     for (;;) {
         const auto chunk = co_await call.readChunk();
+        if (isSucceeded()) {
+            result.cause = "server-silent";
+            co_return result;
+        }
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
             result.outcome = chunk.ec == RouterError::UpstreamTimeout ? CallOutcome::Silent : CallOutcome::Broken;
@@ -341,6 +331,7 @@
                     result.cause = "server-replaced";
                     co_return result;
                 }
+                cancelSuccessor();
                 if (callId && !firstEventAt)
                     countStart();
                 if (callId && !m_lastChunkAt)
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -3,6 +3,7 @@
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
 #include "forwarding/HeldAnswer.h"
+#include "forwarding/Successor.h"
 #include "http/DeadlineWatch.h"
 #include "http/ResponseWriter.h"
 
@@ -18,11 +19,9 @@
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
 constexpr std::uint32_t unreachableServersIfCut = 2; // One server that can't be reached has probably ended.
-constexpr int maxPeersTried = 3;
+constexpr std::size_t maxPeersTried = 3;
 constexpr Duration minTimeLeftToRelay = std::chrono::milliseconds(25);
 constexpr int peerSilenceTargetFactor = 4;
-constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500); // As for servers.
-constexpr std::chrono::hours maxIdleForRepeatable(1);
 
 // Error codes with which an instance says that it does not serve the request and another one might.
 constexpr std::array<std::string_view, 11> codesOfOneInstance { "no-path", "relay-busy", "draining", "no-configuration", "configuration-unconfirmed", "no-memory-for-body", "no-route", "unknown-key", "not-relayed", "no-server", "unreachable" };
@@ -54,38 +53,33 @@
     return std::nullopt;
 }
 
-Task<bool> RoutedExchange::relay(RetryWindow& window)
+Task<bool> RoutedExchange::relay(std::shared_ptr<Successor> accepted)
 {
-    for (int i = 0; i < maxPeersTried; ++i) {
-        if (m_writer.isCallerDisconnected()) {
+    for (std::size_t i = 0; i < maxPeersTried || accepted; ++i) {
+        if (!accepted && m_writer.isCallerDisconnected()) {
             logEnd(0, "caller-gone");
             co_return true;
         }
         const auto now = monotonicNow();
-        const auto peer = m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
+        const auto peer = accepted ? accepted->peer : m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
         if (!peer)
             co_return false;
-        auto refusal = findRelayRefusal();
-        if (!refusal && m_sends > 0 && !std::exchange(m_hasRetry, false) && !window.tryRetry(m_context.entryInstances, now))
-            refusal = NotSent { .code = "retry-budget-spent", .retryAfter = shortRetryAfter };
-        if (refusal) {
-            co_await refuse(*refusal);
-            co_return true;
+        if (!accepted) {
+            auto refusal = findRelayRefusal();
+            if (!refusal && m_sends > 0 && !std::exchange(m_hasRetry, false) && !m_retryWindow->tryRetry(m_context.entryInstances, now))
+                refusal = NotSent { .code = "retry-budget-spent", .retryAfter = shortRetryAfter };
+            if (refusal) {
+                co_await refuse(*refusal);
+                co_return true;
+            }
         }
-        m_triedPeers.insert(*peer);
         m_lastPeer = *peer;
-        m_attempt = m_trace.begin(peer->value(), lastEventId(), now);
-        auto result = co_await runRelayAttempt(*peer);
-        m_trace.end(m_attempt, result.cause, monotonicNow());
-        m_lastCause = result.cause;
-        m_sends += result.wasSent ? 1 : 0;
-        m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
-        if (result.end == AttemptEnd::ServerError) {
-            m_serverError = std::move(result.answer);
-            m_heldError = std::move(result.held);
-        }
+        m_attempt = accepted ? accepted->attempt : m_trace.begin(peer->value(), lastEventId(), now);
+        auto result = co_await runRelayAttempt(*peer, std::move(accepted));
+        recordResult(m_attempt, result);
+        accepted = co_await awaitSuccessor(result);
         const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
-        if (!mayGoOn) {
+        if (!accepted && !mayGoOn) {
             co_await finish(result);
             co_return true;
         }
@@ -94,44 +88,76 @@
     co_return false;
 }
 
-HttpRequest RoutedExchange::makeRelayRequest() const
+HttpRequest RoutedExchange::makeRelayRequest(const UpstreamCall& call) const
 {
-    const RelayedRequest relayed { .from = m_context.instance, .earlierRuns = m_possibleRuns, .continuesStream = m_lastChunkAt.has_value() };
+    const auto presentRuns = m_presentCall && m_presentCall != &call ? 1U : 0U;
+    const RelayedRequest relayed { .from = m_context.instance, .earlierRuns = m_possibleRuns + presentRuns, .continuesStream = m_lastChunkAt.has_value() };
     HttpRequest request { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForRelay(withoutRelayField(m_http.fields), m_deadline - monotonicNow(), lastEventId()), .body = m_http.body };
     request.fields.add(std::string(relayField), toText(relayed));
     return request;
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::runRelayAttempt(const InstanceId& peer)
+// As for a silent server: the attempt ends only for one through a further instance.
+std::optional<TimePoint> RoutedExchange::relaySilenceDeadline(TimePoint begunAt)
+{
+    const auto now = monotonicNow();
+    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
+    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(m_context.minPeerSilence, target * peerSilenceTargetFactor);
+    const auto later = now + m_context.minPeerSilence / silencePolls;
+    if (now < silentUntil)
+        return silentUntil;
+    if (m_isWriting)
+        return later;
+    if (m_successor)
+        return overlapEnd(now);
+    if (!mayAddAttempt() || findRelayRefusal() || m_triedPeers.size() >= maxPeersTried || !(m_hasRetry || m_retryWindow->mayRetry(m_context.entryInstances, now)))
+        return later;
+    m_nextPeer = m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
+    if (!m_nextPeer || !takeRetry(now))
+        return later;
+    if (!m_route->isStream())
+        return std::nullopt;
+    beginSuccessor();
+    return later;
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::runRelayAttempt(const InstanceId& peer, std::shared_ptr<Successor> accepted)
 {
     const auto begunAt = monotonicNow();
-    const auto left = m_deadline - begunAt;
-    const auto mayTryElsewhere = m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts;
-    const UpstreamTimeouts timeouts { .head = left, .chunk = left, .maxIdleTime = m_route->mayRunAgain() ? Duration(maxIdleForRepeatable) : maxIdleForSingleRun };
-    const auto silenceEnd = [this, begunAt]() -> std::optional<TimePoint> {
-        const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-        const auto now = monotonicNow();
-        const auto end = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(m_context.minPeerSilence, target * peerSilenceTargetFactor);
-        if (m_isWriting)
-            return std::max(end, now + m_context.minPeerSilence);
-        return now < end ? std::optional(end) : std::nullopt;
-    };
-    const auto call = m_context.upstream.open(peer.value(), timeouts);
-    setInterruption([&call = *call] { call.cancel(); });
-    m_context.relayPeers.begin(peer);
+    const auto call = accepted ? std::move(accepted->call) : m_context.upstream.open(peer.value(), upstreamTimeouts(begunAt));
+    setInterruption([this, &call = *call] {
+        call.cancel();
+        cancelSuccessor();
+    });
+    // A caller that has left since is not reported again.
+    if (accepted && m_writer.isCallerDisconnected())
+        call->cancel();
+    m_presentCall = call.get();
+    if (!accepted) {
+        m_triedPeers.insert(peer);
+        m_context.relayPeers.begin(peer);
+    }
     AttemptResult result;
     auto outcome = RelayOutcome::Answered;
     {
         const auto executor = m_context.loop.get_executor();
         const DeadlineWatch deadline(executor, m_deadline, *call);
-        const DeadlineWatch silence(executor, mayTryElsewhere ? silenceEnd() : std::nullopt, *call, silenceEnd);
-        result = co_await sendRelayAttempt(*call, outcome);
+        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(begunAt + m_context.minPeerSilence) : std::nullopt, *call, [this, begunAt] { return relaySilenceDeadline(begunAt); });
+        if (accepted) {
+            result = co_await relayPeersAnswer(*call, accepted->head, outcome);
+        } else {
+            std::optional<TimePoint> sentAt;
+            auto opening = co_await openRelayAttempt(*call, outcome, sentAt);
+            result = std::move(opening.result);
+            if (opening.head)
+                result = co_await relayPeersAnswer(*call, *opening.head, outcome);
+        }
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError || result.end == AttemptEnd::Declined;
         if (!isWhole && deadline.hasPassed()) {
             result.end = AttemptEnd::DeadlinePassed;
             result.cause = "deadline-passed";
             outcome = RelayOutcome::Answered;
-        } else if (!isWhole && silence.hasPassed()) {
+        } else if (!isWhole && (silence.hasPassed() || isSucceeded())) {
             result.cause = "peer-silent";
         } else if (!isWhole && result.end != AttemptEnd::NotRun && m_context.interrupts.isInterrupted()) {
             result.end = AttemptEnd::DeadlinePassed;
@@ -139,6 +165,7 @@
             outcome = RelayOutcome::Answered;
         }
     }
+    m_presentCall = nullptr;
     setInterruption({});
     if (result.end != AttemptEnd::Delivered && m_writer.isCallerDisconnected()) {
         result.end = AttemptEnd::CallerGone;
@@ -148,42 +175,48 @@
     co_return result;
 }
 
-Task<RoutedExchange::AttemptResult> RoutedExchange::sendRelayAttempt(UpstreamCall& call, RelayOutcome& outcome)
+Task<RoutedExchange::Opening> RoutedExchange::openRelayAttempt(UpstreamCall& call, RelayOutcome& outcome, std::optional<TimePoint>& sentAt)
 {
-    AttemptResult result;
+    Opening opening;
+    auto& result = opening.result;
     std::optional<NotSent> obstacle;
-    call.checkBeforeSending([this, &obstacle](HttpRequest& request) {
+    call.checkBeforeSending([this, &call, &obstacle, &sentAt](HttpRequest& request) {
         obstacle = findRelayRefusal();
         if (obstacle)
             return false;
-        request = makeRelayRequest(); // With the time that is left now.
+        request = makeRelayRequest(call); // With the time that is left now.
+        sentAt = monotonicNow();
         return true;
     });
-    const auto head = co_await call.begin(makeRelayRequest());
+    auto head = co_await call.begin(makeRelayRequest(call));
     result.wasSent = head.verdict != Verdict::NotRun;
     if (head.ec) {
         const auto isForbidden = head.ec == RouterError::SendForbidden;
         outcome = isForbidden ? RelayOutcome::Answered : RelayOutcome::Unreachable;
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
         result.cause = isForbidden && obstacle ? obstacle->code : (result.wasSent ? "peer-broken" : "peer-unreachable");
-        co_return result;
+        co_return opening;
     }
-    const auto hadBegun = m_streamStarted;
     const auto isAuthentic = m_context.codec.classifyResponse(head.status, head.fields, m_metadata.id) == ResponseKind::Authentic;
     if (!isAuthentic) {
         result = co_await readPeersOwnAnswer(call, head, outcome);
-    } else if (!continuesStream(head)) {
+        co_return opening;
+    }
+    if (!continuesStream(head)) {
         result.cause = "no-stream";
-    } else if (isStreamAnswer(head)) {
-        result = co_await relayStream(call, head, std::nullopt);
-        m_isRelayedStream = m_isRelayedStream || (!hadBegun && m_lastChunkAt);
-        result.wasSent = true;
-        if (result.end == AttemptEnd::Failed)
-            outcome = RelayOutcome::Unreachable;
-    } else {
-        result = co_await relayWholeAnswer(call, head, std::nullopt);
-        result.wasSent = true;
+        co_return opening;
     }
+    opening.head = std::make_unique<UpstreamHead>(std::move(head));
+    co_return opening;
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayPeersAnswer(UpstreamCall& call, const UpstreamHead& head, RelayOutcome& outcome)
+{
+    const auto hadBegun = m_streamStarted;
+    auto result = co_await relayAnswer(call, head, std::nullopt);
+    m_isRelayedStream = m_isRelayedStream || (!hadBegun && m_lastChunkAt);
+    if (isStreamAnswer(head) && result.end == AttemptEnd::Failed)
+        outcome = RelayOutcome::Unreachable;
     co_return result;
 }
 
--- /dev/null
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -0,0 +1,213 @@
+#include "forwarding/RoutedExchange.h"
+
+#include "base/LogEvent.h"
+#include "forwarding/AsyncAdmissionQueue.h"
+#include "forwarding/Successor.h"
+#include "http/DeadlineWatch.h"
+#include "http/ResponseWriter.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace HickoryHollow {
+
+using namespace Internal;
+
+namespace {
+
+constexpr int silenceTargetFactor = 3; // A silent attempt is looked at after this multiple of the latency target.
+// A request that goes on at another server must not run at the one before for much longer. A refusal takes a server far less time.
+constexpr Duration maxOverlap = std::chrono::milliseconds(300);
+
+} // namespace
+
+Duration RoutedExchange::silenceLimit() const
+{
+    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
+    return std::max<Duration>(m_context.minSilence, target * silenceTargetFactor);
+}
+
+// A request that may run again does not wait for a silent server until its deadline. But a server that sends data on other calls
+// of this instance is busy, and one that is silent may go on, so the attempt ends only for another one: that of a whole answer for
+// one that may begin, and that of a stream, of which the caller may have a part, for one that has been accepted.
+std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement)
+{
+    const auto now = monotonicNow();
+    const auto later = now + m_context.minSilence / silencePolls;
+    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + silenceLimit();
+    if (now < silentUntil)
+        return silentUntil;
+    // What the server has sent meanwhile is not read.
+    if (m_isWriting)
+        return later;
+    if (m_successor)
+        return overlapEnd(now);
+    const auto isActive = m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence);
+    if (!isActive)
+        m_context.selector.recordSilence(placement.backend, now);
+    if (isActive || !prepareNext(placement))
+        return later;
+    if (!m_route->isStream())
+        return std::nullopt;
+    beginSuccessor();
+    return later;
+}
+
+// What could refuse the next attempt is asked, and taken, while the present one still runs.
+bool RoutedExchange::prepareNext(const Placement& present)
+{
+    const auto now = monotonicNow();
+    if (!mayAddAttempt() || !mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !(m_hasRetry || m_retryWindow->mayRetry(m_context.entryInstances, now)))
+        return false;
+    const auto& service = m_placementRequest.service;
+    if (!m_relayed && m_context.selector.isOutOfReach(service)) {
+        m_nextPeer = m_context.relayPeers.select(service, m_triedPeers, now);
+        if (m_nextPeer)
+            return takeRetry(now);
+    }
+    auto request = m_placementRequest;
+    request.excluded.insert(present.backend);
+    // A server that is ejected or has stopped announcing itself is no better than a silent one.
+    m_next = m_context.admissionQueue.placeAtOnce(request, now);
+    return m_next && takeRetry(now);
+}
+
+bool RoutedExchange::takeRetry(TimePoint now)
+{
+    m_hasRetry = m_hasRetry || m_retryWindow->tryRetry(m_context.entryInstances, now);
+    return m_hasRetry;
+}
+
+void RoutedExchange::releaseNext()
+{
+    m_nextPeer.reset();
+    if (const auto next = std::exchange(m_next, std::nullopt))
+        m_context.selector.endCall(next->call, CallOutcome::Rejected, monotonicNow());
+}
+
+bool RoutedExchange::mayAddAttempt() const
+{
+    return m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts && m_sends + 1 <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
+}
+
+void RoutedExchange::beginSuccessor()
+{
+    const auto now = monotonicNow();
+    m_successor = std::make_shared<Successor>(m_context.loop.get_executor());
+    m_successor->grant = std::exchange(m_next, std::nullopt);
+    m_successor->peer = std::exchange(m_nextPeer, std::nullopt).value_or(InstanceId());
+    m_successor->begunAt = now;
+    const auto& target = m_successor->grant ? m_successor->grant->placement.backend.value() : m_successor->peer.value();
+    m_successor->call = m_context.upstream.open(target, upstreamTimeouts(now));
+    m_successor->attempt = m_trace.begin(target, lastEventId(), now);
+    ++m_placements;
+    ++m_metrics->attempts;
+    ++m_metrics->retries;
+    asio::co_spawn(m_context.loop, runSuccessor(m_successor), asio::detached);
+}
+
+// The exchange outlives this coroutine: it waits for the end of Successor::State::Opening.
+Task<void> RoutedExchange::runSuccessor(std::shared_ptr<Successor> successor)
+{
+    auto opening = co_await openSuccessor(*successor);
+    opening.result.wasSent = opening.result.wasSent || opening.head;
+    m_hasRetry = m_hasRetry && !opening.result.wasSent;
+    if (opening.head && successor->cancelCause.empty()) {
+        successor->head = std::move(*opening.head);
+        successor->state = Successor::State::Accepted;
+        if (m_presentCall)
+            m_presentCall->cancel();
+    } else {
+        endSuccessor(*successor, opening.result);
+    }
+    successor->ended.cancel();
+}
+
+Task<RoutedExchange::Opening> RoutedExchange::openSuccessor(Successor& successor)
+{
+    const DeadlineWatch deadline(m_context.loop.get_executor(), m_deadline, *successor.call);
+    if (successor.grant)
+        co_return co_await openAttempt(*successor.call, successor.grant->placement, successor.grant->call, successor.sentAt);
+    m_triedPeers.insert(successor.peer);
+    m_context.relayPeers.begin(successor.peer);
+    co_return co_await openRelayAttempt(*successor.call, successor.relayOutcome, successor.sentAt);
+}
+
+void RoutedExchange::endSuccessor(Successor& successor, AttemptResult& result)
+{
+    if (!successor.cancelCause.empty() && result.end != AttemptEnd::NotRun) {
+        result.end = AttemptEnd::Failed;
+        result.outcome = CallOutcome::Rejected; // The server is not to blame.
+        result.cause = successor.cancelCause;
+        result.hasBrokenOff = false;
+        successor.relayOutcome = RelayOutcome::Answered;
+    }
+    if (successor.grant) {
+        settle(successor.grant->placement, successor.grant->call, result, successor.begunAt);
+        m_placementRequest.excluded.insert(successor.grant->placement.backend);
+    } else {
+        m_context.relayPeers.end(successor.peer, m_placementRequest.service, successor.relayOutcome, monotonicNow());
+    }
+    recordResult(successor.attempt, result);
+    if (successor.cancelCause.empty())
+        logEvent(LogEvent::RoutedRetry, "id={} route={} backend={} cause={} sends={} age_ms={}", m_metadata.id, m_route->id.value(), successor.grant ? successor.grant->placement.backend.value() : successor.peer.value(), result.cause, m_sends, (monotonicNow() - m_arrival) / std::chrono::milliseconds(1));
+    successor.state = Successor::State::Over;
+    if (m_successor.get() == &successor)
+        m_successor.reset();
+}
+
+void RoutedExchange::cancelSuccessor(std::string_view cause)
+{
+    if (!m_successor || m_successor->state != Successor::State::Opening || !m_successor->cancelCause.empty())
+        return;
+    m_successor->cancelCause = cause;
+    m_successor->call->cancel();
+}
+
+bool RoutedExchange::isSucceeded() const
+{
+    return m_successor && m_successor->state == Successor::State::Accepted;
+}
+
+std::optional<TimePoint> RoutedExchange::overlapEnd(TimePoint now) const
+{
+    const auto& sentAt = m_successor->sentAt;
+    if (!sentAt)
+        return now + maxOverlap / silencePolls;
+    return now < *sentAt + maxOverlap ? std::optional(*sentAt + maxOverlap) : std::nullopt;
+}
+
+Task<std::shared_ptr<Successor>> RoutedExchange::awaitSuccessor(AttemptResult& result)
+{
+    const auto isOver = result.end != AttemptEnd::Failed && result.end != AttemptEnd::NotRun && result.end != AttemptEnd::ServerError;
+    if (isOver)
+        cancelSuccessor();
+    const auto successor = m_successor;
+    if (!successor)
+        co_return nullptr;
+    setInterruption([this] { cancelSuccessor(); });
+    while (successor->state == Successor::State::Opening) {
+        // A third attempt, if the route permits one, follows a silent one as usual.
+        const auto isWatched = mayAddAttempt() && successor->grant;
+        const auto age = monotonicNow() - successor->begunAt;
+        if (isWatched)
+            successor->ended.expires_after(std::max(silenceLimit() - age, m_context.minSilence / silencePolls));
+        const auto [ec] = co_await successor->ended.async_wait(asTuple);
+        if (isWatched && !ec && successor->state == Successor::State::Opening && prepareNext(successor->grant->placement))
+            cancelSuccessor("server-silent");
+    }
+    setInterruption({});
+    if (successor->state == Successor::State::Accepted && isOver) {
+        AttemptResult unused;
+        unused.wasSent = true;
+        successor->cancelCause = "not-needed";
+        endSuccessor(*successor, unused);
+    }
+    if (m_writer.isCallerDisconnected() && result.end != AttemptEnd::Delivered)
+        result.end = AttemptEnd::CallerGone;
+    m_successor.reset();
+    co_return successor->state == Successor::State::Accepted ? successor : nullptr;
+}
+
+} // namespace HickoryHollow
