--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -30,6 +30,7 @@
     bool saysNotRun = false; ///< The response header has the verdict `not-run`.
     std::function<void()> beforeSending; ///< Runs once a connection is open, before the check that precedes the request.
     std::function<void()> afterSending; ///< Runs once the request was sent, before its response.
+    std::function<void(const HttpRequest&, Script&)> answerTo; ///< Writes the response to the request that was sent.
     bool reusesConnection = false; ///< The connection served another request before.
     bool isStalled = false; ///< No header is received until the call is cancelled.
     Duration silence {}; ///< Time without bytes after `silentAfter` chunks, or before the header if that is 0.
@@ -86,6 +87,8 @@
             m_owner.requests.push_back(checked);
             if (m_script.afterSending)
                 m_script.afterSending();
+            if (const auto answerTo = m_script.answerTo)
+                answerTo(checked, m_script);
             if (m_script.isStalled) {
                 m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, Timer::time_point::max());
                 co_await m_stall->async_wait(asTuple);
@@ -160,6 +163,7 @@
     bool isAbandoned = false;
     bool isDisconnected = false;
     std::function<void()> written = [] {}; ///< Called after each write of a part of a stream.
+    std::function<std::size_t(std::string_view)> takes; ///< Bytes of a part of a stream that reach the caller; its connection breaks after fewer than all.
     Duration readTime {}; ///< Time that the caller takes to read an answer or a part of a stream.
 
     Task<std::error_code> send(HttpResponse sent) override
@@ -175,7 +179,10 @@
     }
     Task<std::error_code> write(std::string_view chunk) override
     {
-        streamed.append(chunk);
+        const auto n = takes ? takes(chunk) : chunk.size();
+        streamed.append(chunk.substr(0, n));
+        if (n < chunk.size())
+            co_return make_error_code(RouterError::CallerGone);
         written();
         co_await read();
         co_return std::error_code();
