Move a stream's position only by a finished write to its caller

What callers saw: a stream that goes on at another server lacked the events that the first one had sent in its last read, and ended as complete.

Cause: the position after which an attempt goes on was the state of the scanner, which moves when an event is read. An attempt may end between the read and the write: the server's record changes before its first event (server-replaced), or a part of an event that came with whole ones finds no memory or is too large (event-oversized). The next attempt was then asked to go on behind events that the caller never got, at a server or through another instance.

Change: DeliveredStream holds the position and writes to the caller; nothing else can move it, and it moves when the write has finished without an error. Each attempt reads with a scanner of its own, which is set to the position before each read, so that an attempt that overlaps another one leaves out what that one delivered. The position begins where the caller of a resumable route takes its stream up, so the first attempt leaves out what the caller has too (it passed repeated events on).

Ruled out: a write that fails or is cut ends the exchange in each case, so it lost no event; the position stays behind it all the same. The path of src/entry sends no stream to a further server once it has written, and reads an answer anew otherwise.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -48,6 +48,7 @@
     , m_table(context.routing.table())
     , m_metadata(context.codec.parseRequest(http))
     , m_startupWaitEnd(m_arrival + std::min<Duration>(maxStartupWait, std::chrono::duration_cast<Duration>(m_metadata.callerTimeout.value_or(maxStartupWait) * startupWaitShare)))
+    , m_delivered(writer)
 {
 }
 
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "forwarding/AttemptTrace.h"
+#include "forwarding/DeliveredStream.h"
 #include "forwarding/ForwardingContext.h"
 #include "forwarding/RelayedRequest.h"
 #include "forwarding/RequestCodec.h"
-#include "http/EventStreamScanner.h"
 #include "net/Task.h"
 #include "placement/AdmissionQueue.h"
 #include "placement/BackendSelector.h"
@@ -212,7 +212,7 @@
     /** Logs the attempts of a stream that was cut or went on elsewhere, with the state of the instance. */
     void logAttempts(std::string_view outcome) const;
     /** Id of the event after which the next attempt goes on; nothing if the stream begins. */
-    std::optional<std::uint64_t> lastEventId() const { return m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId; }
+    std::optional<std::uint64_t> lastEventId() const { return m_delivered.position() ? m_delivered.position() : m_metadata.lastEventId; }
 
     ForwardingContext& m_context;
     const HttpRequest& m_http;
@@ -254,8 +254,7 @@
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
     unsigned m_streamStatus = 0; // Its status, once it was sent.
-    // Finds whole events in the stream; holds the id of the last one that was relayed, over all attempts.
-    EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
+    DeliveredStream m_delivered; // What the caller has of the stream, over all attempts.
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchangeAdmission.cpp
+++ b/src/forwarding/RoutedExchangeAdmission.cpp
@@ -71,6 +71,8 @@
     m_deadline = m_arrival + std::min(m_route->timeout, m_metadata.callerTimeout.value_or(m_route->timeout));
     if (!mayStart())
         return refusal(unavailable, "draining", drainRetryAfter);
+    if (m_route->isResumable && m_metadata.lastEventId)
+        m_delivered.takeUpAfter(*m_metadata.lastEventId);
     return std::nullopt;
 }
 
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -5,6 +5,7 @@
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/HeldAnswer.h"
 #include "http/DeadlineWatch.h"
+#include "http/EventStreamScanner.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 
@@ -303,10 +304,7 @@
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
-    const auto last = m_events.lastEventId();
-    m_events = EventStreamScanner(EventStreamScanner::EndMarker::None);
-    if (last)
-        m_events.skipThrough(*last);
+    EventStreamScanner events(EventStreamScanner::EndMarker::None);
     BufferBudget::Share held(m_context.answerBytes);
     std::optional<TimePoint> firstEventAt;
     auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
@@ -318,25 +316,25 @@
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
-        const auto progressBefore = m_events.progressCount();
-        auto bytes = m_events.feed(chunk.bytes);
-        m_trace.recordEvents(m_attempt, m_events.firstEventId(), m_events.progressCount());
-        if (m_events.isOversized() || !held.resize(copiesOfEvent * m_events.incompleteEvent().size())) {
+        const auto progressBefore = events.progressCount();
+        auto bytes = m_delivered.read(events, chunk.bytes);
+        m_trace.recordEvents(m_attempt, events.firstEventId(), events.progressCount());
+        if (events.isOversized() || !held.resize(copiesOfEvent * events.incompleteEvent().size())) {
             result.cause = "event-oversized";
             co_return result;
         }
         // A stream that its caller resumes may have no event left. One that was cut here is not taken for complete: after a crash
         // right behind the header it looks the same.
-        const auto isEmpty = m_events.progressCount() == 0 && (m_streamStarted || !m_metadata.lastEventId);
-        const auto isComplete = chunk.isLast && !m_events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
+        const auto isEmpty = events.progressCount() == 0 && (m_streamStarted || !m_metadata.lastEventId);
+        const auto isComplete = chunk.isLast && !events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
         std::string lastBytes;
-        if (isComplete && !m_events.incompleteEvent().empty()) {
-            lastBytes = std::string(bytes) + std::string(m_events.incompleteEvent());
+        if (isComplete && !events.incompleteEvent().empty()) {
+            lastBytes = std::string(bytes) + std::string(events.incompleteEvent());
             bytes = lastBytes;
         }
         if (!bytes.empty() || isComplete) {
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
-            if (isComplete || m_events.progressCount() > progressBefore) {
+            if (isComplete || events.progressCount() > progressBefore) {
                 if (callId && !firstEventAt && !m_context.selector.isSameStart(m_lastPlacement)) {
                     result.cause = "server-replaced";
                     co_return result;
@@ -352,7 +350,7 @@
             const WriteGuard guard(*this);
             auto ec = co_await startStream(head);
             if (!ec && !bytes.empty())
-                ec = co_await m_writer.write(bytes);
+                ec = co_await m_delivered.write(bytes, events);
             if (!ec && isComplete)
                 ec = co_await m_writer.finishStream();
             if (ec) {
@@ -361,11 +359,11 @@
                 result.cause = "caller-gone";
                 co_return result;
             }
-            m_relayedEvents += m_events.progressCount() - progressBefore;
+            m_relayedEvents += events.progressCount() - progressBefore;
             m_relayedBytes += bytes.size();
         }
         if (chunk.isLast && !isComplete) {
-            result.cause = m_events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
+            result.cause = events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
             result.hasBrokenOff = true;
             co_return result;
         }
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,8 +30,8 @@
 
     /** True once `data: [DONE]` was received. Later bytes are ignored. */
     bool isComplete() const { return m_isComplete; }
-    /** Makes feed() leave out events whose `id` is at most `id`, for a stream that is resumed on another server. */
-    void skipThrough(std::uint64_t id) { m_lastId = id; }
+    /** Makes feed() leave out events whose `id` is at most `id`, for a stream that goes on in a further answer. */
+    void skipThrough(std::uint64_t id) { m_lastId = std::max(m_lastId.value_or(id), id); }
     /** Largest numeric `id` of an event that feed() returned or that skipThrough() set; nothing before the first. */
     std::optional<std::uint64_t> lastEventId() const { return m_lastId; }
     /** Numeric `id` of the first event that was received, also of one that was left out. */
--- a/test/error/streams_read_and_not_written.cpp
+++ b/test/error/streams_read_and_not_written.cpp
@@ -2,8 +2,10 @@
  * Events that were read from a server and did not reach the caller: the next attempt brings them. Guards against streams with a piece
  * missing, because what had been read was taken for what had been delivered.
  */
+#include "forwarding/DeliveredStream.h"
 #include "forwarding/RelayHandler.h"
 #include "forwarding/RelayedRequest.h"
+#include "http/EventStreamScanner.h"
 #include "net/Timer.h"
 #include "test/fakes/CountedStream.h"
 #include "test/fakes/RoutedBench.h"
@@ -160,3 +162,38 @@
     CHECK(bench.writer.streamed == countedEvents(3, lastEvent));
     CHECK(bench.writer.isFinished);
 }
+
+TEST_CASE("the position of a stream moves only by a finished write", "[routed][streams]")
+{
+    asio::io_context loop;
+    RecordingWriter writer;
+    DeliveredStream delivered(writer);
+    EventStreamScanner first(EventStreamScanner::EndMarker::None);
+    EventStreamScanner second(EventStreamScanner::EndMarker::None);
+    const auto write = [&](const std::string& events, const EventStreamScanner& scanner) {
+        std::error_code result;
+        asio::co_spawn(loop, delivered.write(events, scanner), [&result](const auto&, auto ec) { result = ec; });
+        loop.restart();
+        while (loop.run_one() > 0)
+            CHECK((!delivered.position() || writer.streamed.find("id: " + std::to_string(*delivered.position())) != std::string::npos));
+        return result;
+    };
+    auto events = std::string(delivered.read(first, countedEvents(1, 2)));
+    CHECK_FALSE(delivered.position());
+    writer.readTime = 1ms;
+    CHECK_FALSE(write(events, first));
+    CHECK(delivered.position() == 2U);
+
+    events = delivered.read(first, countedEvents(3, 4));
+    writer.takes = [](auto bytes) { return bytes.size() - 1; };
+    CHECK(write(events, first));
+    CHECK(delivered.position() == 2U);
+
+    writer.takes = {};
+    events = delivered.read(second, countedEvents(1, 5));
+    CHECK(events == countedEvents(3, 5));
+    CHECK_FALSE(write(events, second));
+    CHECK(delivered.position() == 5U);
+    // What another attempt has delivered meanwhile is left out.
+    CHECK(delivered.read(first, countedEvents(5, 6)) == countedEvents(6, 6));
+}
