Ask another server before an empty rest of a stream counts as its end

What callers saw: a stream that they took up with Last-Event-Id ended as complete without its rest.

Cause: an answer with neither a length nor chunks that ends before any event was taken for the empty rest of a stream that its caller takes up. A server that crashes right behind its header ends its answer the same way. The same held for an attempt that goes on for another instance: that one got a framed end and passed it on, also where its caller had events of this answer and an own attempt would not have counted as complete.

Change: on a resumable route such an answer is complete only if an earlier attempt of the request ended in the same way, and never while the caller has events of the same answer, also if another instance relays it. Otherwise the stream goes on elsewhere or ends visibly broken. It counts neither against the server nor as a crash of the prompt, as the stream may be at its end. A framed end is believed at once, and other routes are as before.

The price: a stream that is taken up at its very end and answered without framing runs once more, and ends as broken if no other server can be asked. What remains: two servers of one request that both crash right behind their header.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -133,6 +133,8 @@
     bool continuesStream(const UpstreamHead&) const;
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
     Task<std::error_code> startStream(const UpstreamHead&);
+    /** True if a stream of which the present attempt brought no event may end with that attempt's connection. */
+    bool isEndConfirmed() const;
     /** True if the request may go to a further server after this attempt. */
     bool mayRetry(const AttemptResult&);
     /** Longest time without bytes from the server before a further attempt is considered. */
@@ -254,6 +256,7 @@
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
     unsigned m_streamStatus = 0; // Its status, once it was sent.
+    bool m_hasEndedEmpty = false; // The connection of an earlier attempt ended in an orderly way before any event.
     DeliveredStream m_delivered; // What the caller has of the stream, over all attempts.
 };
 
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -301,6 +301,17 @@
     co_return co_await m_writer.startStream(head.status, m_context.codec.fieldsForCaller(head.fields));
 }
 
+// An answer that ends with its connection before any event looks the same after a crash right behind the header as at the end of the stream.
+bool RoutedExchange::isEndConfirmed() const
+{
+    if (!m_metadata.lastEventId)
+        return false;
+    if (!m_route->isResumable)
+        return !m_streamStarted;
+    const auto hasEvents = m_lastChunkAt || (m_relayed && m_relayed->continuesStream);
+    return m_hasEndedEmpty && !hasEvents;
+}
+
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
@@ -323,10 +334,8 @@
             result.cause = "event-oversized";
             co_return result;
         }
-        // A stream that its caller resumes may have no event left. One that was cut here is not taken for complete: after a crash
-        // right behind the header it looks the same.
-        const auto isEmpty = events.progressCount() == 0 && (m_streamStarted || !m_metadata.lastEventId);
-        const auto isComplete = chunk.isLast && !events.isInsideEvent() && !(isEmpty && head.isCloseDelimited);
+        const auto isEmptyEnd = chunk.isLast && head.isCloseDelimited && events.progressCount() == 0 && !events.isInsideEvent();
+        const auto isComplete = chunk.isLast && !events.isInsideEvent() && (!isEmptyEnd || isEndConfirmed());
         std::string lastBytes;
         if (isComplete && !events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(events.incompleteEvent());
@@ -364,7 +373,11 @@
         }
         if (chunk.isLast && !isComplete) {
             result.cause = events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
-            result.hasBrokenOff = true;
+            // A stream that its caller takes up may be at its end, and then neither the server nor the prompt is to blame.
+            const auto mayBeEnd = isEmptyEnd && m_metadata.lastEventId;
+            result.hasBrokenOff = !mayBeEnd;
+            result.outcome = mayBeEnd ? CallOutcome::Rejected : CallOutcome::Broken;
+            m_hasEndedEmpty = m_hasEndedEmpty || isEmptyEnd;
             co_return result;
         }
         if (isComplete)
