Count the start at a server whose events are not passed on

Cause: an attempt that ends because the server's record changed before its first event (server-replaced), or because a part of an event found no memory with the first events, was not counted as a start, although the events show that a server ran the request. Retries and the route's limit of attempts counted it; the report to the provider named one start too few.

Change: the start is counted as the first event is read. Evidence: a test of usage_starts_of_requests that counted 1 of 2 before; [usage] and [routed] without [loopback]: all passed.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -318,6 +318,7 @@
     EventStreamScanner events(EventStreamScanner::EndMarker::None);
     BufferBudget::Share held(m_context.answerBytes);
     std::optional<TimePoint> firstEventAt;
+    auto isCounted = false; // As a start at a server.
     auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
     for (;;) {
         const auto chunk = co_await call.readChunk();
@@ -330,6 +331,9 @@
         const auto progressBefore = events.progressCount();
         auto bytes = m_delivered.read(events, chunk.bytes);
         m_trace.recordEvents(m_attempt, events.firstEventId(), events.progressCount());
+        // Also if the events are not passed on.
+        if (callId && events.progressCount() > 0 && !std::exchange(isCounted, true))
+            countStart();
         if (events.isOversized() || !held.resize(copiesOfEvent * events.incompleteEvent().size())) {
             result.cause = "event-oversized";
             co_return result;
@@ -348,7 +352,7 @@
                     result.cause = "server-replaced";
                     co_return result;
                 }
-                if (callId && !firstEventAt)
+                if (callId && !std::exchange(isCounted, true))
                     countStart();
                 if (callId && !m_lastChunkAt)
                     recordOrigin();
--- a/test/error/usage_starts_of_requests.cpp
+++ b/test/error/usage_starts_of_requests.cpp
@@ -86,6 +86,18 @@
     }
 }
 
+TEST_CASE("an attempt whose server was replaced before its first event has begun to run the request", "[usage]")
+{
+    CountingBench bench;
+    auto replaced = CountingBench::stream({ event, "id: 2\ndata: b\n\n" });
+    replaced.afterSending = [&bench] { bench.addServer(bench.upstream.addresses[0], "models", "v1", 2); };
+    bench.upstream.scripts = { replaced, CountingBench::stream({ event }) };
+    bench.run(RoutedBench::request("/draft/1"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.starts() == 2);
+}
+
 TEST_CASE("a request without a workspace is in no usage report", "[usage]")
 {
     CountingBench bench;
