End a stream visibly if its last delivered event has no id

What callers would see: a stream of events without ids that breaks off goes on at another server from its beginning, and the caller gets its first events twice.

Cause: the position of a stream is the id of its last event; events without a numeric id are delivered and do not move it. Change: once the last delivered event with data has none, no further attempt is made and a silent one is not given up for another. Comments don't matter, and a later event with an id makes the position known again.

Also held by tests, unchanged: an event whose id is not larger than the one before is left out as a repetition, which ids that increase allow; ids may jump, also where the stream goes on at another server, since the router can't know the steps of a stream.

--- a/src/forwarding/DeliveredStream.cpp
+++ b/src/forwarding/DeliveredStream.cpp
@@ -18,9 +18,12 @@
 {
     // The scanner may go on before the write ends.
     const auto through = scanner.lastEventId();
+    const auto mayGoOn = scanner.eventCount() > 0 ? scanner.endsWithId() : m_mayGoOn;
     const auto ec = co_await m_writer.write(events);
-    if (!ec)
-        m_position = std::max(m_position, through); // Nothing is less than any id.
+    if (ec)
+        co_return ec;
+    m_position = std::max(m_position, through); // Nothing is less than any id.
+    m_mayGoOn = mayGoOn;
     co_return ec;
 }
 
--- a/src/forwarding/DeliveredStream.h
+++ b/src/forwarding/DeliveredStream.h
@@ -28,6 +28,8 @@
     void takeUpAfter(std::uint64_t id) { m_position = id; }
     /** Id of the last event that the caller has, after which an attempt goes on; nothing if it has none. */
     std::optional<std::uint64_t> position() const { return m_position; }
+    /** False if the last event that the caller has been sent has no id, so that no attempt can be told to go on behind it. */
+    bool mayGoOn() const { return m_mayGoOn; }
 
     /** Takes bytes of an attempt's answer. Returns the events that they complete, without those that the caller has; valid until the next call. */
     std::string_view read(EventStreamScanner&, std::string_view bytes) const;
@@ -37,6 +39,7 @@
 private:
     ResponseWriter& m_writer;
     std::optional<std::uint64_t> m_position; // Never decreases.
+    bool m_mayGoOn = true;
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -287,7 +287,7 @@
 
 bool RoutedExchange::mayRetry(const AttemptResult& result)
 {
-    if (m_writer.isCallerDisconnected())
+    if (m_writer.isCallerDisconnected() || !m_delivered.mayGoOn())
         return false;
     switch (result.end) {
     case AttemptEnd::Delivered:
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -84,7 +84,7 @@
 bool RoutedExchange::prepareNext(const Placement& present)
 {
     const auto now = monotonicNow();
-    if (!mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !m_retryWindow->mayRetry(m_context.entryInstances, now))
+    if (!m_delivered.mayGoOn() || !mayStart() || !hasLease() || !quarantineCode().empty() || m_deadline - now < minTimeLeftToSend || !m_retryWindow->mayRetry(m_context.entryInstances, now))
         return false;
     const auto& service = m_placementRequest.service;
     if (!m_relayed && m_context.selector.isOutOfReach(service) && m_context.relayPeers.select(service, m_triedPeers, now)) {
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -86,7 +86,7 @@
             m_serverError = std::move(result.answer);
             m_heldError = std::move(result.held);
         }
-        const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
+        const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_delivered.mayGoOn() && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
         if (!mayGoOn) {
             co_await finish(result);
             co_return true;
@@ -114,7 +114,7 @@
         const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
         const auto now = monotonicNow();
         const auto end = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(minPeerSilence, target * peerSilenceTargetFactor);
-        if (m_isWriting)
+        if (m_isWriting || !m_delivered.mayGoOn())
             return std::max(end, now + minPeerSilence);
         return now < end ? std::optional(end) : std::nullopt;
     };
--- a/src/http/EventStreamScanner.cpp
+++ b/src/http/EventStreamScanner.cpp
@@ -64,6 +64,7 @@
 bool EventStreamScanner::isNewEvent(std::string_view event)
 {
     constexpr std::string_view idField = "id:";
+    m_hasId = false;
     for (std::size_t line = 0; line < event.size(); line = event.find('\n', line) + 1) {
         auto text = event.substr(line);
         if (text.starts_with(idField)) {
@@ -73,6 +74,7 @@
             const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), id);
             if (ec != std::errc() || end == text.data())
                 return true;
+            m_hasId = true;
             m_firstId = m_firstId.value_or(id);
             if (m_lastId && id <= *m_lastId)
                 return false;
@@ -95,6 +97,7 @@
     const auto data = event.find(dataField);
     if (data == std::string_view::npos)
         return true;
+    m_endsWithId = m_hasId;
     auto value = event.substr(data + dataField.size());
     value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
     if (m_endMarker == EndMarker::Done && value.starts_with("[DONE]"))
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -36,6 +36,8 @@
     std::optional<std::uint64_t> lastEventId() const { return m_lastId; }
     /** Numeric `id` of the first event that was received, also of one that was left out. */
     std::optional<std::uint64_t> firstEventId() const { return m_firstId; }
+    /** False if the last event with data that feed() returned has no numeric `id`: no request can ask to go on behind it. */
+    bool endsWithId() const { return m_endsWithId; }
     /** The bytes received of an event that is still incomplete. */
     std::string_view incompleteEvent() const { return m_pending; }
     /**
@@ -61,6 +63,8 @@
     std::optional<std::uint64_t> m_firstId;
     std::string m_output; // Result of the last feed().
     std::string m_pending; // Start of an incomplete event.
+    bool m_hasId = false; // The event that is looked at.
+    bool m_endsWithId = true;
     std::uint32_t m_eventCount = 0;
     std::uint32_t m_progressCount = 0;
     bool m_isComplete = false;
