Merge the position of streams that only a finished write moves

Conflicts with the attempts beside a silent one: whether a stream may go on at all is asked in mayAddAttempt(), for servers and instances alike; an event of the silent attempt cancels the other right before it is counted.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -45,6 +45,7 @@
     , m_table(context.routing.table())
     , m_metadata(context.codec.parseRequest(http))
     , m_startupWaitEnd(m_arrival + std::min<Duration>(maxStartupWait, std::chrono::duration_cast<Duration>(m_metadata.callerTimeout.value_or(maxStartupWait) * startupWaitShare)))
+    , m_delivered(writer)
 {
 }
 
@@ -313,7 +314,7 @@
 
 bool RoutedExchange::mayRetry(const AttemptResult& result)
 {
-    if (m_writer.isCallerDisconnected())
+    if (m_writer.isCallerDisconnected() || !m_delivered.mayGoOn())
         return false;
     switch (result.end) {
     case AttemptEnd::Delivered:
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "forwarding/AttemptTrace.h"
+#include "forwarding/DeliveredStream.h"
 #include "forwarding/ForwardingContext.h"
 #include "forwarding/RelayedRequest.h"
 #include "forwarding/RequestCodec.h"
-#include "http/EventStreamScanner.h"
 #include "net/Task.h"
 #include "placement/AdmissionQueue.h"
 #include "placement/BackendSelector.h"
@@ -159,6 +159,8 @@
     bool continuesStream(const UpstreamHead&) const;
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
     Task<std::error_code> startStream(const UpstreamHead&);
+    /** True if a stream of which the present attempt brought no event may end with that attempt's connection. */
+    bool isEndConfirmed() const;
     /** True if the request may go to a further server after this attempt. */
     bool mayRetry(const AttemptResult&);
     UpstreamTimeouts upstreamTimeouts(TimePoint now) const;
@@ -266,7 +268,7 @@
     /** Logs the attempts of a stream that was cut or went on elsewhere, with the state of the instance. */
     void logAttempts(std::string_view outcome) const;
     /** Id of the event after which the next attempt goes on; nothing if the stream begins. */
-    std::optional<std::uint64_t> lastEventId() const { return m_events.lastEventId() ? m_events.lastEventId() : m_metadata.lastEventId; }
+    std::optional<std::uint64_t> lastEventId() const { return m_delivered.position() ? m_delivered.position() : m_metadata.lastEventId; }
 
     ForwardingContext& m_context;
     const HttpRequest& m_http;
@@ -311,8 +313,8 @@
     std::shared_ptr<HeldAnswer> m_heldError; // Counts the memory of m_serverError.
     bool m_streamStarted = false; // The header of a stream was sent to the caller.
     unsigned m_streamStatus = 0; // Its status, once it was sent.
-    // Finds whole events in the stream; holds the id of the last one that was relayed, over all attempts.
-    EventStreamScanner m_events { EventStreamScanner::EndMarker::None };
+    bool m_hasEndedEmpty = false; // The connection of an earlier attempt ended in an orderly way before any event.
+    DeliveredStream m_delivered; // What the caller has of the stream, over all attempts.
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -78,7 +78,7 @@
         auto result = co_await runRelayAttempt(*peer, std::move(accepted));
         recordResult(m_attempt, result);
         accepted = co_await awaitSuccessor(result);
-        const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
+        const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_delivered.mayGoOn() && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
         if (!accepted && !mayGoOn) {
             co_await finish(result);
             co_return true;
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -88,7 +88,7 @@
 
 bool RoutedExchange::mayAddAttempt() const
 {
-    return m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts && m_sends + 1 <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
+    return m_delivered.mayGoOn() && m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts && m_sends + 1 <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
 }
 
 void RoutedExchange::beginSuccessor()
