Let a request in progress wait for a lease that is missing for a moment

What callers see: a resumable stream whose server breaks off ends without a whole answer, although other servers are free and the lease is back a moment later.

Cause: findObstacle() asks for the lease before each send, and a lease that was missing counted like a refusal of the server: the server was excluded from the rest of the request, the next one was asked at once, and after two servers (or eight) the stream was cut as configuration-unconfirmed. Only a request that had not been admitted waited for the lease. Between instances the same: a relayed stream was refused at once. What the instance itself holds back (a stop, a quarantine) excluded sound servers as well.

Ruled out: sending without a lease because the request was admitted with one. The check also covers a process that was suspended, and no rule needs it weakened.

Change: runAttempts() and relay() wait for the lease before each attempt, as a new request does: only within 2 s of its end (or 6 s of the start), not once the stop has given up its requests, not for a caller that has left. A request that may have run waits until its deadline at most, others as long as before. Without a lease after that, nothing is sent and no server is asked. What the instance holds back excludes no server.

Tests: on the code before, of test/error/lease_gaps.cpp 'a stream that its server breaks off while the lease is missing goes on once it is back' failed (two further servers asked in one turn, the stream cut), as did 'a lease that ends while a further attempt connects takes no server from the request', 'a request that has not run waits for a lease that ends while it connects' (503) and all three sections of 'a stream is not sent again without a lease, and waits no longer than for an election' (servers asked in vain); 'a relayed stream that breaks off while the lease is missing goes on through a further instance' failed without the line in relay(). All pass now, with the tests [routed] and [relay] of routed_requests, planned_stop, silent_servers and relayed_requests.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -106,6 +106,7 @@
         co_return;
     }
     for (;;) {
+        co_await awaitLease(leaseWaitEnd());
         const auto now = monotonicNow();
         const auto isOutOfReach = m_context.selector.isOutOfReach(m_placementRequest.service);
         if (m_relayed && isOutOfReach) {
@@ -161,7 +162,8 @@
         m_trace.end(m_attempt, result.cause, monotonicNow());
         recordCompletion(grant->placement, result, begunAt, requestsAtStart);
         m_lastCause = result.cause;
-        m_placementRequest.excluded.insert(grant->placement.backend);
+        if (!result.isHeldBack)
+            m_placementRequest.excluded.insert(grant->placement.backend);
         m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
         m_sends += result.wasSent ? 1 : 0;
         m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
@@ -252,6 +254,8 @@
     const auto now = monotonicNow();
     if (!mayStart())
         return NotSent { .code = "draining", .retryAfter = drainRetryAfter };
+    if (!hasLease())
+        return NotSent { .code = "configuration-unconfirmed", .retryAfter = shortRetryAfter };
     if (const auto quarantine = findQuarantine())
         return quarantine;
     if (!placement)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -61,6 +61,7 @@
         bool wasSent = false; ///< At least one byte of the request may have reached the server.
         CallOutcome outcome = CallOutcome::Broken; ///< Reported to the selector for the server's health.
         std::string_view cause; ///< One-word cause for logs and error codes.
+        bool isHeldBack = false; ///< This instance held the attempt back, for a reason that is not the server's; see findObstacle().
         bool hasBrokenOff = false; ///< The server ended the connection before its answer was whole, as a crash does.
         HttpResponse answer; ///< The answer if `end` is ServerError or Declined.
         std::shared_ptr<HeldAnswer> held; ///< Counts the memory of `answer`.
@@ -99,6 +100,10 @@
     bool hasLease() const;
     /** Waits for a confirmed configuration while one can be expected soon. */
     Task<void> awaitConfiguration();
+    /** Waits for the lease until `end` at most, while it can be expected soon. */
+    Task<void> awaitLease(TimePoint end);
+    /** Latest end of the wait for the lease before an attempt. */
+    TimePoint leaseWaitEnd() const;
     bool isConfigurationExpected(TimePoint now) const;
     /** Chooses one of the route's services at random by weight. */
     const ServiceId& pickService() const;
--- a/src/forwarding/RoutedExchangeAdmission.cpp
+++ b/src/forwarding/RoutedExchangeAdmission.cpp
@@ -36,16 +36,27 @@
     return now - m_context.startedAt < startupTime || (m_context.routing.leaseEnd() <= now && now - m_context.routing.leaseEnd() < maxInterruption);
 }
 
-Task<void> RoutedExchange::awaitConfiguration()
+Task<void> RoutedExchange::awaitLease(TimePoint end)
 {
     Timer pause(m_context.loop.get_executor());
     while (!hasLease() && !m_writer.isCallerDisconnected()) {
         const auto now = monotonicNow();
-        if (now >= m_startupWaitEnd || !isConfigurationExpected(now) || m_context.interrupts.isInterrupted())
-            break;
+        if (now >= end || !isConfigurationExpected(now) || m_context.interrupts.isInterrupted())
+            co_return;
         pause.expires_after(startupPollInterval);
         co_await pause.async_wait(asTuple);
     }
+}
+
+// A request that may have run can't be refused any more: giving up cuts its stream, or leaves its caller with an error.
+TimePoint RoutedExchange::leaseWaitEnd() const
+{
+    return m_possibleRuns > 0 ? m_deadline - minTimeLeftToSend : m_startupWaitEnd;
+}
+
+Task<void> RoutedExchange::awaitConfiguration()
+{
+    co_await awaitLease(m_startupWaitEnd);
     m_table = m_context.routing.table();
 }
 
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -31,6 +31,8 @@
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
 constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
 
+constexpr std::string_view serverWithdrawn = "server-withdrawn"; // The one obstacle that is the server's.
+
 std::size_t announcedLength(const UpstreamHead& head)
 {
     const auto text = head.fields.find("Content-Length");
@@ -159,7 +161,7 @@
         return "configuration-unconfirmed";
     if (const auto code = quarantineCode(); !code.empty())
         return code;
-    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
+    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : serverWithdrawn;
 }
 
 Task<RoutedExchange::AttemptResult> RoutedExchange::sendAttempt(UpstreamCall& call, const Placement& placement, CallId callId)
@@ -170,6 +172,7 @@
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
         result.cause = obstacle;
+        result.isHeldBack = obstacle != serverWithdrawn;
         return result;
     };
     if (!obstacle.empty())
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -59,6 +59,7 @@
 Task<bool> RoutedExchange::relay(RetryWindow& window)
 {
     for (int i = 0; i < maxPeersTried; ++i) {
+        co_await awaitLease(leaseWaitEnd());
         if (m_writer.isCallerDisconnected()) {
             logEnd(0, "caller-gone");
             co_return true;
