Leave the retry of an attempt that reached no server to the next attempt

What callers see: a stream that its server broke off is cut as retry-budget-spent, or as no more retries are left for others, although hardly any request was sent twice: servers on the way could not be reached, or this instance held the attempt back.

Cause: a retry was taken before each further attempt and lost if that attempt never sent a byte. The budget bounds arrivals at servers, and such an attempt is none.

Ruled out: giving it back to the window, from which another request could take it before this one goes on.

Change: a retry that was taken for an attempt of which no byte was sent stays with the request. A rejection by a server still uses it up, since the server has seen the request. Attempts through other instances are left as they were: an instance that declines may have sent the request.

Tests: 'a stream that goes on needs one retry although a server on the way is unreachable' failed on the code before (2 of 3 servers asked, the stream cut); it passes now, with two cases that hold the bound ('an attempt that a server rejects uses its retry', 'a first attempt that is unreachable leaves no retry to a later one') and the tests [routed] of routed_requests, planned_stop, silent_servers and relayed_requests.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -164,6 +164,8 @@
         m_lastCause = result.cause;
         if (!result.isHeldBack)
             m_placementRequest.excluded.insert(grant->placement.backend);
+        // An attempt that reached no server leaves the retry that was taken for it to the next one.
+        m_hasRetry = m_hasRetry || (m_sends > 0 && !result.wasSent);
         m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
         m_sends += result.wasSent ? 1 : 0;
         m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
