Let waiting reads count before a server is taken for silent

What callers see: an attempt is given up for its server's silence although the server sent all the time: the instance was busy, or got no processor time, for longer than the limit (1.2 s). Their three streams need over a hundred connections at that instance with bytes waiting.

Cause: the event loop takes 128 ready descriptors at a time. If one of the first is a timer that has been due for longer, it runs all timers that are due meanwhile, and the reads of the descriptors beyond these 128 come afterwards.

Ruled out: passing the event loop once or twice before the silence is judged. With 600 connections that reaches two more batches of five.

Change: DeadlineWatch asks the call whether bytes wait at its socket before it asks whether the attempt may go on, and looks again 50 ms later if so. Plain deadlines are not changed. Comments that are read and count as silence are so as before.

--- a/src/http/DeadlineWatch.h
+++ b/src/http/DeadlineWatch.h
@@ -15,7 +15,10 @@
 
 class DeadlineWatch {
 public:
-    /** Called when the deadline passes. Returns a later deadline, or nothing to cancel the call. */
+    /**
+     * Called when the deadline passes. Returns a later deadline, or nothing to cancel the call. Not asked while bytes of the server
+     * wait to be read, which it may not have counted.
+     */
     using Extend = std::function<std::optional<TimePoint>()>;
 
     /** Sets no timer if there is no deadline. `call` must outlive this object. */
@@ -53,12 +56,17 @@
         bool hasPassed = false;
     };
 
+    static constexpr Duration unreadPause = std::chrono::milliseconds(50);
+
     static void arm(const std::shared_ptr<State>& state, TimePoint deadline)
     {
         state->timer.expires_after(deadline - monotonicNow());
         state->timer.async_wait([state](const boost::system::error_code& ec) {
             if (ec || state->isDestroyed)
                 return;
+            // The event loop may run a timer before reads that have been due for longer.
+            if (state->extend && state->call.hasUnreadBytes())
+                return arm(state, monotonicNow() + unreadPause);
             if (const auto later = state->extend ? state->extend() : std::nullopt)
                 return arm(state, *later);
             state->hasPassed = true;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -223,6 +223,12 @@
         co_return chunk;
     }
 
+    bool hasUnreadBytes() const override
+    {
+        boost::system::error_code ec;
+        return m_connection && m_connection->stream.socket().is_open() && m_connection->stream.socket().available(ec) > 0;
+    }
+
     void cancel() override
     {
         m_isCancelled = true;
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -78,6 +78,8 @@
     virtual void checkBeforeSending(const BeforeSend&) { }
     /** True if the request was sent on a connection that had served another request. Valid after begin. */
     virtual bool reusedConnection() const { return false; }
+    /** True if bytes have come that no read has taken yet, as while the event loop was busy. */
+    virtual bool hasUnreadBytes() const { return false; }
     /** Makes a pending begin or read end with an error. Call on the event loop of the call only. */
     virtual void cancel() = 0;
 };
