--- a/test/error/busy_loops.cpp
+++ b/test/error/busy_loops.cpp
@@ -115,9 +115,11 @@
     std::vector<std::unique_ptr<SocketPairCall>> servers;
     std::vector<std::unique_ptr<DeadlineWatch>> watches;
     const auto begunAt = monotonicNow();
+    servers.reserve(calls);
     for (std::size_t i = 0; i < calls; ++i)
         servers.push_back(std::make_unique<SocketPairCall>(loop));
     const auto limit = monotonicNow() + 100ms;
+    watches.reserve(calls);
     for (auto& it : servers) {
         watches.push_back(std::make_unique<DeadlineWatch>(loop.get_executor(), limit, *it, [&server = *it]() -> std::optional<TimePoint> {
             if (server.hasRead())
