End a silent connection to a server only after two lost keep-alive probes

What callers see: a stream whose server is silent for 2 s loses its connection when a single probe, or its answer, is lost on the way. For an instance, all connections to one server are silent at the same time.

Cause: with TCP_USER_TIMEOUT, Linux ends a connection at the first keep-alive timer that finds a probe unanswered and the user timeout over; TCP_KEEPCNT does not count then (docs/faults.md). With a timeout of 2 s and probes each second that was the second timer, after one probe.

Ruled out: going without the user timeout. It is what ends connections with unacknowledged bytes to a host that has lost power.

Change: the user timeout lies 250 ms beyond the time of the second probe: 2.25 s for the entry instances' 2 s, so idle connections to a lost host end after 3 s, as before if both probes were sent, and those with unacknowledged bytes after 2.25 s in place of 2 s.

Lost probes were not played on a real link.

--- /dev/null
+++ b/src/http/ConnectionPool.cpp
@@ -0,0 +1,80 @@
+#include "http/ConnectionPool.h"
+
+#include "base/RouterError.h"
+#include "net/Endpoint.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+
+namespace HickoryHollow {
+
+namespace {
+
+// A server may close an idle connection at any time. Unexpected bytes or an end of file mean that it cannot be reused.
+bool isReusable(ServerConnection& connection)
+{
+    char byte = 0;
+    const auto n = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+ConnectionPool::ConnectionPool(asio::io_context& loop, const UpstreamOptions& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_limits(lostHostLimits(options.tcpUserTimeout))
+{
+}
+
+std::shared_ptr<ServerConnection> ConnectionPool::take(const std::string& address, Duration maxIdle)
+{
+    auto& idle = m_idle[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        const auto limit = std::min({ m_options.idleTimeout, connection->serverIdleTimeout, maxIdle });
+        if (monotonicNow() - connection->idleSince < limit && isReusable(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void ConnectionPool::put(const std::string& address, std::shared_ptr<ServerConnection> connection)
+{
+    auto& idle = m_idle[address];
+    if (idle.size() >= m_options.maxIdlePerServer || connection->buf.size() != 0)
+        return;
+    connection->idleSince = monotonicNow();
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::setMaxIdleConnections(std::size_t limit)
+{
+    m_options.maxIdlePerServer = limit;
+    for (auto& [address, idle] : m_idle) {
+        if (idle.size() > limit)
+            idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(limit));
+    }
+}
+
+Task<std::error_code> ConnectionPool::open(std::shared_ptr<ServerConnection> connection, std::string address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        co_return make_error_code(RouterError::UpstreamConnectFailed);
+    connection->stream.expires_after(m_options.connectTimeout);
+    const auto [ec] = co_await connection->stream.async_connect(*endpoint, asTuple);
+    if (ec)
+        co_return make_error_code(RouterError::UpstreamConnectFailed);
+    auto& socket = connection->stream.socket();
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    setLostHostLimits(socket.native_handle(), m_limits);
+    co_return std::error_code();
+}
+
+} // namespace HickoryHollow
--- /dev/null
+++ b/src/http/ConnectionPool.h
@@ -0,0 +1,63 @@
+/** \file
+ * The connections of one event loop to backend servers, with those that are idle kept for later requests. Part of UpstreamClient.
+ */
+#pragma once
+
+#include "base/Time.h"
+#include "http/UpstreamClient.h"
+#include "net/LostHost.h"
+#include "net/Task.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/basic_stream.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <unordered_map>
+#include <vector>
+
+namespace HickoryHollow {
+
+/** One connection to a backend server. */
+struct ServerConnection {
+    explicit ServerConnection(asio::io_context& loop)
+        : stream(loop)
+        , buf(maxBufferedBytes)
+    {
+    }
+
+    // Room for a response header or for the framing between two parts of a body, with what the socket delivers beyond it.
+    static constexpr std::size_t maxBufferedBytes = 64UL << 10U;
+
+    boost::beast::basic_stream<asio::ip::tcp, Executor> stream;
+    boost::beast::flat_buffer buf;
+    TimePoint idleSince {};
+    Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response.
+};
+
+class ConnectionPool {
+public:
+    ConnectionPool(asio::io_context&, const UpstreamOptions&);
+
+    /** Returns an idle connection to that server that was idle for `maxIdle` at most, or null. */
+    std::shared_ptr<ServerConnection> take(const std::string& address, Duration maxIdle);
+    /** Keeps the connection for a later request, or closes it. */
+    void put(const std::string& address, std::shared_ptr<ServerConnection>);
+    void setMaxIdleConnections(std::size_t limit);
+    /** Makes a connection that is not open and not in the pool. */
+    std::shared_ptr<ServerConnection> make() { return std::make_shared<ServerConnection>(m_loop); }
+    /** Opens a connection. Closing it meanwhile makes that fail. */
+    Task<std::error_code> open(std::shared_ptr<ServerConnection>, std::string address);
+
+    const UpstreamOptions& options() const { return m_options; }
+
+private:
+    asio::io_context& m_loop;
+    UpstreamOptions m_options;
+    LostHostLimits m_limits;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idle; // By the address of the server.
+};
+
+} // namespace HickoryHollow
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -27,7 +27,10 @@
 
 struct UpstreamOptions {
     Duration connectTimeout = std::chrono::seconds(1);
-    /** Sent bytes or keep-alive probes that stay unacknowledged for this long end the connection (TCP_USER_TIMEOUT). */
+    /**
+     * About the time without acknowledgement after which a server's host is lost and its connection ended: for sent bytes, and
+     * for two keep-alive probes (net/LostHost.h).
+     */
     Duration tcpUserTimeout = std::chrono::seconds(10);
     /** If true, a body without a length is complete when the server closes without a reset; otherwise it is malformed. */
     bool acceptsCloseDelimited = false;
