Keep the connection to a server that reads a long request late

What callers see: a request with a long body ends after 2 s (502, or a further attempt), or its stream breaks off, because a sound server does not read the body yet. Servers may read slowly, and may answer before they have read a long body.

Cause: on Linux, TCP_USER_TIMEOUT also ends a connection whose peer acknowledges and says for so long that it has no room. The write takes the error, so the read sees an early end: the server counts as crashed, and so does the prompt as one that crashes servers.

Ruled out: a longer user timeout for all long requests. To a host that has lost power they would fail at their deadlines only, in place of after 2 s.

Change: while a long request (over 8 KiB) is written, the connection is looked at about every 0.3 s. If all that was sent is acknowledged and more waits for room, its user timeout is the time that the call has left, otherwise the usual one. A host that is lost while it has no room is noticed at the deadline, or by the watch for silent servers.

Open: a host that is lost while a long body is being written still counts as one that broke off.

--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -2,8 +2,12 @@
 
 #include "base/RouterError.h"
 #include "net/Endpoint.h"
+#include "net/Timer.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <cerrno>
 #include <sys/socket.h>
 #include <utility>
@@ -12,6 +16,8 @@
 
 namespace {
 
+constexpr int readerChecks = 8; // In the usual time after which a host counts as lost.
+
 // A server may close an idle connection at any time. Unexpected bytes or an end of file mean that it cannot be reused.
 bool isReusable(ServerConnection& connection)
 {
@@ -20,6 +26,23 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// The kernel takes a window without room for a lost host, although the host acknowledges every probe of it.
+Task<void> watchReader(std::weak_ptr<ServerConnection> weak, std::chrono::milliseconds longest, std::chrono::milliseconds usual, std::shared_ptr<bool> isWriting)
+{
+    Timer pause(co_await asio::this_coro::executor);
+    for (auto isOver = false; !isOver;) {
+        pause.expires_after(usual / readerChecks);
+        co_await pause.async_wait(asTuple);
+        const auto connection = weak.lock();
+        if (!connection || !connection->stream.socket().is_open())
+            co_return;
+        const auto socket = connection->stream.socket().native_handle();
+        const auto awaits = awaitsRoom(socket);
+        setUserTimeout(socket, awaits ? std::max(longest, usual) : usual);
+        isOver = !awaits && !*isWriting;
+    }
+}
+
 } // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context& loop, const UpstreamOptions& options)
@@ -77,4 +100,9 @@
     co_return std::error_code();
 }
 
+void ConnectionPool::allowLateReads(const std::shared_ptr<ServerConnection>& connection, Duration longest, std::shared_ptr<bool> isWriting)
+{
+    asio::co_spawn(m_loop, watchReader(connection, std::chrono::duration_cast<std::chrono::milliseconds>(longest), m_limits.userTimeout, std::move(isWriting)), asio::detached);
+}
+
 } // namespace HickoryHollow
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -50,6 +50,11 @@
     std::shared_ptr<ServerConnection> make() { return std::make_shared<ServerConnection>(m_loop); }
     /** Opens a connection. Closing it meanwhile makes that fail. */
     Task<std::error_code> open(std::shared_ptr<ServerConnection>, std::string address);
+    /**
+     * Lets the server leave a long request unread for `longest`, until its host has taken the whole of it. A host that does not
+     * acknowledge is lost after the usual time. `isWriting` tells whether a part of the request has not been handed to the kernel.
+     */
+    void allowLateReads(const std::shared_ptr<ServerConnection>&, Duration longest, std::shared_ptr<bool> isWriting);
 
     const UpstreamOptions& options() const { return m_options; }
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -58,6 +58,7 @@
         head.verdict = Verdict::MayHaveRun;
         if (checked.body.size() > maxSynchronousBodyBytes) {
             startWrite();
+            m_pool->allowLateReads(m_connection, m_timeouts.head, m_isWriting);
         } else {
             const auto [writeEc, written] = co_await http::async_write(m_connection->stream, m_request->message, asTuple);
             if (writeEc) {
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -29,7 +29,7 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /**
      * About the time without acknowledgement after which a server's host is lost and its connection ended: for sent bytes, and
-     * for two keep-alive probes (net/LostHost.h).
+     * for two keep-alive probes (net/LostHost.h). A host without room for a long request is not lost.
      */
     Duration tcpUserTimeout = std::chrono::seconds(10);
     /** If true, a body without a length is complete when the server closes without a reset; otherwise it is malformed. */
--- a/src/net/LostHost.cpp
+++ b/src/net/LostHost.cpp
@@ -1,8 +1,10 @@
 #include "net/LostHost.h"
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace HickoryHollow {
@@ -29,14 +31,27 @@
     return { .userTimeout = std::max(whole, probesToLose * duration_cast<milliseconds>(interval) + timerSlack), .probeInterval = interval };
 }
 
+void setUserTimeout(int socket, std::chrono::milliseconds timeout)
+{
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
 void setLostHostLimits(int socket, const LostHostLimits& limits)
 {
     const auto interval = static_cast<int>(limits.probeInterval.count());
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limits.userTimeout.count()));
+    setUserTimeout(socket, limits.userTimeout);
     setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probesToLose);
 }
 
+bool awaitsRoom(int socket)
+{
+    int queued = 0;
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return ::ioctl(socket, SIOCOUTQ, &queued) == 0 && queued > 0 && ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_unacked == 0;
+}
+
 } // namespace HickoryHollow
--- a/src/net/LostHost.h
+++ b/src/net/LostHost.h
@@ -1,5 +1,6 @@
 /** \file
- * Lets the kernel end connections whose peer's host is lost: one without power neither responds nor resets.
+ * Lets the kernel end connections whose peer's host is lost: one without power neither responds nor resets. A host that still
+ * acknowledges is not lost, even if its process reads nothing for long.
  */
 #pragma once
 
@@ -20,5 +21,10 @@
 
 /** Sets the limits of a TCP socket. */
 void setLostHostLimits(int socket, const LostHostLimits&);
+/** Sets the user timeout alone. */
+void setUserTimeout(int socket, std::chrono::milliseconds);
+
+/** True if the peer's host has acknowledged all that was sent to it and has no room for the bytes that are left. */
+bool awaitsRoom(int socket);
 
 } // namespace HickoryHollow
