--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -113,6 +113,8 @@
 {
     std::shared_ptr<Successor> accepted; // Of the last attempt.
     for (;;) {
+        if (!accepted)
+            co_await awaitLease(leaseWaitEnd());
         const auto isOutOfReach = m_context.selector.isOutOfReach(m_placementRequest.service);
         if (!accepted && m_relayed && isOutOfReach) {
             co_await refuse({ .code = "no-path", .retryAfter = shortRetryAfter });
@@ -146,7 +148,8 @@
         const auto requestsAtStart = requestsAt(grant->placement);
         auto result = co_await runAttempt(grant->placement, grant->call, std::move(accepted));
         recordCompletion(grant->placement, result, begunAt, requestsAtStart);
-        m_placementRequest.excluded.insert(grant->placement.backend);
+        if (!result.isHeldBack)
+            m_placementRequest.excluded.insert(grant->placement.backend);
         recordResult(m_attempt, result);
         accepted = co_await awaitSuccessor(result);
         if (!accepted && !mayRetry(result)) {
@@ -197,6 +200,8 @@
 {
     m_trace.end(attempt, result.cause, monotonicNow());
     m_lastCause = result.cause;
+    // An attempt that reached no server leaves the retry that was taken for it to the next one.
+    m_hasRetry = m_hasRetry || (m_sends > 0 && !result.wasSent);
     m_unreachable += result.outcome == CallOutcome::Unreachable ? 1 : 0;
     m_sends += result.wasSent ? 1 : 0;
     m_possibleRuns += result.wasSent && result.end != AttemptEnd::NotRun ? 1 : 0;
@@ -280,6 +285,8 @@
     const auto now = monotonicNow();
     if (!mayStart())
         return NotSent { .code = "draining", .retryAfter = drainRetryAfter };
+    if (!hasLease())
+        return NotSent { .code = "configuration-unconfirmed", .retryAfter = shortRetryAfter };
     if (const auto quarantine = findQuarantine())
         return quarantine;
     if (!placement)
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -32,6 +32,8 @@
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
 constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
 
+constexpr std::string_view serverWithdrawn = "server-withdrawn"; // The one obstacle that is the server's.
+
 std::size_t announcedLength(const UpstreamHead& head)
 {
     const auto text = head.fields.find("Content-Length");
@@ -135,7 +137,7 @@
         return "configuration-unconfirmed";
     if (const auto code = quarantineCode(); !code.empty())
         return code;
-    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : "server-withdrawn";
+    return m_context.selector.mayReceive(placement, monotonicNow()) ? "" : serverWithdrawn;
 }
 
 Task<RoutedExchange::Opening> RoutedExchange::openAttempt(UpstreamCall& call, const Placement& placement, CallId callId, std::optional<TimePoint>& sentAt)
@@ -147,6 +149,7 @@
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
         result.cause = obstacle;
+        result.isHeldBack = obstacle != serverWithdrawn;
     };
     if (!obstacle.empty()) {
         forbid();
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -56,6 +56,8 @@
 Task<bool> RoutedExchange::relay(std::shared_ptr<Successor> accepted)
 {
     for (std::size_t i = 0; i < maxPeersTried || accepted; ++i) {
+        if (!accepted)
+            co_await awaitLease(leaseWaitEnd());
         if (!accepted && m_writer.isCallerDisconnected()) {
             logEnd(0, "caller-gone");
             co_return true;
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -145,7 +145,8 @@
     }
     if (successor.grant) {
         settle(successor.grant->placement, successor.grant->call, result, successor.begunAt);
-        m_placementRequest.excluded.insert(successor.grant->placement.backend);
+        if (!result.isHeldBack)
+            m_placementRequest.excluded.insert(successor.grant->placement.backend);
     } else {
         m_context.relayPeers.end(successor.peer, m_placementRequest.service, successor.relayOutcome, monotonicNow());
     }
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -27,7 +27,10 @@
 
 struct UpstreamOptions {
     Duration connectTimeout = std::chrono::seconds(1);
-    /** Sent bytes or keep-alive probes that stay unacknowledged for this long end the connection (TCP_USER_TIMEOUT). */
+    /**
+     * About the time without acknowledgement after which a server's host is lost and its connection ended: for sent bytes, and
+     * for two keep-alive probes (net/LostHost.h). A host without room for a long request is not lost.
+     */
     Duration tcpUserTimeout = std::chrono::seconds(10);
     /** If true, a body without a length is complete when the server closes without a reset; otherwise it is malformed. */
     bool acceptsCloseDelimited = false;
@@ -78,6 +81,8 @@
     virtual void checkBeforeSending(const BeforeSend&) { }
     /** True if the request was sent on a connection that had served another request. Valid after begin. */
     virtual bool reusedConnection() const { return false; }
+    /** True if bytes have come that no read has taken yet, as while the event loop was busy. */
+    virtual bool hasUnreadBytes() const { return false; }
     /** Makes a pending begin or read end with an error. Call on the event loop of the call only. */
     virtual void cancel() = 0;
 };
