--- a/test/fakes/FakeStreamOrigins.h
+++ b/test/fakes/FakeStreamOrigins.h
@@ -24,7 +24,7 @@
             co_return std::nullopt;
         if (const auto version = known.find(stream))
             co_return version;
-        std::set<VersionId> versions;
+        auto versions = earlierVersions;
         for (const auto& it : m_selector.backendRecords()) {
             if (it.service == service)
                 versions.insert(versionIdOf(service, it.softwareVersion));
@@ -33,6 +33,7 @@
     }
 
     StreamOrigins known;
+    std::set<VersionId> earlierVersions; ///< That servers of the service have had lately.
 
 private:
     const BackendSelector& m_selector;
