Take no deadline of a request for a crash of its further server

Seen by review: two servers that stay silent until a stream's deadline. The call that was opened beside the silent one, or outlived it, is cancelled by the deadline's watch; the cancelled read looks like a connection that the server broke off. So the server counted as broken (event 2103) and the request's prompt as one that crashes servers; a few such requests put a sound prompt in quarantine.

The attempt that runs asks its watch before it judges how the call ended; the one beside it didn't. Now it does, and the end is this instance's, not the server's. A cancellation by the caller, the stop or the silent attempt was judged rightly before.

--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -127,11 +127,17 @@
 Task<RoutedExchange::Opening> RoutedExchange::openSuccessor(Successor& successor)
 {
     const DeadlineWatch deadline(m_context.loop.get_executor(), m_deadline, *successor.call);
-    if (successor.grant)
-        co_return co_await openAttempt(*successor.call, successor.grant->placement, successor.grant->call, successor.sentAt);
-    m_triedPeers.insert(successor.peer);
-    m_context.relayPeers.begin(successor.peer);
-    co_return co_await openRelayAttempt(*successor.call, successor.relayOutcome, successor.sentAt);
+    Opening opening;
+    if (successor.grant) {
+        opening = co_await openAttempt(*successor.call, successor.grant->placement, successor.grant->call, successor.sentAt);
+    } else {
+        m_triedPeers.insert(successor.peer);
+        m_context.relayPeers.begin(successor.peer);
+        opening = co_await openRelayAttempt(*successor.call, successor.relayOutcome, successor.sentAt);
+    }
+    if (deadline.hasPassed() && successor.cancelCause.empty())
+        successor.cancelCause = "deadline-passed";
+    co_return opening;
 }
 
 void RoutedExchange::endSuccessor(Successor& successor, AttemptResult& result)
