Don't take a server for unreachable whose connection was given up

Seen by review: a silent stream goes on while the further attempt still connects. That attempt is cancelled, and its call says that there is no connection: the sound server was ejected at once, the request counted one of the two unreachable servers after which it goes through another instance, and the server was excluded for the rest of the stream. The other instance of a relayed stream was set aside in the same way. All streams of a server that pauses do this at the same moment.

The end of a cancelled attempt was made this instance's own unless the request had not run. Now one without a connection is also the instance's, and its server may be chosen again. An answer that refuses the request, and came before the cancellation, counts as before.

Evidence: both tests failed on (no server granted; the other instance not selected).

--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -142,8 +142,10 @@
 
 void RoutedExchange::endSuccessor(Successor& successor, AttemptResult& result)
 {
-    if (!successor.cancelCause.empty() && result.end != AttemptEnd::NotRun) {
-        result.end = AttemptEnd::Failed;
+    const auto isUnconnected = result.outcome == CallOutcome::Unreachable || successor.relayOutcome == RelayOutcome::Unreachable;
+    if (!successor.cancelCause.empty() && (result.end != AttemptEnd::NotRun || isUnconnected)) {
+        result.isHeldBack = result.end == AttemptEnd::NotRun;
+        result.end = result.isHeldBack ? AttemptEnd::NotRun : AttemptEnd::Failed;
         result.outcome = CallOutcome::Rejected; // The server is not to blame.
         result.cause = successor.cancelCause;
         result.hasBrokenOff = false;
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -62,3 +62,47 @@
     CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.empty());
     CHECK(bench.selector.localUsage().empty());
 }
+
+// Guards against sound servers that are ejected because a silent stream went on while they were asked.
+TEST_CASE("a further attempt that is given up while it connects does not make its server unreachable", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = twoEvents();
+    silent.silence = 60ms;
+    silent.silentAfter = 1;
+    auto connecting = stalled();
+    connecting.beginVerdict = Verdict::NotRun;
+    bench.upstream.scripts = { silent, connecting };
+    bench.run(RoutedBench::request("/draft/7"));
+    REQUIRE(bench.upstream.addresses.size() == 2);
+    CHECK(bench.writer.streamed == wholeStream);
+    auto request = PlacementRequest { .service = ServiceId("models") };
+    for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" }) {
+        if (address != bench.upstream.addresses[1])
+            request.excluded.insert(BackendId(address));
+    }
+    const auto grant = bench.admissionQueue.placeAtOnce(request, monotonicNow());
+    REQUIRE(grant);
+    CHECK_FALSE(grant->placement.isFallback);
+}
+
+TEST_CASE("a further attempt that is given up while it connects does not make its instance unreachable", "[relay][routed]")
+{
+    ImpatientBench bench;
+    const InstanceId first("10.0.9.1:7000");
+    const InstanceId second("10.0.9.2:7000");
+    bench.context.instance = InstanceId("edge-1");
+    bench.relayPeers.set({ { .address = first, .isInOwnDomain = true }, { .address = second } });
+    for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+        bench.selector.recordProbe(BackendId(it), false, monotonicNow());
+    auto silent = twoEvents();
+    silent.silence = 80ms;
+    silent.silentAfter = 1;
+    auto connecting = stalled();
+    connecting.beginVerdict = Verdict::NotRun;
+    bench.upstream.scripts = { silent, connecting };
+    bench.run(RoutedBench::request("/draft/7"));
+    REQUIRE(bench.upstream.addresses == std::vector<std::string> { first.value(), second.value() });
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.relayPeers.select(ServiceId("models"), { first }, monotonicNow()) == second);
+}
