Don't end a silent stream for another server's error

Seen by review: a stream whose server is silent before its first event asks another server, which answers 500. The header counted as accepted, so the silent call was ended, and its caller got the 500 although the stream would have gone on 40 ms later. The class is that of: giving up what one has before one has the other.

While the silent attempt still runs, an error of the further one ends only that: counted as a server's error and as a possible run, as one that breaks off before its answer. Once the silent attempt is over, the server's own error is passed on as before. A stream of which the caller has a part was not concerned: an error can't continue it.

Evidence: the test failed on (outcome=server-error status=500 after 20 ms, nothing streamed).

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -24,6 +24,7 @@
 namespace Internal {
 
 constexpr unsigned unavailable = 503; // This HTTP status promises that the request has not run and will not run.
+constexpr unsigned firstServerError = 500; // And all HTTP statuses above it.
 constexpr Duration shortRetryAfter = std::chrono::milliseconds(500); // About the time of a leader election.
 constexpr Duration drainRetryAfter = std::chrono::milliseconds(50); // Another instance can take the request at once.
 constexpr Duration minTimeLeftToSend = std::chrono::milliseconds(20); // With less, no server can answer before the deadline.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -23,7 +23,6 @@
 // HTTP statuses.
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned misdirectedRequest = 421;
-constexpr unsigned firstServerError = 500;
 
 // Held twice for a moment, with the bytes that follow it.
 constexpr std::size_t copiesOfEvent = 2;
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -113,6 +113,12 @@
     auto opening = co_await openSuccessor(*successor);
     opening.result.wasSent = opening.result.wasSent || opening.head;
     m_hasRetry = m_hasRetry && !opening.result.wasSent;
+    // An error is not worth more than an answer that may still go on.
+    if (opening.head && opening.head->status >= firstServerError && m_presentCall) {
+        opening.head.reset();
+        opening.result.outcome = CallOutcome::ServerError;
+        opening.result.cause = "server-error";
+    }
     if (opening.head && successor->cancelCause.empty()) {
         successor->head = std::move(*opening.head);
         successor->state = Successor::State::Accepted;
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -106,3 +106,17 @@
     CHECK(bench.writer.streamed == wholeStream);
     CHECK(bench.relayPeers.select(ServiceId("models"), { first }, monotonicNow()) == second);
 }
+
+// Guards against streams that were cut for another server's error, while their own would have gone on.
+TEST_CASE("a silent stream is not given up for a server that answers with an error", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = twoEvents();
+    silent.silence = 60ms;
+    bench.upstream.scripts = { silent, RoutedBench::answer("error", 500) };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
