Take a retry of its own for a third attempt before the second one ends

Seen by review, on routes with three attempts: the first server of a stream breaks off while a further one, which is silent too, has the request. That one was given up as soon as a third could be asked, on the strength of the retry that had been taken for the second. Once cancelled it turned out to have been sent, its retry was spent, and with an empty budget the third was refused: the stream was cut (outcome=retry-budget-spent) although the second server would have gone on.

The retry now leaves the exchange with the attempt that begins, and comes back if the request was not sent.

--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -98,6 +98,7 @@
     m_successor->grant = std::exchange(m_next, std::nullopt);
     m_successor->peer = std::exchange(m_nextPeer, std::nullopt).value_or(InstanceId());
     m_successor->begunAt = now;
+    m_hasRetry = false; // Comes back if the request isn't sent.
     const auto& target = m_successor->grant ? m_successor->grant->placement.backend.value() : m_successor->peer.value();
     m_successor->call = m_context.upstream.open(target, upstreamTimeouts(now));
     m_successor->attempt = m_trace.begin(target, lastEventId(), now);
@@ -112,7 +113,7 @@
 {
     auto opening = co_await openSuccessor(*successor);
     opening.result.wasSent = opening.result.wasSent || opening.head;
-    m_hasRetry = m_hasRetry && !opening.result.wasSent;
+    m_hasRetry = m_hasRetry || !opening.result.wasSent;
     // An error is not worth more than an answer that may still go on.
     if (opening.head && opening.head->status >= firstServerError && m_presentCall) {
         opening.head.reset();
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -120,3 +120,22 @@
     CHECK(bench.writer.streamed == wholeStream);
     CHECK(bench.selector.localUsage().empty());
 }
+
+// The retry that was taken for the second attempt is spent once that was sent.
+TEST_CASE("a silent further attempt is not given up for one for which the budget has no retry", "[routed]")
+{
+    ImpatientBench bench(3);
+    bench.context.retryOptions.slack = 2; // One retry with one request.
+    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    broken.silence = 40ms;
+    broken.silentAfter = 1;
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    auto late = streamOf({ "id: 2\ndata: b\n\n" });
+    late.silence = 200ms;
+    bench.upstream.scripts = { broken, late };
+    bench.upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
