Keep a stream behind other instances if these brought its first event

Seen by review: a server of this instance sends the header of a stream and a comment, and breaks off. The first event then comes through another instance. Since the header had been passed on before, the stream did not count as a relayed one; its version is known only to the other instance. Once no further instance helped, it went on at any server of the service, of whatever version (ORDER).

What decides is whether the caller had an event before the relayed attempt, not whether it had the header. Servers of the platform's protocol aren't said to send comments, so this is rare at most.

--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -214,9 +214,9 @@
 
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayPeersAnswer(UpstreamCall& call, const UpstreamHead& head, RelayOutcome& outcome)
 {
-    const auto hadBegun = m_streamStarted;
+    const auto hadEvents = m_lastChunkAt.has_value(); // The header, or a comment, has no version.
     auto result = co_await relayAnswer(call, head, std::nullopt);
-    m_isRelayedStream = m_isRelayedStream || (!hadBegun && m_lastChunkAt);
+    m_isRelayedStream = m_isRelayedStream || (!hadEvents && m_lastChunkAt);
     if (isStreamAnswer(head) && result.end == AttemptEnd::Failed)
         outcome = RelayOutcome::Unreachable;
     co_return result;
--- a/test/error/relayed_requests.cpp
+++ b/test/error/relayed_requests.cpp
@@ -248,6 +248,33 @@
     }
 }
 
+// The version of its events is not known here, also if a server of this instance has sent the header and a comment before.
+TEST_CASE("a stream whose events came through another instance does not go on at a server", "[relay][routed]")
+{
+    RelayBench bench;
+    auto configuration = RoutedBench::configuration();
+    configuration.version = RoutingVersion(8);
+    for (auto& it : configuration.routes)
+        it.maxAttempts = 3;
+    bench.routing.apply(configuration);
+    bench.confirm(5s);
+    bench.addServer("10.0.0.6:1", "models", "v2");
+    auto commented = RelayBench::stream({ ": soon\n\n" });
+    auto broken = RelayBench::stream({ "id: 1\ndata: a\n\n" });
+    for (auto* it : { &commented, &broken })
+        it->bodyError = make_error_code(RouterError::UpstreamBroken);
+    // Another request reaches a server meanwhile, so the service is not out of reach.
+    auto second = RelayBench::unreachable();
+    second.beforeSending = [&bench] { bench.selector.recordProbe(BackendId("10.0.0.1:1"), true, monotonicNow()); };
+    bench.upstream.scripts = { commented, RelayBench::unreachable(), second, broken, RelayBench::ownAnswer(503, "no-path") };
+    bench.upstream.otherwise = RelayBench::stream({ "id: 2\ndata: b\n\n" });
+    bench.run(RoutedBench::request("/draft/7"));
+    REQUIRE(bench.upstream.addresses.size() == 5);
+    CHECK(bench.upstream.addresses[3] == firstPeer);
+    CHECK(bench.upstream.addresses[4] == secondPeer);
+    CHECK(bench.writer.isAbandoned);
+}
+
 // Guards against streams that were cut because an instance was silent, and the next one that was asked could not help.
 TEST_CASE("a silent stream through another instance is not given up for one that can't help", "[relay][routed]")
 {
