Await the further attempt of a stream if the silent instance declines

Seen by review: a stream goes through another instance that is silent, and a further instance is asked. Then the first one answers with an error of its own, 502 or 503. The attempt through the further one was cancelled as not needed, and the caller got the error (of a stream that had begun: a cut), although the further one would have brought the stream 80 ms later.

Only an end that leaves nothing to wait for cancels the further attempt: the caller has the answer, has left, or its time is up. If the further attempt fails as well, the first one's answer is passed on as before, a promise that nothing ran only if that holds for both.

Evidence: the test failed on (outcome=declined-by-peer status=502 for 502 and 503, nothing streamed).

--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -196,7 +196,7 @@
 
 Task<std::shared_ptr<Successor>> RoutedExchange::awaitSuccessor(AttemptResult& result)
 {
-    const auto isOver = result.end != AttemptEnd::Failed && result.end != AttemptEnd::NotRun && result.end != AttemptEnd::ServerError;
+    const auto isOver = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::CallerGone || result.end == AttemptEnd::DeadlinePassed;
     if (isOver)
         cancelSuccessor();
     const auto successor = m_successor;
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -2,7 +2,7 @@
  * A further attempt beside a silent one, which ends or is given up before its answer: what it leaves to the server that was asked, to the
  * request and to its retries.
  */
-#include "test/fakes/LogCapture.h"
+#include "forwarding/RelayedRequest.h"
 #include "test/fakes/RoutedBench.h"
 
 #include <catch2/catch.hpp>
@@ -139,3 +139,25 @@
     CHECK(bench.writer.isFinished);
     CHECK(bench.writer.streamed == wholeStream);
 }
+
+// Guards against streams that were ended by a silent instance's error, while a further instance was about to bring them.
+TEST_CASE("an instance's own error does not end the attempt through a further one", "[relay][routed]")
+{
+    ImpatientBench bench;
+    bench.context.instance = InstanceId("edge-1");
+    bench.relayPeers.set({ { .address = InstanceId("10.0.9.1:7000"), .isInOwnDomain = true }, { .address = InstanceId("10.0.9.2:7000") } });
+    for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+        bench.selector.recordProbe(BackendId(it), false, monotonicNow());
+    Script error;
+    error.status = GENERATE(502U, 503U);
+    error.fields = { { .name = std::string(relayField), .value = error.status == 502 ? "answer-broken" : "overloaded" } };
+    error.chunks = { "{}" };
+    error.silence = 80ms;
+    auto late = twoEvents();
+    late.silence = 160ms;
+    bench.upstream.scripts = { error, late };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
