--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -98,6 +98,7 @@
     m_successor->grant = std::exchange(m_next, std::nullopt);
     m_successor->peer = std::exchange(m_nextPeer, std::nullopt).value_or(InstanceId());
     m_successor->begunAt = now;
+    m_hasRetry = false; // Comes back if the request isn't sent.
     const auto& target = m_successor->grant ? m_successor->grant->placement.backend.value() : m_successor->peer.value();
     m_successor->call = m_context.upstream.open(target, upstreamTimeouts(now));
     m_successor->attempt = m_trace.begin(target, lastEventId(), now);
@@ -112,7 +113,13 @@
 {
     auto opening = co_await openSuccessor(*successor);
     opening.result.wasSent = opening.result.wasSent || opening.head;
-    m_hasRetry = m_hasRetry && !opening.result.wasSent;
+    m_hasRetry = m_hasRetry || !opening.result.wasSent;
+    // An error is not worth more than an answer that may still go on.
+    if (opening.head && opening.head->status >= firstServerError && m_presentCall) {
+        opening.head.reset();
+        opening.result.outcome = CallOutcome::ServerError;
+        opening.result.cause = "server-error";
+    }
     if (opening.head && successor->cancelCause.empty()) {
         successor->head = std::move(*opening.head);
         successor->state = Successor::State::Accepted;
@@ -127,17 +134,25 @@
 Task<RoutedExchange::Opening> RoutedExchange::openSuccessor(Successor& successor)
 {
     const DeadlineWatch deadline(m_context.loop.get_executor(), m_deadline, *successor.call);
-    if (successor.grant)
-        co_return co_await openAttempt(*successor.call, successor.grant->placement, successor.grant->call, successor.sentAt);
-    m_triedPeers.insert(successor.peer);
-    m_context.relayPeers.begin(successor.peer);
-    co_return co_await openRelayAttempt(*successor.call, successor.relayOutcome, successor.sentAt);
+    Opening opening;
+    if (successor.grant) {
+        opening = co_await openAttempt(*successor.call, successor.grant->placement, successor.grant->call, successor.sentAt);
+    } else {
+        m_triedPeers.insert(successor.peer);
+        m_context.relayPeers.begin(successor.peer);
+        opening = co_await openRelayAttempt(*successor.call, successor.relayOutcome, successor.sentAt);
+    }
+    if (deadline.hasPassed() && successor.cancelCause.empty())
+        successor.cancelCause = "deadline-passed";
+    co_return opening;
 }
 
 void RoutedExchange::endSuccessor(Successor& successor, AttemptResult& result)
 {
-    if (!successor.cancelCause.empty() && result.end != AttemptEnd::NotRun) {
-        result.end = AttemptEnd::Failed;
+    const auto isUnconnected = result.outcome == CallOutcome::Unreachable || successor.relayOutcome == RelayOutcome::Unreachable;
+    if (!successor.cancelCause.empty() && (result.end != AttemptEnd::NotRun || isUnconnected)) {
+        result.isHeldBack = result.end == AttemptEnd::NotRun;
+        result.end = result.isHeldBack ? AttemptEnd::NotRun : AttemptEnd::Failed;
         result.outcome = CallOutcome::Rejected; // The server is not to blame.
         result.cause = successor.cancelCause;
         result.hasBrokenOff = false;
@@ -181,7 +196,7 @@
 
 Task<std::shared_ptr<Successor>> RoutedExchange::awaitSuccessor(AttemptResult& result)
 {
-    const auto isOver = result.end != AttemptEnd::Failed && result.end != AttemptEnd::NotRun && result.end != AttemptEnd::ServerError;
+    const auto isOver = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::CallerGone || result.end == AttemptEnd::DeadlinePassed;
     if (isOver)
         cancelSuccessor();
     const auto successor = m_successor;
--- /dev/null
+++ b/test/error/successors.cpp
@@ -0,0 +1,163 @@
+/** \file
+ * A further attempt beside a silent one, which ends or is given up before its answer: what it leaves to the server that was asked, to the
+ * request and to its retries.
+ */
+#include "forwarding/RelayedRequest.h"
+#include "test/fakes/RoutedBench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace HickoryHollow;
+using namespace HickoryHollow::Fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+Script streamOf(const std::vector<std::string>& chunks)
+{
+    auto script = RoutedBench::answer("");
+    script.contentType = "text/event-stream";
+    script.chunks = chunks;
+    return script;
+}
+
+Script twoEvents() { return streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" }); }
+
+Script stalled()
+{
+    Script script;
+    script.isStalled = true;
+    return script;
+}
+
+/** Its servers may be silent for 20 ms. */
+class ImpatientBench : public RoutedBench {
+public:
+    explicit ImpatientBench(std::uint32_t maxAttempts = 2)
+    {
+        context.minSilence = 20ms;
+        context.minPeerSilence = 20ms;
+        auto impatient = configuration();
+        impatient.version = RoutingVersion(8);
+        for (auto& it : impatient.routes) {
+            it.firstTokenTarget = 1ms;
+            it.maxAttempts = maxAttempts;
+        }
+        routing.apply(impatient);
+        confirm(5s);
+    }
+};
+
+} // namespace
+
+// Guards against prompts in quarantine, and ejected servers, for requests whose time was up.
+TEST_CASE("a further attempt that the request's deadline ends is no crash of its server", "[routed]")
+{
+    ImpatientBench bench;
+    bench.upstream.otherwise = stalled();
+    bench.run(RoutedBench::request("/draft/7", "good-key", "700"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.empty());
+    CHECK(bench.selector.localUsage().empty());
+}
+
+// Guards against sound servers that are ejected because a silent stream went on while they were asked.
+TEST_CASE("a further attempt that is given up while it connects does not make its server unreachable", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = twoEvents();
+    silent.silence = 60ms;
+    silent.silentAfter = 1;
+    auto connecting = stalled();
+    connecting.beginVerdict = Verdict::NotRun;
+    bench.upstream.scripts = { silent, connecting };
+    bench.run(RoutedBench::request("/draft/7"));
+    REQUIRE(bench.upstream.addresses.size() == 2);
+    CHECK(bench.writer.streamed == wholeStream);
+    auto request = PlacementRequest { .service = ServiceId("models") };
+    for (const auto* address : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" }) {
+        if (address != bench.upstream.addresses[1])
+            request.excluded.insert(BackendId(address));
+    }
+    const auto grant = bench.admissionQueue.placeAtOnce(request, monotonicNow());
+    REQUIRE(grant);
+    CHECK_FALSE(grant->placement.isFallback);
+}
+
+TEST_CASE("a further attempt that is given up while it connects does not make its instance unreachable", "[relay][routed]")
+{
+    ImpatientBench bench;
+    const InstanceId first("10.0.9.1:7000");
+    const InstanceId second("10.0.9.2:7000");
+    bench.context.instance = InstanceId("edge-1");
+    bench.relayPeers.set({ { .address = first, .isInOwnDomain = true }, { .address = second } });
+    for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+        bench.selector.recordProbe(BackendId(it), false, monotonicNow());
+    auto silent = twoEvents();
+    silent.silence = 80ms;
+    silent.silentAfter = 1;
+    auto connecting = stalled();
+    connecting.beginVerdict = Verdict::NotRun;
+    bench.upstream.scripts = { silent, connecting };
+    bench.run(RoutedBench::request("/draft/7"));
+    REQUIRE(bench.upstream.addresses == std::vector<std::string> { first.value(), second.value() });
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.relayPeers.select(ServiceId("models"), { first }, monotonicNow()) == second);
+}
+
+// Guards against streams that were cut for another server's error, while their own would have gone on.
+TEST_CASE("a silent stream is not given up for a server that answers with an error", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = twoEvents();
+    silent.silence = 60ms;
+    bench.upstream.scripts = { silent, RoutedBench::answer("error", 500) };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
+
+// The retry that was taken for the second attempt is spent once that was sent.
+TEST_CASE("a silent further attempt is not given up for one for which the budget has no retry", "[routed]")
+{
+    ImpatientBench bench(3);
+    bench.context.retryOptions.slack = 2; // One retry with one request.
+    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    broken.silence = 40ms;
+    broken.silentAfter = 1;
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    auto late = streamOf({ "id: 2\ndata: b\n\n" });
+    late.silence = 200ms;
+    bench.upstream.scripts = { broken, late };
+    bench.upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
+
+// Guards against streams that were ended by a silent instance's error, while a further instance was about to bring them.
+TEST_CASE("an instance's own error does not end the attempt through a further one", "[relay][routed]")
+{
+    ImpatientBench bench;
+    bench.context.instance = InstanceId("edge-1");
+    bench.relayPeers.set({ { .address = InstanceId("10.0.9.1:7000"), .isInOwnDomain = true }, { .address = InstanceId("10.0.9.2:7000") } });
+    for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
+        bench.selector.recordProbe(BackendId(it), false, monotonicNow());
+    Script error;
+    error.status = GENERATE(502U, 503U);
+    error.fields = { { .name = std::string(relayField), .value = error.status == 502 ? "answer-broken" : "overloaded" } };
+    error.chunks = { "{}" };
+    error.silence = 80ms;
+    auto late = twoEvents();
+    late.silence = 160ms;
+    bench.upstream.scripts = { error, late };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+}
