Hold parts of usual events in the memory of their connection

What callers see: streams end without their end, as event-oversized, while whole answers of other requests use up the memory for answers: each stream of which an event comes in two reads.

Cause: every held part of an event, of one byte too, took room from the budget that it shares with whole answers of up to 64 KiB: about a megabyte at an instance with 32 MB, by MemoryPlan. Who used the memory made no difference.

Ruled out: a budget for events alone. Many long parts would use that up in the same way for the short ones.

Change: a part of up to 1 KiB takes no room. It is bounded by the number of connections, like the buffers beside it; longer ones take room as before.

Tests: 'a stream of usual events is not cut because answers of others use the memory' failed on the code before (nothing was written) and passes now; 'a long event needs room in the memory for answers' holds the bound. Memory under load was not measured.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -25,6 +25,7 @@
 
 // Held twice for a moment, with the bytes that follow it.
 constexpr std::size_t copiesOfEvent = 2;
+constexpr std::size_t usualEventBytes = 1024; // A part of an event up to this size belongs to the memory of its connection.
 constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
@@ -324,7 +325,8 @@
         const auto progressBefore = m_events.progressCount();
         auto bytes = m_events.feed(chunk.bytes);
         m_trace.recordEvents(m_attempt, m_events.firstEventId(), m_events.progressCount());
-        if (m_events.isOversized() || !held.resize(copiesOfEvent * m_events.incompleteEvent().size())) {
+        const auto part = m_events.incompleteEvent().size();
+        if (m_events.isOversized() || !held.resize(part > usualEventBytes ? copiesOfEvent * part : 0)) {
             result.cause = "event-oversized";
             co_return result;
         }
