--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -368,21 +368,6 @@
     return response;
 }
 
-void RoutedExchange::countOutcome(unsigned status, std::string_view outcome, Duration took)
-{
-    if (!m_metrics)
-        return;
-    if (outcome == "delivered") {
-        ++m_metrics->answered;
-        m_metrics->wholeAnswer.add(took);
-        m_metrics->firstToken.add(m_timeToFirstToken > Duration::zero() ? m_timeToFirstToken : took);
-    } else if (status == unavailable) {
-        ++m_metrics->refusedNotRun;
-    } else if (m_possibleRuns > 0) {
-        ++m_metrics->failedMayHaveRun;
-    }
-}
-
 void RoutedExchange::logEnd(unsigned status, std::string_view outcome)
 {
     const auto now = monotonicNow();
--- a/src/forwarding/RoutedExchangeReports.cpp
+++ b/src/forwarding/RoutedExchangeReports.cpp
@@ -12,6 +12,8 @@
 
 namespace HickoryHollow {
 
+using namespace Internal;
+
 namespace {
 
 // Error codes of refusals that more servers would have avoided.
@@ -45,6 +47,21 @@
         m_context.demand->recordRefused(m_placementRequest.service, monotonicNow());
 }
 
+void RoutedExchange::countOutcome(unsigned status, std::string_view outcome, Duration took)
+{
+    if (!m_metrics)
+        return;
+    if (outcome == "delivered") {
+        ++m_metrics->answered;
+        m_metrics->wholeAnswer.add(took);
+        m_metrics->firstToken.add(m_timeToFirstToken > Duration::zero() ? m_timeToFirstToken : took);
+    } else if (status == unavailable) {
+        ++m_metrics->refusedNotRun;
+    } else if (m_possibleRuns > 0) {
+        ++m_metrics->failedMayHaveRun;
+    }
+}
+
 void RoutedExchange::recordChunk(std::optional<CallId> callId)
 {
     const auto now = monotonicNow();
