--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -26,6 +26,7 @@
 
 // Held twice for a moment, with the bytes that follow it.
 constexpr std::size_t copiesOfEvent = 2;
+constexpr std::size_t usualEventBytes = 1024; // A part of an event up to this size belongs to the memory of its connection.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
@@ -326,7 +327,8 @@
         // Also if the events are not passed on.
         if (callId && events.progressCount() > 0 && !std::exchange(isCounted, true))
             countStart();
-        if (events.isOversized() || !held.resize(copiesOfEvent * events.incompleteEvent().size())) {
+        const auto part = events.incompleteEvent().size();
+        if (events.isOversized() || !held.resize(part > usualEventBytes ? copiesOfEvent * part : 0)) {
             result.cause = "event-oversized";
             co_return result;
         }
