Bound the header of a server's answer over all reads

A server that sends header fields line by line was read and kept until the call's time had passed, whatever it sent.

Cause: Beast's limit of a header is for the bytes that one call of the parser is given. The parser takes each whole line once the first character of the next one has come, and what it took counts no more. A server whose reads end one or two characters into a line is therefore never over the limit, and each line stays in the message. A read that ends elsewhere makes the parser wait for the end of the header with all bytes in the buffer, where 8 KiB are the limit; so the tests of before, which send in large pieces, always met the limit.

Now the header is read in a loop that counts: 8 KiB as before, and 128 fields, since one takes several times the memory of its bytes. Trailers and the framing of chunks were not concerned: the parser takes them from the buffer as a whole.

Seen to fail before: `bytes without end that are no answer end the call with an error`, case `header fields, a line at a time`: the client read all 268,435,456 bytes that the server was willing to send (bound of the check: 16 MiB). The same call passes now. The server of the hostile tests moves to test/fakes, unchanged but for its port; the process test gets the same case.

--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -240,6 +240,9 @@
     using Parser = http::response_parser<http::buffer_body>;
 
     static constexpr std::size_t readBufferBytes = 4096;
+    static constexpr std::size_t headReadBytes = 512;
+    static constexpr std::size_t maxHeadBytes = 8UL << 10U;
+    static constexpr std::ptrdiff_t maxHeadFields = 128; // A field takes more memory than its bytes.
     static constexpr std::size_t maxSynchronousBodyBytes = 8192; // A server may respond before it has read a larger body.
     static constexpr int maxSkippedResponses = 2;
     static constexpr std::size_t maxSkippedBytes = 256UL << 10U; // Of one response; reading on would delay the request's own.
@@ -285,10 +288,30 @@
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->skip(m_request->message.method() == http::verb::head);
-        const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buf, *m_parser, asTuple);
-        if (ec)
-            co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
-        co_return std::error_code();
+        m_parser->header_limit(maxHeadBytes);
+        auto& buf = m_connection->buf;
+        // The parser's own limit is for what it is given at once, so that it never sees the end of many short reads.
+        std::size_t parsed = 0;
+        for (;;) {
+            boost::system::error_code ec;
+            if (buf.size() > 0) {
+                const auto n = m_parser->put(buf.data(), ec);
+                buf.consume(n);
+                parsed += n;
+            }
+            const auto isDone = m_parser->is_header_done();
+            const auto& fields = m_parser->get();
+            if (parsed + (isDone ? 0 : buf.size()) > maxHeadBytes || std::distance(fields.begin(), fields.end()) > maxHeadFields)
+                ec = make_error_code(http::error::header_limit);
+            if (ec && ec != http::error::need_more)
+                co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+            if (isDone)
+                co_return std::error_code();
+            const auto [readEc, n] = co_await m_connection->stream.async_read_some(buf.prepare(headReadBytes), asTuple);
+            buf.commit(n);
+            if (readEc)
+                co_return timeoutOr(readEc, RouterError::UpstreamBroken);
+        }
     }
 
     // Reads a response to another request to its end, then the next response header.
--- a/test/error/endless_answers.cpp
+++ b/test/error/endless_answers.cpp
@@ -77,6 +77,17 @@
     return filler;
 }
 
+/**
+ * A line that begins with the second character of its field and is followed by the first one of the next, so that each read of the
+ * client, which has room for this many bytes or a multiple, ends one character into a line: then the parser takes the line before.
+ */
+std::string lineOf(std::string start)
+{
+    constexpr std::size_t lineBytes = 512;
+    start.resize(lineBytes - 3, 'x');
+    return start + "\r\nX";
+}
+
 } // namespace
 
 TEST_CASE("bytes without end that are no answer end the call with an error", "[http][loopback]")
@@ -93,6 +104,8 @@
         { "a chunk size", ok + "Transfer-Encoding: chunked\r\n\r\n", repeated("0") },
         { "a chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;x=", repeated("x") },
         { "trailer fields", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", repeated("X-Field: value\r\n") },
+        { "header fields, a line at a time", lineOf("HTTP/1.1 200 OK\r\nX: "), lineOf(": ") },
+        { "trailer fields, a line at a time", lineOf(ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: "), lineOf(": ") },
         { "another request's answer", ok + "Id: other\r\nContent-Length: 9999999999\r\n\r\n", repeated("x") },
         { "another request's chunks", ok + "Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", repeated("4\r\nbody\r\n") },
     }));
--- a/test/error/hostile_peers.cpp
+++ b/test/error/hostile_peers.cpp
@@ -3,13 +3,10 @@
  * their memory and descriptors, and answer an ordinary request afterwards.
  */
 #include "test/fakes/DaemonDeployment.h"
+#include "test/fakes/EndlessServer.h"
 #include "test/fakes/HostileCrowd.h"
 #include "test/fakes/HostileService.h"
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 using namespace HickoryHollow;
@@ -25,6 +22,17 @@
     return filler;
 }
 
+/**
+ * A line that begins with the second character of its field and is followed by the first one of the next, so that each read of the
+ * client, which has room for this many bytes or a multiple, ends one character into a line: then the parser takes the line before.
+ */
+std::string lineOf(std::string start)
+{
+    constexpr std::size_t lineBytes = 512;
+    start.resize(lineBytes - 3, 'x');
+    return start + "\r\nX";
+}
+
 std::string operatorCall(const std::string& path, const std::string& body)
 {
     return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -48,67 +56,6 @@
     deployment.check();
 }
 
-/** Answers each request on its port with `start`, and then sends `filler` until the connection is closed or a bound is reached. */
-class EndlessServer {
-public:
-    EndlessServer(std::string start, std::string filler)
-        : m_start(std::move(start))
-        , m_filler(std::move(filler))
-        , m_acceptor(m_loop, { boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(DaemonDeployment::hostileServerPort) })
-    {
-        accept();
-        m_thread = std::thread([this] { m_loop.run(); });
-    }
-    ~EndlessServer()
-    {
-        m_loop.stop();
-        m_thread.join();
-    }
-    EndlessServer(const EndlessServer&) = delete;
-    EndlessServer& operator=(const EndlessServer&) = delete;
-
-private:
-    static constexpr std::size_t maxBytes = 64UL << 20U;
-
-    struct Peer {
-        explicit Peer(boost::asio::ip::tcp::socket&& accepted)
-            : socket(std::move(accepted))
-        {
-        }
-        boost::asio::ip::tcp::socket socket;
-        std::string read;
-        std::size_t sent = 0;
-    };
-
-    void accept()
-    {
-        m_acceptor.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
-            if (ec)
-                return;
-            const auto peer = std::make_shared<Peer>(std::move(socket));
-            boost::asio::async_read_until(peer->socket, boost::asio::dynamic_buffer(peer->read), "\r\n\r\n", [this, peer](const auto& readEc, std::size_t) {
-                if (!readEc)
-                    boost::asio::async_write(peer->socket, boost::asio::buffer(m_start), [this, peer](const auto& writeEc, std::size_t) { fill(peer, writeEc); });
-            });
-            accept();
-        });
-    }
-
-    void fill(const std::shared_ptr<Peer>& peer, const boost::system::error_code& ec)
-    {
-        if (ec || peer->sent > maxBytes)
-            return;
-        peer->sent += m_filler.size();
-        boost::asio::async_write(peer->socket, boost::asio::buffer(m_filler), [this, peer](const auto& writeEc, std::size_t) { fill(peer, writeEc); });
-    }
-
-    std::string m_start;
-    std::string m_filler;
-    boost::asio::io_context m_loop;
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    std::thread m_thread;
-};
-
 } // namespace
 
 // Guards against memory that is taken for a frame because its length says so, before any of it has come and its sender is known.
@@ -212,6 +159,7 @@
     const auto it = GENERATE_COPY(values<Case>({
         { "no status line", "", repeated("x") },
         { "header fields in whole lines", ok + "P: ppppppppp\r\n", repeated("X-Field: value\r\n") },
+        { "header fields, a line at a time", lineOf("HTTP/1.1 200 OK\r\nX: "), lineOf(": ") },
         { "interim answers", "", repeated("HTTP/1.1 100 Continue\r\n\r\n") },
         { "a body without a length", ok + "\r\n", repeated("x") },
         { "a body of claimed gigabytes", ok + "Content-Length: 9999999999\r\n\r\n", repeated("x") },
@@ -224,7 +172,7 @@
     }));
     CAPTURE(path, it.name);
     HostileService service;
-    EndlessServer server(it.start, it.filler);
+    EndlessServer server(DaemonDeployment::hostileServerPort, it.start, it.filler);
     const DaemonDeployment deployment(service);
     deployment.announce("i-2", DaemonDeployment::address(DaemonDeployment::hostileServerPort), "bad");
     HostileCrowd crowd(DaemonDeployment::callerPort, 12);
