Bound the answers that the completions interface holds together

A platform that ends processes over their memory ends it there, with the requests of all other callers. An answer that ends was no safer: 2 MB of `[0,0,...]` took 191,549,440 bytes, because each answer of a model was parsed to a tree only to learn whether it is JSON.

Now the interface takes its answers through HeldAnswer from a BufferBudget, as the routed path does, one budget for each event loop with its part of the plan's memory for answers; both classes move to src/http. Parts of events of streams count as well. JSON is checked by a parser that keeps nothing. Beyond the budget the answer is `upstream_malformed`, may-have-run, as one over 32 MiB was.

With little memory or many threads an answer that was passed on before may not fit its loop's part: 1,024 MB and four threads leave 32.8 MB for answers over 64 KiB, and one without a length needs two buffers while it grows. Weighed: one budget under a lock for all loops; it would let one loop's endless answers take the part of the others.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -11,6 +11,7 @@
 #include "entry/FleetView.h"
 #include "entry/OperatorApi.h"
 #include "http/BodyBudget.h"
+#include "http/BufferBudget.h"
 #include "http/HttpServer.h"
 #include "http/MemoryPlan.h"
 #include "http/UpstreamClient.h"
@@ -77,10 +78,15 @@
     return routing;
 }
 
-std::shared_ptr<BodyBudget> makeBodyBudget(const DaemonSettings& settings)
+MemoryPlan planOf(const DaemonSettings& settings)
 {
     constexpr std::size_t bytesPerMb = 1'000'000;
-    const auto memory = planMemory(settings.memoryMb * bytesPerMb);
+    return planMemory(settings.memoryMb * bytesPerMb);
+}
+
+std::shared_ptr<BodyBudget> makeBodyBudget(const DaemonSettings& settings)
+{
+    const auto memory = planOf(settings);
     return std::make_shared<BodyBudget>(BodyBudget::Options { .smallBytes = memory.smallBodies, .largeBytes = memory.largeBodies });
 }
 
@@ -113,6 +119,7 @@
     DaemonSettings settings;
     std::uint64_t incarnation = startTime();
     std::shared_ptr<BodyBudget> bodies; // Of all servers of the process.
+    std::vector<std::unique_ptr<BufferBudget>> answerBytes; // One for each event loop, in the order of `loops`.
     EventLoops loops;
     Metrics metrics;
     ActiveSettings activeSettings;
@@ -141,7 +148,7 @@
     , dispatcher({ .scheduler = { .ownDomain = settings.failureDomain, .limits = {}, .features = featuresOf(settings.experiment) }, .seed = incarnation }, makeBackendChoice(settings.experiment.choice))
     , fleet({ .self = settings.instance }, dispatcher)
     , cluster(makeCluster())
-    , callerApi({ .dispatcher = dispatcher, .ledger = cluster ? cluster->ledger() : unavailableLedger, .metrics = metrics, .settings = activeSettings, .processIncarnation = incarnation, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return *upstreams.at(indexOfThisLoop()); }, .interruptsOfThisLoop = [this]() -> Interrupts& { return *interrupts.at(indexOfThisLoop()); } })
+    , callerApi({ .dispatcher = dispatcher, .ledger = cluster ? cluster->ledger() : unavailableLedger, .metrics = metrics, .settings = activeSettings, .processIncarnation = incarnation, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return *upstreams.at(indexOfThisLoop()); }, .interruptsOfThisLoop = [this]() -> Interrupts& { return *interrupts.at(indexOfThisLoop()); }, .answerBytesOfThisLoop = [this]() -> BufferBudget& { return *answerBytes.at(indexOfThisLoop()); } })
     , backendApi(fleet, settings.backendKeySha256)
     , operatorApi({ .keySha256 = settings.operatorKeySha256, .instance = settings.instance.value(), .settings = activeSettings, .store = cluster ? cluster->settingsStore() : unavailableSettingsStore, .sections = dumpSections(), .isDraining = [this] { return callerApi.isDraining(); }, .formState = [this] { return cluster ? cluster->formState() : std::string("this instance reads its settings from files and keeps no replicated state"); } })
     , callerServer(loops, callerApi, serverOptions(settings, settings.callerListen, settings.maxBodyBytes, bodies))
@@ -152,6 +159,7 @@
     for (std::size_t i = 0; i < loops.size(); ++i) {
         upstreams.push_back(makeUpstreamClient(loops.at(i), {}));
         interrupts.push_back(std::make_unique<Interrupts>());
+        answerBytes.push_back(std::make_unique<BufferBudget>(planOf(settings).answers * 4 / 5 / loops.size()));
     }
 }
 
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -98,6 +98,7 @@
         .ledger = m_options.ledger,
         .metrics = m_options.metrics,
         .interrupts = m_options.interruptsOfThisLoop(),
+        .answerBytes = m_options.answerBytesOfThisLoop(),
         .processIncarnation = m_options.processIncarnation,
     };
     RequestRunner runner(context, std::get<CallerRequest>(parsed), request, writer);
--- a/src/entry/CallerApi.h
+++ b/src/entry/CallerApi.h
@@ -22,6 +22,7 @@
         std::uint64_t processIncarnation = 0; ///< Number of this start of the process; part of the id of each attempt.
         std::function<UpstreamClient&()> upstreamOfThisLoop; ///< Returns the client of the event loop that it is called on.
         std::function<Interrupts&()> interruptsOfThisLoop; ///< Likewise, what gives up requests at the end of a drain.
+        std::function<BufferBudget&()> answerBytesOfThisLoop; ///< Likewise, what bounds the answers that are held back.
     };
 
     explicit CallerApi(Options);
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -6,13 +6,14 @@
 #include "entry/IdempotencyLedger.h"
 #include "http/DeadlineWatch.h"
 #include "http/EventStreamScanner.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
 #include "net/Timer.h"
+#include "json/JsonSyntax.h"
 
 #include <boost/asio/this_coro.hpp>
-#include <boost/json.hpp>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -28,6 +29,7 @@
 constexpr int wholeAnswerTimeoutFactor = 4;
 constexpr std::chrono::seconds quarantineRetryAfter { 60 }; // The quarantine lasts minutes.
 constexpr std::size_t maxAnswerBytes = 32U << 20U; // Limit for an answer that is not streamed, which is held in memory.
+constexpr std::size_t copiesOfEvent = 2; // Held twice for a moment, with the bytes that follow it.
 constexpr std::string_view attemptIdField = "X-Hickory-Attempt-Id";
 
 Refusal failure(RouterError error, Verdict verdict, std::string detail)
@@ -45,13 +47,6 @@
     return status >= 502 && status <= 504;
 }
 
-bool isJson(std::string_view text)
-{
-    boost::json::error_code ec;
-    boost::json::parse(boost::json::string_view(text.data(), text.size()), ec);
-    return !ec;
-}
-
 HttpFields forwardedFields(const HttpFields& fields)
 {
     HttpFields forwarded;
@@ -324,22 +319,23 @@
 Task<RequestRunner::AttemptResult> RequestRunner::readCompleteAnswer(UpstreamCall& call, const UpstreamHead& head)
 {
     AttemptResult result;
-    std::string body;
-    for (;;) {
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength());
+    for (std::size_t size = 0;;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec) {
             result.failure = failure(routerErrorOf(chunk.ec), Verdict::MayHaveRun, "the body of the answer is incomplete");
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
             co_return result;
         }
-        body.append(chunk.bytes);
-        if (body.size() > maxAnswerBytes) {
-            result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, "the answer is larger than 32 MiB");
+        size += chunk.bytes.size();
+        if (size > maxAnswerBytes || !result.held->append(chunk.bytes)) {
+            result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, size > maxAnswerBytes ? "the answer is larger than 32 MiB" : "there is no memory for the answer");
             co_return result;
         }
         if (chunk.isLast)
             break;
     }
+    auto body = result.held->take();
     if (m_request.service->kind == ServiceKind::Model && !isJson(body)) {
         result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, "the body of the answer is not valid JSON");
         co_return result;
@@ -356,16 +352,18 @@
 {
     AttemptResult result;
     EventStreamScanner scanner;
+    BufferBudget::Share held(m_context.answerBytes);
     auto isLast = false;
     while (!isLast && !scanner.isComplete()) {
         const auto chunk = co_await call.readChunk();
         isLast = chunk.isLast;
         const auto events = scanner.feed(chunk.bytes);
-        const auto isBroken = chunk.ec || scanner.isOversized() || (isLast && !scanner.isComplete());
+        const auto isOversized = scanner.isOversized() || !held.resize(copiesOfEvent * scanner.incompleteEvent().size());
+        const auto isBroken = chunk.ec || isOversized || (isLast && !scanner.isComplete());
         if (isBroken) {
             const auto error = chunk.ec ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
             result.failure = failure(error, Verdict::MayHaveRun, "the stream broke off before its end marker");
-            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken || (!chunk.ec && !scanner.isOversized());
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken || (!chunk.ec && !isOversized);
             break;
         }
         if (events.empty())
--- a/src/entry/RequestRunner.h
+++ b/src/entry/RequestRunner.h
@@ -15,7 +15,9 @@
 
 namespace HickoryHollow {
 
+class BufferBudget;
 class Dispatcher;
+class HeldAnswer;
 class IdempotencyLedger;
 class Metrics;
 class ResponseWriter;
@@ -32,6 +34,7 @@
     IdempotencyLedger& ledger;
     Metrics& metrics;
     Interrupts& interrupts; ///< Of the event loop that runs the request.
+    BufferBudget& answerBytes; ///< Likewise; bounds the answers that all its requests hold back.
     std::uint64_t processIncarnation = 0; ///< Makes attempt ids unique across restarts.
 };
 
@@ -49,6 +52,7 @@
         bool reachedCaller = false; ///< Part of the answer was sent to the caller, so that a retry is no longer possible.
         std::uint32_t tokens = 0; ///< Number of data events of a streamed answer; 0 for other answers.
         HttpResponse answer; ///< The complete answer, if it was not streamed.
+        std::shared_ptr<HeldAnswer> held; ///< Counts the memory of `answer`.
         bool hasBrokenOff = false; ///< The server ended the connection before its answer was complete, as a crash does.
     };
 
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -3,13 +3,12 @@
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
-#include "forwarding/HeldAnswer.h"
 #include "http/DeadlineWatch.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
 
 namespace HickoryHollow {
@@ -31,14 +30,6 @@
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
 constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
 
-std::size_t announcedLength(const UpstreamHead& head)
-{
-    const auto text = head.fields.find("Content-Length");
-    std::size_t length = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), length);
-    return ec == std::errc() && end == text.data() + text.size() ? length : 0;
-}
-
 } // namespace
 
 HttpRequest RoutedExchange::makeUpstreamRequest(const Placement& placement) const
@@ -265,7 +256,7 @@
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, announcedLength(head));
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength());
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec || !result.held->append(chunk.bytes)) {
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -2,8 +2,8 @@
 
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
-#include "forwarding/HeldAnswer.h"
 #include "http/DeadlineWatch.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 
 #include <algorithm>
--- a/src/forwarding/HeldAnswer.cpp
+++ b/src/http/HeldAnswer.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/HeldAnswer.h"
+#include "http/HeldAnswer.h"
 
 #include <algorithm>
 
--- a/src/forwarding/HeldAnswer.h
+++ b/src/http/HeldAnswer.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "forwarding/BufferBudget.h"
+#include "http/BufferBudget.h"
 
 #include <string>
 #include <string_view>
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -408,6 +408,14 @@
 
 } // namespace
 
+std::size_t UpstreamHead::contentLength() const
+{
+    const auto text = fields.find("Content-Length");
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return error == std::errc() && end == text.data() + text.size() ? length : 0;
+}
+
 std::unique_ptr<UpstreamClient> makeUpstreamClient(asio::io_context& loop, const UpstreamOptions& options)
 {
     return std::make_unique<SocketClient>(loop, options);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -42,6 +42,9 @@
     unsigned status = 0;
     HttpFields fields;
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks, and ends with the connection.
+
+    /** Length of the body as the server announced it; 0 if it did not. */
+    std::size_t contentLength() const;
 };
 
 /** One chunk of a response body, as received; it need not match a chunk of the transfer encoding. */
--- a/test/error/routed_requests.cpp
+++ b/test/error/routed_requests.cpp
@@ -2,8 +2,8 @@
  * Failures at each step of a request on a configured route: what the caller receives, and which requests are never sent a
  * second time.
  */
-#include "forwarding/HeldAnswer.h"
 #include "http/EventStreamScanner.h"
+#include "http/HeldAnswer.h"
 #include "test/fakes/RoutedBench.h"
 
 #include <catch2/catch.hpp>
--- a/test/fakes/RequestBench.h
+++ b/test/fakes/RequestBench.h
@@ -7,6 +7,7 @@
 #include "entry/ActiveSettings.h"
 #include "entry/CallerApi.h"
 #include "entry/Dispatcher.h"
+#include "http/BufferBudget.h"
 #include "metrics/Metrics.h"
 #include "scheduling/EstimatedLoadChoice.h"
 #include "test/fakes/FakeUpstream.h"
@@ -23,7 +24,7 @@
 struct RequestBench {
     RequestBench()
         : dispatcher({ .scheduler = { .ownDomain = FailureDomainId("a") }, .seed = 1 }, std::make_unique<EstimatedLoadChoice>())
-        , api({ .dispatcher = dispatcher, .ledger = ledger, .metrics = metrics, .settings = activeSettings, .processIncarnation = 7, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return upstream; }, .interruptsOfThisLoop = [this]() -> Interrupts& { return interrupts; } })
+        , api({ .dispatcher = dispatcher, .ledger = ledger, .metrics = metrics, .settings = activeSettings, .processIncarnation = 7, .upstreamOfThisLoop = [this]() -> UpstreamClient& { return upstream; }, .interruptsOfThisLoop = [this]() -> Interrupts& { return interrupts; }, .answerBytesOfThisLoop = [this]() -> BufferBudget& { return answerBytes; } })
     {
         Diagnostics diagnostics;
         activeSettings.apply(parseRoutingSettings({ .inventory = inventoryText, .rules = rulesText }, SettingsVersion(1), diagnostics));
@@ -70,6 +71,7 @@
     RecordingWriter writer;
     MemoryLedger ledger;
     Interrupts interrupts;
+    BufferBudget answerBytes;
     Metrics metrics;
     ActiveSettings activeSettings;
     Dispatcher dispatcher;
