Give up the largest answer for a smaller one, and count what slow answers keep

On the code before, callers saw two faults.

Sound streams were cut. Parts of events up to 32 KiB had a quarter of the memory for answers, and whoever asked last when that was used up was ended as `event-oversized`, or got a 502 before the first event: a stream that held a part of an event for a moment and did nothing wrong. Cases `a long part of an event` and `comments behind a long event` of the new test: a stream of 4 KiB events got 502. Now the largest incomplete answer is given up, if it is larger than the one that asks; what does not end grows until it is the largest. Weighed: a guaranteed share for each stream (taken for 1 KiB of an event, more does not fit the smallest instance), and that the oldest goes (a sound stream that waits is as old as an endless one that has just begun). An answer that is complete is not given up. What is given up frees its bytes at once and counts for nothing against the prompt: it has not broken off.

Memory was held that nothing counted: 64 KiB of framing for each call (124,305,408 bytes resident with chunk extensions, 124,067,840 with trailers, bound of the test 56,000,000), headers of many fields, and the buffers of an event's scanner, which stayed as large as the largest event was, for the rest of the stream and between two attempts. Now the client counts headers beyond 1 KiB or 16 fields and a connection's buffer beyond 1 KiB in the memory for answers; the scanner is counted by the capacity of its buffers, which are freed once an event is passed on and when an attempt ends. The client reads bodies in a loop of its own, since the library's keeps the buffer to itself until the parser gets on; pooled connections give back long buffers. The pool moves to a file of its own.

In a trial before the last form the entry instance crashed: a share outlived the call that it cancels, when the answer had failed and its error was being written. The share now ends with the failed answer.

All nine pass now, 36.6 to 45.5 MB resident, an ordinary request and a whole stream of 1 MiB meanwhile.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -157,9 +157,9 @@
     , signals(loops.at(0).get_executor(), SIGTERM, SIGINT)
 {
     for (std::size_t i = 0; i < loops.size(); ++i) {
-        upstreams.push_back(makeUpstreamClient(loops.at(i), {}));
-        interrupts.push_back(std::make_unique<Interrupts>());
         answerBytes.push_back(std::make_unique<BufferBudget>(planOf(settings).answers * 4 / 5 / loops.size()));
+        upstreams.push_back(makeUpstreamClient(loops.at(i), { .answerBytes = answerBytes.back().get() }));
+        interrupts.push_back(std::make_unique<Interrupts>());
     }
 }
 
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -29,7 +29,6 @@
 constexpr int wholeAnswerTimeoutFactor = 4;
 constexpr std::chrono::seconds quarantineRetryAfter { 60 }; // The quarantine lasts minutes.
 constexpr std::size_t maxAnswerBytes = 32U << 20U; // Limit for an answer that is not streamed, which is held in memory.
-constexpr std::size_t copiesOfEvent = 2; // Held twice for a moment, with the bytes that follow it.
 constexpr std::string_view attemptIdField = "X-Hickory-Attempt-Id";
 
 Refusal failure(RouterError error, Verdict verdict, std::string detail)
@@ -319,17 +318,19 @@
 Task<RequestRunner::AttemptResult> RequestRunner::readCompleteAnswer(UpstreamCall& call, const UpstreamHead& head)
 {
     AttemptResult result;
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength());
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength(), [&call] { call.cancel(); });
     for (std::size_t size = 0;;) {
         const auto chunk = co_await call.readChunk();
-        if (chunk.ec) {
+        if (chunk.ec && !result.held->isWithdrawn()) {
             result.failure = failure(routerErrorOf(chunk.ec), Verdict::MayHaveRun, "the body of the answer is incomplete");
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
         size += chunk.bytes.size();
         if (size > maxAnswerBytes || !result.held->append(chunk.bytes)) {
             result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, size > maxAnswerBytes ? "the answer is larger than 32 MiB" : "there is no memory for the answer");
+            result.held.reset();
             co_return result;
         }
         if (chunk.isLast)
@@ -352,22 +353,25 @@
 {
     AttemptResult result;
     EventStreamScanner scanner;
-    BufferBudget::Share held(m_context.answerBytes);
+    BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     auto isLast = false;
     while (!isLast && !scanner.isComplete()) {
         const auto chunk = co_await call.readChunk();
         isLast = chunk.isLast;
         const auto events = scanner.feed(chunk.bytes);
-        const auto isOversized = scanner.isOversized() || !held.resize(copiesOfEvent * scanner.incompleteEvent().size());
+        const auto isOversized = scanner.isOversized() || !held.resize(scanner.heldBytes());
         const auto isBroken = chunk.ec || isOversized || (isLast && !scanner.isComplete());
         if (isBroken) {
-            const auto error = chunk.ec ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
+            const auto error = chunk.ec && !isOversized ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
             result.failure = failure(error, Verdict::MayHaveRun, "the stream broke off before its end marker");
-            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken || (!chunk.ec && !isOversized);
+            result.hasBrokenOff = !isOversized && (!chunk.ec || chunk.ec == RouterError::UpstreamBroken);
             break;
         }
-        if (events.empty())
+        if (events.empty()) {
+            scanner.dropOutput();
+            held.resize(scanner.heldBytes());
             continue;
+        }
         recordFirstToken(id);
         std::error_code ec;
         if (!std::exchange(result.reachedCaller, true)) {
@@ -381,6 +385,8 @@
             result.failure = failure(RouterError::CallerGone, Verdict::MayHaveRun, "the caller disconnected or reads too slowly");
             break;
         }
+        scanner.dropOutput();
+        held.resize(scanner.heldBytes()); // Less than before.
     }
     result.tokens = scanner.eventCount();
     // Reads the rest of the body's framing, so that the connection can be reused.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -22,8 +22,6 @@
 constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned firstServerError = 500;
 
-// Held twice for a moment, with the bytes that follow it.
-constexpr std::size_t copiesOfEvent = 2;
 constexpr int silenceTargetFactor = 3; // A silent attempt ends after this multiple of the latency target.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
@@ -109,6 +107,7 @@
         const DeadlineWatch deadline(executor, m_deadline, *call);
         const DeadlineWatch silence(executor, mayTryElsewhere ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
         result = co_await sendAttempt(*call, placement, callId);
+        m_events.dropAll(); // Nothing of it is counted any more.
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
         if (!isWhole && deadline.hasPassed()) {
             result.end = AttemptEnd::DeadlinePassed;
@@ -256,12 +255,14 @@
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength());
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength(), [&call] { call.cancel(); });
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
-        if (chunk.ec || !result.held->append(chunk.bytes)) {
-            result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
-            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+        const auto isOversized = result.held->isWithdrawn() || (!chunk.ec && !result.held->append(chunk.bytes));
+        if (chunk.ec || isOversized) {
+            result.cause = isOversized ? "answer-oversized" : "answer-broken";
+            result.hasBrokenOff = !isOversized && chunk.ec == RouterError::UpstreamBroken;
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
         isLast = chunk.isLast;
@@ -298,11 +299,15 @@
     m_events = EventStreamScanner(EventStreamScanner::EndMarker::None);
     if (last)
         m_events.skipThrough(*last);
-    BufferBudget::Share held(m_context.answerBytes);
+    BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     std::optional<TimePoint> firstEventAt;
     auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
     for (;;) {
         const auto chunk = co_await call.readChunk();
+        if (held.isWithdrawn()) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
             result.outcome = chunk.ec == RouterError::UpstreamTimeout ? CallOutcome::Silent : CallOutcome::Broken;
@@ -312,7 +317,7 @@
         const auto progressBefore = m_events.progressCount();
         auto bytes = m_events.feed(chunk.bytes);
         m_trace.recordEvents(m_attempt, m_events.firstEventId(), m_events.progressCount());
-        if (m_events.isOversized() || !held.resize(copiesOfEvent * m_events.incompleteEvent().size())) {
+        if (m_events.isOversized() || !held.resize(m_events.heldBytes())) {
             result.cause = "event-oversized";
             co_return result;
         }
@@ -355,6 +360,8 @@
             m_relayedEvents += m_events.progressCount() - progressBefore;
             m_relayedBytes += bytes.size();
         }
+        m_events.dropOutput();
+        held.resize(m_events.heldBytes()); // Less than before.
         if (chunk.isLast && !isComplete) {
             result.cause = m_events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
             result.hasBrokenOff = true;
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -128,6 +128,7 @@
         const DeadlineWatch deadline(executor, m_deadline, *call);
         const DeadlineWatch silence(executor, mayTryElsewhere ? silenceEnd() : std::nullopt, *call, silenceEnd);
         result = co_await sendRelayAttempt(*call, outcome);
+        m_events.dropAll(); // Nothing of it is counted any more.
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError || result.end == AttemptEnd::Declined;
         if (!isWhole && deadline.hasPassed()) {
             result.end = AttemptEnd::DeadlinePassed;
@@ -208,13 +209,14 @@
         result.cause = "answer-not-signed";
         co_return result;
     }
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, 0);
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, 0, [&call] { call.cancel(); });
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec || !result.held->append(chunk.bytes)) {
             result.end = isPromise ? AttemptEnd::NotRun : AttemptEnd::Failed;
             result.wasSent = !isPromise;
             result.cause = "peer-broken";
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
         isLast = chunk.isLast;
--- a/src/http/EventStreamScanner.cpp
+++ b/src/http/EventStreamScanner.cpp
@@ -61,6 +61,26 @@
     return m_output;
 }
 
+std::size_t EventStreamScanner::heldBytes() const
+{
+    const auto output = m_output.capacity();
+    const auto pending = m_pending.capacity();
+    return (output > usualOutputBytes ? output : 0) + (pending > usualPendingBytes ? pending : 0);
+}
+
+void EventStreamScanner::dropOutput()
+{
+    std::string().swap(m_output);
+    if (m_pending.capacity() > usualPendingBytes)
+        m_pending.shrink_to_fit();
+}
+
+void EventStreamScanner::dropAll()
+{
+    std::string().swap(m_output);
+    std::string().swap(m_pending);
+}
+
 bool EventStreamScanner::isNewEvent(std::string_view event)
 {
     constexpr std::string_view idField = "id:";
--- a/src/http/EventStreamScanner.h
+++ b/src/http/EventStreamScanner.h
@@ -46,11 +46,19 @@
     std::uint32_t eventCount() const { return m_eventCount; }
     /** Number of events that feed() returned and that are more than comments, which a stalled server may send as well. */
     std::uint32_t progressCount() const { return m_progressCount; }
+    /** Memory of the events that feed() returned last and of the incomplete event, as far as it is more than any stream may hold. */
+    std::size_t heldBytes() const;
+    /** Frees the result of the last feed(), and what an earlier event needed. */
+    void dropOutput();
+    /** Frees the start of the incomplete event as well; nothing can be fed any more. */
+    void dropAll();
     /** True if an incomplete event exceeds 1 MiB; the stream should then be abandoned. */
     bool isOversized() const { return m_pending.size() > maxEventBytes; }
 
 private:
     static constexpr std::size_t maxEventBytes = 1 << 20;
+    static constexpr std::size_t usualOutputBytes = 8192; // What one read completes. Only held while it is written.
+    static constexpr std::size_t usualPendingBytes = 1024;
 
     bool processEvent(std::string_view event);
     bool isNewEvent(std::string_view event);
--- a/src/http/HeldAnswer.cpp
+++ b/src/http/HeldAnswer.cpp
@@ -4,8 +4,10 @@
 
 namespace HickoryHollow {
 
-HeldAnswer::HeldAnswer(BufferBudget& budget, std::size_t length)
-    : m_share(budget)
+HeldAnswer::HeldAnswer(BufferBudget& budget, std::size_t length, const BufferBudget::Share::OnWithdrawn& withdrawn)
+    : m_share(budget, withdrawn ? BufferBudget::Share::OnWithdrawn([this, withdrawn] {
+        std::string().swap(m_text);
+        withdrawn(); }) : BufferBudget::Share::OnWithdrawn())
     , m_length(length)
 {
 }
@@ -21,8 +23,16 @@
     return true;
 }
 
+std::string HeldAnswer::take()
+{
+    m_share.keep();
+    return std::move(m_text);
+}
+
 bool HeldAnswer::append(std::string_view bytes)
 {
+    if (m_share.isWithdrawn())
+        return false;
     const auto size = m_text.size() + bytes.size();
     if (size > m_text.capacity() && !grow(size))
         return false;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -1,134 +1,25 @@
 #include "http/UpstreamClient.h"
 
 #include "base/RouterError.h"
-#include "net/Endpoint.h"
+#include "http/BufferBudget.h"
+#include "http/ConnectionPool.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
 #include <optional>
-#include <unordered_map>
-#include <vector>
 
 namespace HickoryHollow {
 
+using namespace Internal;
+
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace {
 
-using Stream = beast::basic_stream<asio::ip::tcp, Executor>;
-
-// Room for a response header or for the framing between two parts of a body, with what the socket delivers beyond it.
-constexpr std::size_t maxBufferedBytes = 64UL << 10U;
-
-struct Connection {
-    explicit Connection(asio::io_context& loop)
-        : stream(loop)
-        , buf(maxBufferedBytes)
-    {
-    }
-
-    Stream stream;
-    beast::flat_buffer buf;
-    TimePoint idleSince {};
-    Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response.
-};
-
-// A server may close an idle connection at any time. Unexpected bytes or an end of file mean that it cannot be reused.
-bool isReusable(Connection& connection)
-{
-    char byte = 0;
-    const auto n = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-class ConnectionPool {
-public:
-    ConnectionPool(asio::io_context& loop, const UpstreamOptions& options)
-        : m_loop(loop)
-        , m_options(options)
-    {
-    }
-
-    std::shared_ptr<Connection> take(const std::string& address, Duration maxIdle)
-    {
-        auto& idle = m_idle[address];
-        while (!idle.empty()) {
-            auto connection = std::move(idle.back());
-            idle.pop_back();
-            const auto limit = std::min({ m_options.idleTimeout, connection->serverIdleTimeout, maxIdle });
-            if (monotonicNow() - connection->idleSince < limit && isReusable(*connection))
-                return connection;
-        }
-        return nullptr;
-    }
-
-    void put(const std::string& address, std::shared_ptr<Connection> connection)
-    {
-        auto& idle = m_idle[address];
-        if (idle.size() >= m_options.maxIdlePerServer || connection->buf.size() != 0)
-            return;
-        connection->idleSince = monotonicNow();
-        connection->stream.expires_never();
-        idle.push_back(std::move(connection));
-    }
-
-    void setMaxIdleConnections(std::size_t limit)
-    {
-        m_options.maxIdlePerServer = limit;
-        for (auto& [address, idle] : m_idle) {
-            if (idle.size() > limit)
-                idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(limit));
-        }
-    }
-
-    /** Makes a connection that is not open and not in the pool. */
-    std::shared_ptr<Connection> make() { return std::make_shared<Connection>(m_loop); }
-
-    /** Opens a connection. Closing it meanwhile makes that fail. */
-    Task<std::error_code> open(std::shared_ptr<Connection> connection, std::string address)
-    {
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint)
-            co_return make_error_code(RouterError::UpstreamConnectFailed);
-        connection->stream.expires_after(m_options.connectTimeout);
-        const auto [ec] = co_await connection->stream.async_connect(*endpoint, asTuple);
-        if (ec)
-            co_return make_error_code(RouterError::UpstreamConnectFailed);
-        setSocketOptions(connection->stream.socket());
-        co_return std::error_code();
-    }
-
-    const UpstreamOptions& options() const { return m_options; }
-
-private:
-    static constexpr int maxLostProbes = 2; // A working link may lose a single probe.
-
-    // A server that lost power neither responds nor resets the connection; keep-alive probes and the user timeout detect it.
-    void setSocketOptions(Stream::socket_type& socket) const
-    {
-        boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        const auto timeout = m_options.tcpUserTimeout;
-        const auto set = [&socket](int level, int name, int value) { ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value)); };
-        const auto seconds = std::max(1, static_cast<int>(timeout / std::chrono::seconds(2)));
-        set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout / std::chrono::milliseconds(1)));
-        set(SOL_SOCKET, SO_KEEPALIVE, 1);
-        set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
-        set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-        set(IPPROTO_TCP, TCP_KEEPCNT, maxLostProbes);
-    }
-
-    asio::io_context& m_loop;
-    UpstreamOptions m_options;
-    std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> m_idle; // By the address of the server.
-};
-
 // A peer whose host does not acknowledge for so long is silent; a server that ends closes or resets its connections.
 std::error_code timeoutOr(const boost::system::error_code& ec, RouterError otherwise)
 {
@@ -157,6 +48,8 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
+        if (auto* budget = m_pool->options().answerBytes)
+            m_share.emplace(*budget, [this] { cancel(); });
         auto checked = request; // Shares the body.
         if (m_beforeSend && !m_beforeSend(checked)) {
             m_pool->put(m_address, std::move(m_connection));
@@ -209,10 +102,10 @@
         m_parser->get().body().data = m_readBuffer.data();
         m_parser->get().body().size = m_readBuffer.size();
         m_connection->stream.expires_after(m_timeouts.chunk);
-        const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser, asTuple);
+        const auto ec = co_await readBody();
         const auto isFull = ec == http::error::need_buffer;
         if (ec && !isFull) {
-            chunk.ec = timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+            chunk.ec = errorOf(ec);
             co_return chunk;
         }
         chunk.bytes = std::string_view(m_readBuffer.data(), m_readBuffer.size() - m_parser->get().body().size);
@@ -243,6 +136,8 @@
     static constexpr std::size_t headReadBytes = 512;
     static constexpr std::size_t maxHeadBytes = 8UL << 10U;
     static constexpr std::ptrdiff_t maxHeadFields = 128; // A field takes more memory than its bytes.
+    static constexpr std::size_t usualHeadBytes = 1024;
+    static constexpr std::ptrdiff_t usualHeadFields = 16;
     static constexpr std::size_t maxSynchronousBodyBytes = 8192; // A server may respond before it has read a larger body.
     static constexpr int maxSkippedResponses = 2;
     static constexpr std::size_t maxSkippedBytes = 256UL << 10U; // Of one response; reading on would delay the request's own.
@@ -254,6 +149,27 @@
             && ec != http::error::end_of_stream && ec != http::error::partial_message;
     }
 
+    std::error_code errorOf(const boost::system::error_code& ec) const
+    {
+        if (m_share && m_share->isWithdrawn())
+            return make_error_code(RouterError::UpstreamMalformed);
+        return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+    }
+
+    /** Takes room for the header and the buffer. False if there is none. */
+    bool takeRoom()
+    {
+        const auto buffered = m_connection->buf.capacity();
+        return !m_share || m_share->resize(m_headRoom + (buffered > usualBufferBytes ? buffered : 0));
+    }
+
+    static std::size_t headRoomOf(std::size_t bytes, std::ptrdiff_t fields)
+    {
+        constexpr std::size_t copiesOfHead = 3; // The parsed fields, those of the result, and those that its caller makes of them.
+        constexpr std::size_t bytesPerField = 192;
+        return bytes > usualHeadBytes || fields > usualHeadFields ? copiesOfHead * bytes + bytesPerField * static_cast<std::size_t>(fields) : 0;
+    }
+
     void fillMessage(const HttpRequest& request)
     {
         m_request = std::make_shared<Outgoing>();
@@ -300,17 +216,49 @@
                 parsed += n;
             }
             const auto isDone = m_parser->is_header_done();
-            const auto& fields = m_parser->get();
-            if (parsed + (isDone ? 0 : buf.size()) > maxHeadBytes || std::distance(fields.begin(), fields.end()) > maxHeadFields)
+            const auto fields = std::distance(m_parser->get().begin(), m_parser->get().end());
+            if (parsed + (isDone ? 0 : buf.size()) > maxHeadBytes || fields > maxHeadFields)
                 ec = make_error_code(http::error::header_limit);
             if (ec && ec != http::error::need_more)
-                co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+                co_return errorOf(ec);
+            m_headRoom = headRoomOf(parsed, fields);
+            if (!takeRoom())
+                co_return make_error_code(RouterError::UpstreamMalformed);
             if (isDone)
                 co_return std::error_code();
             const auto [readEc, n] = co_await m_connection->stream.async_read_some(buf.prepare(headReadBytes), asTuple);
             buf.commit(n);
             if (readEc)
-                co_return timeoutOr(readEc, RouterError::UpstreamBroken);
+                co_return errorOf(readEc);
+        }
+    }
+
+    // Reads until the parser has got on with the body.
+    Task<boost::system::error_code> readBody()
+    {
+        auto& buf = m_connection->buf;
+        for (;;) {
+            boost::system::error_code ec;
+            if (buf.size() > 0) {
+                buf.consume(m_parser->put(buf.data(), ec));
+                if (ec != http::error::need_more)
+                    co_return ec;
+            }
+            const auto room = std::min(std::max(headReadBytes, buf.capacity() - buf.size()), maxBufferedBytes - buf.size());
+            if (room == 0)
+                co_return make_error_code(http::error::buffer_overflow);
+            const auto space = buf.prepare(room);
+            if (!takeRoom())
+                co_return make_error_code(http::error::buffer_overflow);
+            const auto [readEc, n] = co_await m_connection->stream.async_read_some(space, asTuple);
+            buf.commit(n);
+            if (readEc && readEc != asio::error::eof)
+                co_return readEc;
+            if (readEc) {
+                ec = {};
+                m_parser->put_eof(ec);
+                co_return ec;
+            }
         }
     }
 
@@ -324,7 +272,7 @@
         while (!m_parser->is_done()) {
             m_parser->get().body().data = m_readBuffer.data();
             m_parser->get().body().size = m_readBuffer.size();
-            const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser, asTuple);
+            const auto ec = co_await readBody();
             if (ec && ec != http::error::need_buffer)
                 co_return timeoutOr(ec, RouterError::UpstreamBroken);
             skippedBytes += m_readBuffer.size() - m_parser->get().body().size;
@@ -369,6 +317,8 @@
     std::shared_ptr<Connection> m_connection; // Null before begin and after the response was read to its end.
     std::shared_ptr<Outgoing> m_request; // Also owned by an asynchronous write.
     std::optional<Parser> m_parser;
+    std::optional<BufferBudget::Share> m_share; // What the header and the buffer take beyond the usual; set by begin.
+    std::size_t m_headRoom = 0; // For the header.
     IsMismatchedResponse m_isMismatched;
     BeforeSend m_beforeSend;
     std::shared_ptr<bool> m_isWriting; // True until an asynchronous write of the request succeeds; null if begin writes it.
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -18,6 +18,8 @@
 
 namespace HickoryHollow {
 
+class BufferBudget;
+
 /** Timeouts of one call to a backend server. */
 struct UpstreamTimeouts {
     Duration head = std::chrono::seconds(120); ///< From the start of sending the request to the end of the response header.
@@ -33,6 +35,7 @@
     bool acceptsCloseDelimited = false;
     std::size_t maxIdlePerServer = 256; ///< Idle connections kept for each backend server.
     Duration idleTimeout = std::chrono::seconds(20); ///< A connection that was idle for longer is not reused.
+    BufferBudget* answerBytes = nullptr; ///< Bounds what headers and framing take beyond the usual. It outlives all calls.
 };
 
 /** Result of sending a request and reading the response header. */
--- a/test/fakes/HostileCrowd.h
+++ b/test/fakes/HostileCrowd.h
@@ -127,6 +127,15 @@
             it.socket.setToReset();
     }
     void leave() { m_members.clear(); }
+    /** Reads and drops what has come, without waiting; returns the number of connections that the peer has closed. */
+    std::size_t endedCount()
+    {
+        for (auto& it : m_members) {
+            if (it.socket.isOpen())
+                drop(it, MSG_DONTWAIT);
+        }
+        return m_members.size() - openCount();
+    }
     std::size_t openCount() const
     {
         return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [](const auto& it) { return it.socket.isOpen(); }));
