--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -6,13 +6,14 @@
 #include "entry/IdempotencyLedger.h"
 #include "http/DeadlineWatch.h"
 #include "http/EventStreamScanner.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
 #include "metrics/Metrics.h"
 #include "net/Timer.h"
+#include "json/JsonSyntax.h"
 
 #include <boost/asio/this_coro.hpp>
-#include <boost/json.hpp>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -45,13 +46,6 @@
     return status >= 502 && status <= 504;
 }
 
-bool isJson(std::string_view text)
-{
-    boost::json::error_code ec;
-    boost::json::parse(boost::json::string_view(text.data(), text.size()), ec);
-    return !ec;
-}
-
 HttpFields forwardedFields(const HttpFields& fields)
 {
     HttpFields forwarded;
@@ -324,22 +318,25 @@
 Task<RequestRunner::AttemptResult> RequestRunner::readCompleteAnswer(UpstreamCall& call, const UpstreamHead& head)
 {
     AttemptResult result;
-    std::string body;
-    for (;;) {
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength(), [&call] { call.cancel(); });
+    for (std::size_t size = 0;;) {
         const auto chunk = co_await call.readChunk();
-        if (chunk.ec) {
+        if (chunk.ec && !result.held->isWithdrawn()) {
             result.failure = failure(routerErrorOf(chunk.ec), Verdict::MayHaveRun, "the body of the answer is incomplete");
             result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
-        body.append(chunk.bytes);
-        if (body.size() > maxAnswerBytes) {
-            result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, "the answer is larger than 32 MiB");
+        size += chunk.bytes.size();
+        if (size > maxAnswerBytes || !result.held->append(chunk.bytes)) {
+            result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, size > maxAnswerBytes ? "the answer is larger than 32 MiB" : "there is no memory for the answer");
+            result.held.reset();
             co_return result;
         }
         if (chunk.isLast)
             break;
     }
+    auto body = result.held->take();
     if (m_request.service->kind == ServiceKind::Model && !isJson(body)) {
         result.failure = failure(RouterError::UpstreamMalformed, Verdict::MayHaveRun, "the body of the answer is not valid JSON");
         co_return result;
@@ -356,20 +353,25 @@
 {
     AttemptResult result;
     EventStreamScanner scanner;
+    BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     auto isLast = false;
     while (!isLast && !scanner.isComplete()) {
         const auto chunk = co_await call.readChunk();
         isLast = chunk.isLast;
         const auto events = scanner.feed(chunk.bytes);
-        const auto isBroken = chunk.ec || scanner.isOversized() || (isLast && !scanner.isComplete());
+        const auto isOversized = scanner.isOversized() || !held.resize(scanner.heldBytes());
+        const auto isBroken = chunk.ec || isOversized || (isLast && !scanner.isComplete());
         if (isBroken) {
-            const auto error = chunk.ec ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
+            const auto error = chunk.ec && !isOversized ? routerErrorOf(chunk.ec) : RouterError::UpstreamMalformed;
             result.failure = failure(error, Verdict::MayHaveRun, "the stream broke off before its end marker");
-            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken || (!chunk.ec && !scanner.isOversized());
+            result.hasBrokenOff = !isOversized && (!chunk.ec || chunk.ec == RouterError::UpstreamBroken);
             break;
         }
-        if (events.empty())
+        if (events.empty()) {
+            scanner.dropOutput();
+            held.resize(scanner.heldBytes());
             continue;
+        }
         recordFirstToken(id);
         std::error_code ec;
         if (!std::exchange(result.reachedCaller, true)) {
@@ -383,6 +385,8 @@
             result.failure = failure(RouterError::CallerGone, Verdict::MayHaveRun, "the caller disconnected or reads too slowly");
             break;
         }
+        scanner.dropOutput();
+        held.resize(scanner.heldBytes()); // Less than before.
     }
     result.tokens = scanner.eventCount();
     // Reads the rest of the body's framing, so that the connection can be reused.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -3,15 +3,14 @@
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
-#include "forwarding/HeldAnswer.h"
 #include "forwarding/Successor.h"
 #include "http/DeadlineWatch.h"
 #include "http/EventStreamScanner.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 #include "placement/PromptGuard.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
 
 namespace HickoryHollow {
@@ -24,9 +23,6 @@
 constexpr unsigned firstRedirect = 300;
 constexpr unsigned misdirectedRequest = 421;
 
-// Held twice for a moment, with the bytes that follow it.
-constexpr std::size_t copiesOfEvent = 2;
-constexpr std::size_t usualEventBytes = 1024; // A part of an event up to this size belongs to the memory of its connection.
 // A pooled connection that was idle for less time is still open at the server. A request that must not run twice needs this:
 // if the server had closed the connection, the request would fail and could not be sent again.
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
@@ -34,14 +30,6 @@
 
 constexpr std::string_view serverWithdrawn = "server-withdrawn"; // The one obstacle that is the server's.
 
-std::size_t announcedLength(const UpstreamHead& head)
-{
-    const auto text = head.fields.find("Content-Length");
-    std::size_t length = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), length);
-    return ec == std::errc() && end == text.data() + text.size() ? length : 0;
-}
-
 } // namespace
 
 HttpRequest RoutedExchange::makeUpstreamRequest(const Placement& placement) const
@@ -255,12 +243,14 @@
 {
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, announcedLength(head));
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength(), [&call] { call.cancel(); });
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
-        if (chunk.ec || !result.held->append(chunk.bytes)) {
-            result.cause = chunk.ec ? "answer-broken" : "answer-oversized";
-            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+        const auto isOversized = result.held->isWithdrawn() || (!chunk.ec && !result.held->append(chunk.bytes));
+        if (chunk.ec || isOversized) {
+            result.cause = isOversized ? "answer-oversized" : "answer-broken";
+            result.hasBrokenOff = !isOversized && chunk.ec == RouterError::UpstreamBroken;
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
         isLast = chunk.isLast;
@@ -305,7 +295,7 @@
 {
     AttemptResult result;
     EventStreamScanner events(EventStreamScanner::EndMarker::None);
-    BufferBudget::Share held(m_context.answerBytes);
+    BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     std::optional<TimePoint> firstEventAt;
     auto isCounted = false; // As a start at a server.
     auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
@@ -315,6 +305,10 @@
             result.cause = "server-silent";
             co_return result;
         }
+        if (held.isWithdrawn()) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
         if (chunk.ec) {
             result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
             result.outcome = chunk.ec == RouterError::UpstreamTimeout ? CallOutcome::Silent : CallOutcome::Broken;
@@ -327,8 +321,7 @@
         // Also if the events are not passed on.
         if (callId && events.progressCount() > 0 && !std::exchange(isCounted, true))
             countStart();
-        const auto part = events.incompleteEvent().size();
-        if (events.isOversized() || !held.resize(part > usualEventBytes ? copiesOfEvent * part : 0)) {
+        if (events.isOversized() || !held.resize(events.heldBytes())) {
             result.cause = "event-oversized";
             co_return result;
         }
@@ -370,6 +363,8 @@
             m_relayedEvents += events.progressCount() - progressBefore;
             m_relayedBytes += bytes.size();
         }
+        events.dropOutput();
+        held.resize(events.heldBytes()); // Less than before.
         if (chunk.isLast && !isComplete) {
             result.cause = events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
             // A stream that its caller takes up may be at its end, and then neither the server nor the prompt is to blame.
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -2,9 +2,9 @@
 
 #include "base/LogEvent.h"
 #include "base/RouterError.h"
-#include "forwarding/HeldAnswer.h"
 #include "forwarding/Successor.h"
 #include "http/DeadlineWatch.h"
+#include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
 
 #include <algorithm>
@@ -241,13 +241,14 @@
         result.cause = "answer-not-signed";
         co_return result;
     }
-    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, 0);
+    result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, 0, [&call] { call.cancel(); });
     for (auto isLast = false; !isLast;) {
         const auto chunk = co_await call.readChunk();
         if (chunk.ec || !result.held->append(chunk.bytes)) {
             result.end = isPromise ? AttemptEnd::NotRun : AttemptEnd::Failed;
             result.wasSent = !isPromise;
             result.cause = "peer-broken";
+            result.held.reset(); // It refers to the call.
             co_return result;
         }
         isLast = chunk.isLast;
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -70,6 +70,8 @@
     auto& idle = m_idle[address];
     if (idle.size() >= m_options.maxIdlePerServer || connection->buf.size() != 0)
         return;
+    if (connection->buf.capacity() > ServerConnection::usualBufferBytes)
+        connection->buf.shrink_to_fit();
     connection->idleSince = monotonicNow();
     connection->stream.expires_never();
     idle.push_back(std::move(connection));
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -30,6 +30,7 @@
 
     // Room for a response header or for the framing between two parts of a body, with what the socket delivers beyond it.
     static constexpr std::size_t maxBufferedBytes = 64UL << 10U;
+    static constexpr std::size_t usualBufferBytes = 1024; // What each connection may take without counting.
 
     boost::beast::basic_stream<asio::ip::tcp, Executor> stream;
     boost::beast::flat_buffer buf;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -1,11 +1,11 @@
 #include "http/UpstreamClient.h"
 
 #include "base/RouterError.h"
+#include "http/BufferBudget.h"
 #include "http/ConnectionPool.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -46,6 +46,8 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
+        if (auto* budget = m_pool->options().answerBytes)
+            m_share.emplace(*budget, [this] { cancel(); });
         auto checked = request; // Shares the body.
         if (m_beforeSend && !m_beforeSend(checked)) {
             m_pool->put(m_address, std::move(m_connection));
@@ -99,10 +101,10 @@
         m_parser->get().body().data = m_readBuffer.data();
         m_parser->get().body().size = m_readBuffer.size();
         m_connection->stream.expires_after(m_timeouts.chunk);
-        const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser, asTuple);
+        const auto ec = co_await readBody();
         const auto isFull = ec == http::error::need_buffer;
         if (ec && !isFull) {
-            chunk.ec = timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+            chunk.ec = errorOf(ec);
             co_return chunk;
         }
         chunk.bytes = std::string_view(m_readBuffer.data(), m_readBuffer.size() - m_parser->get().body().size);
@@ -136,6 +138,11 @@
     using Parser = http::response_parser<http::buffer_body>;
 
     static constexpr std::size_t readBufferBytes = 4096;
+    static constexpr std::size_t headReadBytes = 512;
+    static constexpr std::size_t maxHeadBytes = 8UL << 10U;
+    static constexpr std::ptrdiff_t maxHeadFields = 128; // A field takes more memory than its bytes.
+    static constexpr std::size_t usualHeadBytes = 1024;
+    static constexpr std::ptrdiff_t usualHeadFields = 16;
     static constexpr std::size_t maxSynchronousBodyBytes = 8192; // A server may respond before it has read a larger body.
     static constexpr int maxSkippedResponses = 2;
     static constexpr std::size_t maxSkippedBytes = 256UL << 10U; // Of one response; reading on would delay the request's own.
@@ -147,6 +154,27 @@
             && ec != http::error::end_of_stream && ec != http::error::partial_message;
     }
 
+    std::error_code errorOf(const boost::system::error_code& ec) const
+    {
+        if (m_share && m_share->isWithdrawn())
+            return make_error_code(RouterError::UpstreamMalformed);
+        return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
+    }
+
+    /** Takes room for the header and the buffer. False if there is none. */
+    bool takeRoom()
+    {
+        const auto buffered = m_connection->buf.capacity();
+        return !m_share || m_share->resize(m_headRoom + (buffered > ServerConnection::usualBufferBytes ? buffered : 0));
+    }
+
+    static std::size_t headRoomOf(std::size_t bytes, std::ptrdiff_t fields)
+    {
+        constexpr std::size_t copiesOfHead = 3; // The parsed fields, those of the result, and those that its caller makes of them.
+        constexpr std::size_t bytesPerField = 192;
+        return bytes > usualHeadBytes || fields > usualHeadFields ? copiesOfHead * bytes + bytesPerField * static_cast<std::size_t>(fields) : 0;
+    }
+
     void fillMessage(const HttpRequest& request)
     {
         m_request = std::make_shared<Outgoing>();
@@ -181,10 +209,62 @@
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->skip(m_request->message.method() == http::verb::head);
-        const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buf, *m_parser, asTuple);
-        if (ec)
-            co_return timeoutOr(ec, isMalformed(ec) ? RouterError::UpstreamMalformed : RouterError::UpstreamBroken);
-        co_return std::error_code();
+        m_parser->header_limit(maxHeadBytes);
+        auto& buf = m_connection->buf;
+        // The parser's own limit is for what it is given at once, so that it never sees the end of many short reads.
+        std::size_t parsed = 0;
+        for (;;) {
+            boost::system::error_code ec;
+            if (buf.size() > 0) {
+                const auto n = m_parser->put(buf.data(), ec);
+                buf.consume(n);
+                parsed += n;
+            }
+            const auto isDone = m_parser->is_header_done();
+            const auto fields = std::distance(m_parser->get().begin(), m_parser->get().end());
+            if (parsed + (isDone ? 0 : buf.size()) > maxHeadBytes || fields > maxHeadFields)
+                ec = make_error_code(http::error::header_limit);
+            if (ec && ec != http::error::need_more)
+                co_return errorOf(ec);
+            m_headRoom = headRoomOf(parsed, fields);
+            if (!takeRoom())
+                co_return make_error_code(RouterError::UpstreamMalformed);
+            if (isDone)
+                co_return std::error_code();
+            const auto [readEc, n] = co_await m_connection->stream.async_read_some(buf.prepare(headReadBytes), asTuple);
+            buf.commit(n);
+            if (readEc)
+                co_return errorOf(readEc);
+        }
+    }
+
+    // Reads until the parser has got on with the body.
+    Task<boost::system::error_code> readBody()
+    {
+        auto& buf = m_connection->buf;
+        for (;;) {
+            boost::system::error_code ec;
+            if (buf.size() > 0) {
+                buf.consume(m_parser->put(buf.data(), ec));
+                if (ec != http::error::need_more)
+                    co_return ec;
+            }
+            const auto room = std::min(std::max(headReadBytes, buf.capacity() - buf.size()), ServerConnection::maxBufferedBytes - buf.size());
+            if (room == 0)
+                co_return make_error_code(http::error::buffer_overflow);
+            const auto space = buf.prepare(room);
+            if (!takeRoom())
+                co_return make_error_code(http::error::buffer_overflow);
+            const auto [readEc, n] = co_await m_connection->stream.async_read_some(space, asTuple);
+            buf.commit(n);
+            if (readEc && readEc != asio::error::eof)
+                co_return readEc;
+            if (readEc) {
+                ec = {};
+                m_parser->put_eof(ec);
+                co_return ec;
+            }
+        }
     }
 
     // Reads a response to another request to its end, then the next response header.
@@ -197,7 +277,7 @@
         while (!m_parser->is_done()) {
             m_parser->get().body().data = m_readBuffer.data();
             m_parser->get().body().size = m_readBuffer.size();
-            const auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buf, *m_parser, asTuple);
+            const auto ec = co_await readBody();
             if (ec && ec != http::error::need_buffer)
                 co_return timeoutOr(ec, RouterError::UpstreamBroken);
             skippedBytes += m_readBuffer.size() - m_parser->get().body().size;
@@ -242,6 +322,8 @@
     std::shared_ptr<ServerConnection> m_connection; // Null before begin and after the response was read to its end.
     std::shared_ptr<Outgoing> m_request; // Also owned by an asynchronous write.
     std::optional<Parser> m_parser;
+    std::optional<BufferBudget::Share> m_share; // What the header and the buffer take beyond the usual; set by begin.
+    std::size_t m_headRoom = 0; // For the header.
     IsMismatchedResponse m_isMismatched;
     BeforeSend m_beforeSend;
     std::shared_ptr<bool> m_isWriting; // True until an asynchronous write of the request succeeds; null if begin writes it.
@@ -281,6 +363,14 @@
 
 } // namespace
 
+std::size_t UpstreamHead::contentLength() const
+{
+    const auto text = fields.find("Content-Length");
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return error == std::errc() && end == text.data() + text.size() ? length : 0;
+}
+
 std::unique_ptr<UpstreamClient> makeUpstreamClient(asio::io_context& loop, const UpstreamOptions& options)
 {
     return std::make_unique<SocketClient>(loop, options);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -18,6 +18,8 @@
 
 namespace HickoryHollow {
 
+class BufferBudget;
+
 /** Timeouts of one call to a backend server. */
 struct UpstreamTimeouts {
     Duration head = std::chrono::seconds(120); ///< From the start of sending the request to the end of the response header.
@@ -36,6 +38,7 @@
     bool acceptsCloseDelimited = false;
     std::size_t maxIdlePerServer = 256; ///< Idle connections kept for each backend server.
     Duration idleTimeout = std::chrono::seconds(20); ///< A connection that was idle for longer is not reused.
+    BufferBudget* answerBytes = nullptr; ///< Bounds what headers and framing take beyond the usual. It outlives all calls.
 };
 
 /** Result of sending a request and reading the response header. */
@@ -45,6 +48,9 @@
     unsigned status = 0;
     HttpFields fields;
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks, and ends with the connection.
+
+    /** Length of the body as the server announced it; 0 if it did not. */
+    std::size_t contentLength() const;
 };
 
 /** One chunk of a response body, as received; it need not match a chunk of the transfer encoding. */
