Add a stand-in server that falls silent, refuses, crashes and leaves to the soak

It ends bodies by length, by chunks or by the end of the connection, writes several pieces at once or one in several writes, and on demand falls silent, takes no connections, refuses to go on with streams, crashes and runs again under its id as the same or another version, or leaves. It notices when the other side closes a connection during a run.

--- /dev/null
+++ b/test/soak/StreamServer.h
@@ -0,0 +1,104 @@
+/** \file
+ * Stand-in server of the part `streams`. It frames its answers in all permitted ways, cuts them into writes at random, and falls silent, refuses
+ * to go on with streams, crashes, leaves and comes back on demand.
+ */
+#pragma once
+
+#include "base/SeededRandom.h"
+#include "net/EventLoops.h"
+#include "net/Listener.h"
+#include "soak/StreamLedger.h"
+
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace HickoryHollow::Soak {
+
+/** Runs on one event loop. The methods that are called from other threads say so. */
+class StreamServer {
+public:
+    struct Options {
+        std::string address; ///< `ip:port`.
+        std::string service;
+        std::string version; ///< Of its software, at first.
+        int number = 0; ///< Part of its name.
+        std::uint64_t seed = 0; ///< Seed of framing, pauses and broken answers.
+    };
+
+    /** What it says of itself to the state instances. */
+    struct Announcement {
+        std::string name;
+        std::string body; ///< Empty if it says nothing, as it does not run.
+        bool isLast = false; ///< It leaves the service now.
+    };
+
+    StreamServer(asio::io_context&, Options, StreamLedger&);
+
+    /** Begins to listen. */
+    void start();
+    /** All its runs write nothing for so long. */
+    void fallSilent(std::chrono::milliseconds);
+    /** Takes no new connection for so long; the kernel takes one or two. */
+    void stopAccepting(std::chrono::milliseconds);
+    /** Answers requests that go on with a stream 503, not executed, for so long. */
+    void refuseResumed(std::chrono::milliseconds);
+    /** Resets all connections, and runs again after `down`, under its id, as this version, and is announced after a further while. */
+    void crash(std::chrono::milliseconds down, std::chrono::milliseconds unannounced, std::string version);
+    /** Announces that it leaves, serves on for `serving` at least and until its runs have ended, and comes back under a new id. */
+    void leave(std::chrono::milliseconds serving);
+    /** Down or leaving. */
+    bool isAway() const;
+    /** Connections do not wait to be accepted. */
+    bool isAccepting() const;
+    const std::string& version() const { return m_version; }
+    const Options& options() const { return m_options; }
+
+    /** Callable from any thread. */
+    Announcement nextAnnouncement();
+
+private:
+    struct Connection;
+    struct Answer;
+
+    Task<void> accept();
+    Task<void> serve(std::shared_ptr<Connection>);
+    /** Returns false once the connection cannot be used any more. */
+    Task<bool> handle(std::shared_ptr<Connection>, const std::string& attempt, const std::string& lastId, const std::string& body);
+    Task<bool> runStream(std::shared_ptr<Connection>, Answer&);
+    Task<bool> refuse(Connection&, const std::string& attempt, unsigned status);
+    /** Notices that the other side closes the connection during the run. */
+    Task<void> watch(std::shared_ptr<Connection>, std::size_t run);
+    /** Waits for the time and until the server is not silent. Returns false if the connection has ended. */
+    Task<bool> pause(Connection&, std::size_t run, std::chrono::milliseconds);
+    Task<void> comeBack(std::chrono::milliseconds down, std::chrono::milliseconds unannounced);
+    Task<void> finishLeaving(std::chrono::milliseconds serving);
+    std::string name() const;
+    std::string startName() const;
+
+    asio::io_context& m_loop;
+    Options m_options;
+    StreamLedger& m_ledger;
+    SeededRandom m_random;
+    std::unique_ptr<Acceptor> m_acceptor; // Null while it is down.
+    std::list<std::weak_ptr<Connection>> m_connections;
+    int m_runs = 0; // In progress.
+    Clock::time_point m_startedAt {};
+    Clock::time_point m_silentUntil {};
+    Clock::time_point m_acceptsFrom {};
+    Clock::time_point m_refusesUntil {};
+
+    mutable std::mutex m_mutex; // Guards what announcements hold, which is written on the event loop.
+    std::string m_version;
+    int m_life = 1; // Counts ids.
+    int m_start = 1; // Counts starts.
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_bornMilliseconds = 0;
+    Clock::time_point m_announcedFrom {};
+    bool m_isDown = false;
+    bool m_isLeaving = false;
+    bool m_hasLeft = false;
+};
+
+} // namespace HickoryHollow::Soak
