--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -10,6 +10,7 @@
 #include "soak/LargeCallers.h"
 #include "soak/PlannedStops.h"
 #include "soak/ServerCuts.h"
+#include "soak/Streams.h"
 #include "soak/TakenUpStreams.h"
 
 #include <algorithm>
@@ -38,7 +39,7 @@
 
 /** What a run consists of. */
 using Parts = std::set<std::string>;
-const Parts allParts { "faults", "disks", "cuts", "stops" };
+const Parts allParts { "faults", "disks", "cuts", "stops", "streams" };
 
 /** Throws std::runtime_error if one is unknown. */
 Parts parseParts(const std::vector<std::string>& names)
@@ -336,6 +337,13 @@
     }
 }
 
+int printViolations(const GuaranteeChecker& checker)
+{
+    for (const auto& it : checker.violations())
+        std::cout << "BROKEN " << it << '\n';
+    return checker.violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
 int runSoak(const Deployment::Options& options, const Parts& parts, int callers, std::chrono::milliseconds length)
 {
     GuaranteeChecker checker;
@@ -374,9 +382,16 @@
     std::cout << fmt::format("entry instances used {} MB at most; {} large bodies served\n", mostResidentBytes / 1'000'000, servedLargeBodies);
     if (counts.served * 4 < counts.sent)
         checker.recordViolation("availability", fmt::format("{} of {} requests were served, which is less than a quarter", counts.served, counts.sent));
-    for (const auto& it : checker.violations())
-        std::cout << "BROKEN " << it << '\n';
-    return checker.violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+    return printViolations(checker);
+}
+
+/** The part `streams` has a deployment of its own. */
+int runStreams(Deployment::Options options, std::chrono::milliseconds length)
+{
+    GuaranteeChecker checker;
+    options.folder /= "streams";
+    checkStreams(std::move(options), checker, length);
+    return printViolations(checker);
 }
 
 } // namespace
@@ -385,7 +400,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("hickory-soak", "Injects faults into a deployment of real daemons and checks its guarantees.");
-    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("parts", "What runs", cxxopts::value<std::vector<std::string>>()->default_value("faults,disks,cuts,stops"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
+    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("parts", "What runs", cxxopts::value<std::vector<std::string>>()->default_value("faults,disks,cuts,stops,streams"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -395,7 +410,14 @@
         constexpr int states = 5;
         const auto processes = std::max(states + 3, arguments["processes"].as<int>());
         const auto entries = processes - states;
-        return runSoak({ .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() }, parseParts(arguments["parts"].as<std::vector<std::string>>()), arguments["callers"].as<int>(), std::chrono::milliseconds(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000)));
+        const Deployment::Options deployment { .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() };
+        auto parts = parseParts(arguments["parts"].as<std::vector<std::string>>());
+        const std::chrono::milliseconds length(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000));
+        const auto hasStreams = parts.erase("streams") > 0;
+        auto result = parts.empty() ? EXIT_SUCCESS : runSoak(deployment, parts, arguments["callers"].as<int>(), length);
+        if (hasStreams && runStreams(deployment, length) != EXIT_SUCCESS)
+            result = EXIT_FAILURE;
+        return result;
     } catch (const std::exception& error) {
         std::cerr << fmt::format("hickory-soak: {}\n", error.what());
         return EXIT_FAILURE;
