Excuse cuts in the soak that an unplanned disturbance elsewhere explains

The users' rule LOST counts no request with an unplanned disturbance on its way. Two such cases were reported: a stream that was relayed through an entry instance that was paused or at the end of a stop (its line of event 2107 names that instance), and one that went on at a server that had just come back under its id as another version, which must not go on with it. Both are counted by themselves. A server that came back as the same version is no excuse.

--- a/test/soak/Deployment.cpp
+++ b/test/soak/Deployment.cpp
@@ -153,4 +153,9 @@
     return boundAddress(m_options.states + entry, callerPort);
 }
 
+std::string Deployment::linkAddress(int entry) const
+{
+    return boundAddress(m_options.states + entry, linkPort);
+}
+
 } // namespace HickoryHollow::Soak
--- a/test/soak/Deployment.h
+++ b/test/soak/Deployment.h
@@ -60,6 +60,8 @@
     std::string callerAddress(int entry) const;
     /** Address of the same listener without a proxy, whose buffers would hide a slow reader. */
     std::string directCallerAddress(int entry) const;
+    /** Address at which an entry instance takes requests that other instances pass on. */
+    std::string linkAddress(int entry) const;
     const Options& options() const { return m_options; }
 
 private:
--- a/test/soak/StreamServer.h
+++ b/test/soak/StreamServer.h
@@ -85,6 +85,7 @@
     std::list<std::weak_ptr<Connection>> m_connections;
     int m_runs = 0; // In progress.
     Clock::time_point m_startedAt {};
+    Clock::time_point m_newVersionUntil {}; // Others may not know it before.
     Clock::time_point m_silentUntil {};
     Clock::time_point m_acceptsFrom {};
     Clock::time_point m_refusesUntil {};
