--- a/test/error/streams_read_and_not_written.cpp
+++ b/test/error/streams_read_and_not_written.cpp
@@ -56,6 +56,19 @@
     CHECK(bench.writer.isFinished);
 }
 
+TEST_CASE("a stream that may not go on elsewhere is passed on, though its server's record changed before its first event", "[routed][streams]")
+{
+    const auto* version = GENERATE("v1", "v2");
+    RoutedBench bench;
+    auto replaced = streamInPieces(countedEvents(1, 3), 4);
+    replaced.afterSending = [&bench, version] { bench.addServer(bench.upstream.addresses[0], "models", version, 2); };
+    bench.upstream.scripts = { replaced };
+    bench.run(RoutedBench::request("/chat/7"));
+    CHECK(bench.upstream.requests.size() == 1);
+    CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+    CHECK(bench.writer.isFinished);
+}
+
 TEST_CASE("a stream whose server is replaced between the reads of its first event is delivered from its first event", "[routed][streams]")
 {
     RoutedBench bench;
