--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -158,7 +158,8 @@
 {
     for (std::size_t i = 0; i < loops.size(); ++i) {
         answerBytes.push_back(std::make_unique<BufferBudget>(planOf(settings).answers * 4 / 5 / loops.size()));
-        upstreams.push_back(makeUpstreamClient(loops.at(i), { .answerBytes = answerBytes.back().get() }));
+        upstreams.push_back(makeUpstreamClient(loops.at(i), UpstreamOptions {}));
+        upstreams.back()->setAnswerBudget(*answerBytes.back());
         interrupts.push_back(std::make_unique<Interrupts>());
     }
 }
--- /dev/null
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -0,0 +1,125 @@
+#include "forwarding/RoutedExchange.h"
+
+#include "base/RouterError.h"
+#include "http/EventStreamScanner.h"
+#include "http/ResponseWriter.h"
+#include "placement/PromptGuard.h"
+
+namespace HickoryHollow {
+
+Task<std::error_code> RoutedExchange::startStream(const UpstreamHead& head)
+{
+    if (m_streamStarted)
+        co_return std::error_code();
+    m_streamStarted = true;
+    m_streamStatus = head.status;
+    co_return co_await m_writer.startStream(head.status, m_context.codec.fieldsForCaller(head.fields));
+}
+
+// An answer that ends with its connection before any event looks the same after a crash right behind the header as at the end of the stream.
+bool RoutedExchange::isEndConfirmed() const
+{
+    if (!m_metadata.lastEventId)
+        return false;
+    if (!m_route->isResumable)
+        return !m_streamStarted;
+    const auto hasEvents = m_lastChunkAt || (m_relayed && m_relayed->continuesStream);
+    return m_hasEndedEmpty && !hasEvents;
+}
+
+Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
+{
+    AttemptResult result;
+    EventStreamScanner events(EventStreamScanner::EndMarker::None);
+    BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
+    std::optional<TimePoint> firstEventAt;
+    auto isCounted = false; // As a start at a server.
+    auto isSound = false; // The stream has gone on for so long that its prompt does not crash the server.
+    for (;;) {
+        const auto chunk = co_await call.readChunk();
+        if (isSucceeded()) {
+            result.cause = "server-silent";
+            co_return result;
+        }
+        if (held.isWithdrawn()) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
+        if (chunk.ec) {
+            result.cause = chunk.ec == RouterError::UpstreamTimeout ? "stream-silent" : "stream-broken";
+            result.outcome = chunk.ec == RouterError::UpstreamTimeout ? CallOutcome::Silent : CallOutcome::Broken;
+            result.hasBrokenOff = chunk.ec == RouterError::UpstreamBroken;
+            co_return result;
+        }
+        const auto progressBefore = events.progressCount();
+        auto bytes = m_delivered.read(events, chunk.bytes);
+        m_trace.recordEvents(m_attempt, events.firstEventId(), events.progressCount());
+        // Also if the events are not passed on.
+        if (callId && events.progressCount() > 0 && !std::exchange(isCounted, true))
+            countStart();
+        if (events.isOversized() || !held.resize(events.heldBytes())) {
+            result.cause = "event-oversized";
+            co_return result;
+        }
+        const auto isEmptyEnd = chunk.isLast && head.isCloseDelimited && events.progressCount() == 0 && !events.isInsideEvent();
+        const auto isComplete = chunk.isLast && !events.isInsideEvent() && (!isEmptyEnd || isEndConfirmed());
+        std::string lastBytes;
+        if (isComplete && !events.incompleteEvent().empty()) {
+            lastBytes = std::string(bytes) + std::string(events.incompleteEvent());
+            bytes = lastBytes;
+        }
+        if (!bytes.empty() || isComplete) {
+            // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
+            if (isComplete || events.progressCount() > progressBefore) {
+                if (callId && !firstEventAt && m_route->isResumable && !m_context.selector.isSameStart(m_lastPlacement)) {
+                    // Which version wrote the events is not certain, and the stream would go on at the one that was chosen.
+                    result.cause = "server-replaced";
+                    co_return result;
+                }
+                cancelSuccessor();
+                if (callId && !std::exchange(isCounted, true))
+                    countStart();
+                if (callId && !m_lastChunkAt)
+                    recordOrigin();
+                recordChunk(callId);
+                firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
+                isSound = isSound || (callId && m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt));
+            }
+            const WriteGuard guard(*this);
+            auto ec = co_await startStream(head);
+            if (!ec && !bytes.empty())
+                ec = co_await m_delivered.write(bytes, events);
+            if (!ec && isComplete)
+                ec = co_await m_writer.finishStream();
+            if (ec) {
+                result.end = AttemptEnd::CallerGone;
+                result.outcome = CallOutcome::Rejected;
+                result.cause = "caller-gone";
+                co_return result;
+            }
+            m_relayedEvents += events.progressCount() - progressBefore;
+            m_relayedBytes += bytes.size();
+        }
+        events.dropOutput();
+        held.resize(events.heldBytes()); // Less than before.
+        if (chunk.isLast && !isComplete) {
+            result.cause = events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
+            // A stream that its caller takes up may be at its end, and then neither the server nor the prompt is to blame.
+            const auto mayBeEnd = isEmptyEnd && m_metadata.lastEventId;
+            result.hasBrokenOff = !mayBeEnd;
+            result.outcome = mayBeEnd ? CallOutcome::Rejected : CallOutcome::Broken;
+            m_hasEndedEmpty = m_hasEndedEmpty || isEmptyEnd;
+            co_return result;
+        }
+        if (isComplete)
+            break;
+    }
+    if (callId)
+        m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    result.end = AttemptEnd::Delivered;
+    result.outcome = CallOutcome::Answered;
+    result.cause = "none";
+    co_return result;
+}
+
+} // namespace HickoryHollow
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -58,11 +58,15 @@
     void allowLateReads(const std::shared_ptr<ServerConnection>&, Duration longest, std::shared_ptr<bool> isWriting);
 
     const UpstreamOptions& options() const { return m_options; }
+    void setAnswerBudget(BufferBudget& budget) { m_answerBudget = &budget; }
+    /** Null if nothing bounds the answers of all calls together. */
+    BufferBudget* answerBudget() const { return m_answerBudget; }
 
 private:
     asio::io_context& m_loop;
     UpstreamOptions m_options;
     LostHostLimits m_limits;
+    BufferBudget* m_answerBudget = nullptr;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idle; // By the address of the server.
 };
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -46,7 +46,7 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
-        if (auto* budget = m_pool->options().answerBytes)
+        if (auto* budget = m_pool->answerBudget())
             m_share.emplace(*budget, [this] { cancel(); });
         auto checked = request; // Shares the body.
         if (m_beforeSend && !m_beforeSend(checked)) {
@@ -355,6 +355,7 @@
         co_return ec;
     }
 
+    void setAnswerBudget(BufferBudget& budget) override { m_pool->setAnswerBudget(budget); }
     void setMaxIdleConnections(std::size_t limit) override { m_pool->setMaxIdleConnections(limit); }
 
 private:
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -38,7 +38,6 @@
     bool acceptsCloseDelimited = false;
     std::size_t maxIdlePerServer = 256; ///< Idle connections kept for each backend server.
     Duration idleTimeout = std::chrono::seconds(20); ///< A connection that was idle for longer is not reused.
-    BufferBudget* answerBytes = nullptr; ///< Bounds what headers and framing take beyond the usual. It outlives all calls.
 };
 
 /** Result of sending a request and reading the response header. */
@@ -102,6 +101,8 @@
     virtual std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) = 0;
     /** Opens a connection that a later call may use, to learn whether the server can be reached. */
     virtual Task<std::error_code> connect(const std::string& address) = 0;
+    /** Bounds what headers and framing take beyond the usual. The budget outlives all calls. */
+    virtual void setAnswerBudget(BufferBudget&) { }
     /** Sets the number of idle connections kept for each server and closes those above it. */
     virtual void setMaxIdleConnections(std::size_t) { }
     std::unique_ptr<UpstreamCall> open(const std::string& address) { return open(address, UpstreamTimeouts {}); }
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -53,7 +53,7 @@
     , m_admissionQueue(m_loop, m_selector, [this] {
         if (m_selector.limits().isReportDue())
             m_feed.reportNow(); })
-    , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer, .answerBytes = &m_context.answerBytes }))
+    , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
     , m_streams(m_loop, m_feed)
     , m_reports(settings, Incarnation(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count())))
     , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .relayPeers = m_relayPeers, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .instance = settings.instance, .maxRetryAfter = settings.bounds.maxRetryAfter, .limitsOverload = settings.limitsOverload }
@@ -104,6 +104,7 @@
               .trueTime = [this](auto time) { m_reports.setTrueTime(time, monotonicNow()); },
           })
 {
+    m_upstream->setAnswerBudget(m_context.answerBytes);
     m_reports.connect(m_context);
 }
 
