--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -3,6 +3,7 @@
 #include "base/RouterError.h"
 #include "http/EventStreamScanner.h"
 #include "http/ResponseWriter.h"
+#include "http/UpstreamClient.h"
 #include "placement/PromptGuard.h"
 
 namespace HickoryHollow {
