A connection that waits for a request ends with its event loop

Cause: the server's list of connections that wait for a request holds them by shared pointers, and the coroutines of all event loops share the list. The wait took its entry out in its normal course only. At the end of a process the first loop was destroyed while the list still held that loop's connections; the last loop's end then destroyed the list, and with it sockets and timers that used their freed loop (backtrace: ~EventLoops, acceptLoop of the last loop, ~Shared, ~ConnectionState, free). It is no race between threads: all of them have been joined by then. Whether the heap's state makes it visible is chance.

Ruled out: the drain itself (it had ended with nothing cut); the watch of the peer and awaitClose, whose frames hold their own connection; the platform's process and the stand-in, which have one loop, so that the list ends within the loop's own end.

Fix: the entry belongs to an object of the coroutine, so that it goes with the coroutine however that ends.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -47,18 +47,30 @@
     /** An eighth more connections than are served stay open, so that their peers can be told of the overload. */
     std::size_t maxOpen() const { return options.maxConnections + options.maxConnections / 8; }
 
-    IdleList::iterator addIdle(std::shared_ptr<ConnectionState> state)
-    {
-        const std::lock_guard lock(mutex);
-        state->isIdle = true;
-        return idle.insert(idle.end(), std::move(state));
-    }
-    void removeIdle(IdleList::iterator it)
-    {
-        const std::lock_guard lock(mutex);
-        (*it)->isIdle = false;
-        idle.erase(it);
-    }
+    /** A connection's place in `idle`. It ends with the coroutine at the latest, as no connection may outlive its event loop. */
+    class IdlePlace {
+    public:
+        IdlePlace(Shared& shared, std::shared_ptr<ConnectionState> state)
+            : m_shared(shared)
+        {
+            const std::lock_guard lock(m_shared.mutex);
+            state->isIdle = true;
+            m_it = m_shared.idle.insert(m_shared.idle.end(), std::move(state));
+        }
+        ~IdlePlace()
+        {
+            const std::lock_guard lock(m_shared.mutex);
+            (*m_it)->isIdle = false;
+            m_shared.idle.erase(m_it);
+        }
+        IdlePlace(const IdlePlace&) = delete;
+        IdlePlace& operator=(const IdlePlace&) = delete;
+
+    private:
+        Shared& m_shared;
+        IdleList::iterator m_it;
+    };
+
     /** Closes the connection that has waited for a request for the longest time: no request is lost with it. False if none waits. */
     bool closeLongestIdle()
     {
@@ -152,10 +164,12 @@
         // A body leaves the buffer as large as its reads were; many idle connections would keep that.
         state->buf.shrink_to_fit();
         state->isReading = false;
-        const auto idle = shared->addIdle(state);
-        const auto hasRequest = co_await reader.waitForRequest();
-        state->isReading = true;
-        shared->removeIdle(idle);
+        auto hasRequest = false;
+        {
+            const typename SharedState::IdlePlace place(*shared, state);
+            hasRequest = co_await reader.waitForRequest();
+            state->isReading = true;
+        }
         if (!hasRequest)
             break;
         std::optional<CountGuard> arrivingGuard(std::in_place, shared->arriving);
