The orders of servers follow one clock, so that their test no longer depends on how long the machine is up

Cause: ServerScaling decides with the time that its caller passes, but took the time of the provider's answer from the machine's clock. In the product both are the same clock, so the product is right. The test decides from 1,000 s on; on a machine that has been up for less, each answer lay in the past, the time in which an order takes effect was over at once, and the order was repeated. On one that has been up for longer, the answer lay in the future, so that the test could not have seen a repetition at all.

Fix: the clock is passed to ServerScaling; the state instance passes the machine's, the test its own. The test runs from one second after the start of the machine and from long after any time that it shows.

--- a/src/node/ServerScaling.cpp
+++ b/src/node/ServerScaling.cpp
@@ -23,10 +23,11 @@
 
 } // namespace
 
-ServerScaling::ServerScaling(asio::io_context& loop, const RoutingDecoder& decoder, ProviderApi& provider)
+ServerScaling::ServerScaling(asio::io_context& loop, const RoutingDecoder& decoder, ProviderApi& provider, Clock clock)
     : m_loop(loop)
     , m_decoder(decoder)
     , m_provider(provider)
+    , m_clock(std::move(clock))
     , m_isAlive(std::make_shared<bool>(true))
 {
 }
@@ -140,11 +141,11 @@
 {
     const auto isAlive = m_isAlive;
     const auto cause = causeOf(order);
-    const auto sentAt = monotonicNow();
+    const auto sentAt = m_clock();
     const auto outcome = co_await m_provider.orderServers(order);
     if (!*isAlive)
         co_return;
-    const auto now = monotonicNow();
+    const auto now = m_clock();
     m_ordering.finish(order, outcome, now);
     logEvent(LogEvent::ServersOrdered, "service={} domain={} kind={} servers={} outcome={} took_ms={} {}", order.service.value(), order.domain.value(), kindOf(order.isReclaimable), order.servers, toString(outcome), (now - sentAt) / std::chrono::milliseconds(1), cause);
 }
--- a/src/node/ServerScaling.h
+++ b/src/node/ServerScaling.h
@@ -31,8 +31,10 @@
 /** Used on one event loop. */
 class ServerScaling {
 public:
-    /** `decoder` and `provider` outlive the object and its calls. */
-    ServerScaling(asio::io_context&, const RoutingDecoder&, ProviderApi& provider);
+    using Clock = std::function<TimePoint()>;
+
+    /** `decoder` and `provider` outlive the object and its calls. `clock` gives the time of the provider's answers, as `now` does elsewhere. */
+    ServerScaling(asio::io_context&, const RoutingDecoder&, ProviderApi& provider, Clock clock);
     ~ServerScaling();
     ServerScaling(const ServerScaling&) = delete;
     ServerScaling& operator=(const ServerScaling&) = delete;
@@ -67,6 +69,7 @@
     asio::io_context& m_loop;
     const RoutingDecoder& m_decoder;
     ProviderApi& m_provider;
+    Clock m_clock;
     std::shared_ptr<bool> m_isAlive; // Set to false by the destructor; checked by calls that end later.
     RoutingVersion m_version;
     std::map<ServiceId, Service> m_services; // Those with ScalingLimits.
--- a/src/node/StateInstanceScaling.cpp
+++ b/src/node/StateInstanceScaling.cpp
@@ -10,7 +10,7 @@
     if (!m_duties || !m_settings.provider->ordersServers)
         return;
     if (!m_scaling)
-        m_scaling = std::make_unique<ServerScaling>(m_loop, m_decoder, m_duties->provider());
+        m_scaling = std::make_unique<ServerScaling>(m_loop, m_decoder, m_duties->provider(), monotonicNow);
     m_scaling->setRouting(m_routing->version, m_routing->text);
     if (m_scaling->isDue(now))
         m_scaling->decide({ .servers = m_directory.all(), .usage = m_usage.sum({}), .demandOf = [this](const ServiceId& service) { return demandOf(service); } }, now);
--- a/test/correctness/server_scaling_node.cpp
+++ b/test/correctness/server_scaling_node.cpp
@@ -41,6 +41,11 @@
 };
 
 struct Bench {
+    explicit Bench(TimePoint start)
+        : now(start)
+    {
+    }
+
     /** Decides for six seconds with four servers, of which only two serve, and 100 requests at them. */
     void run()
     {
@@ -61,15 +66,17 @@
     asio::io_context loop;
     FakeDecoder decoder;
     FakeProvider provider;
-    ServerScaling scaling { loop, decoder, provider };
-    TimePoint now { 1000s };
+    TimePoint now;
+    ServerScaling scaling { loop, decoder, provider, [this] { return now; } };
 };
 
 } // namespace
 
 TEST_CASE("a state instance orders servers only while it holds the duties and the service has limits", "[scaling]")
 {
-    Bench bench;
+    // Just after the start of the machine, and long after any time that its clock shows.
+    const auto start = GENERATE(TimePoint(1s), TimePoint(1'000'000h));
+    Bench bench(start);
     bench.scaling.setRouting(RoutingVersion(1), {});
     bench.run();
     CHECK(bench.provider.orders.empty());
