A process that ends with requests in progress destroys them before what they use

Cause: the event loops are members that are declared first, so they were destroyed last, and the coroutines of the requests with them. By then the lists and counts that the requests leave on their way out no longer existed (backtrace on hickoryhollowd: ~EventLoops, serveConnection, ~RequestRunner, ~Interrupts::Subscription, an erase in a list that was gone). The requests were lost in any case; the crash came after the last line of the log and replaced the exit code for requests that were cut off by a signal.

Fix: both processes destroy what waits in their loops first, while all else exists. The thread of the replicated state posts to a loop, so it is ended before. EventLoops destroys the tasks of all its loops before the first loop, so that nothing that two loops share meets a loop that is gone.

Ruled out: destroying the loops first, which clients, timers and listeners of the members still use.

--- a/src/cluster/Cluster.cpp
+++ b/src/cluster/Cluster.cpp
@@ -114,6 +114,11 @@
 }
 
 Cluster::~Cluster()
+{
+    stop();
+}
+
+void Cluster::stop()
 {
     // The node's thread sends through the mesh, so the node must be destroyed first.
     m_node.reset();
--- a/src/cluster/Cluster.h
+++ b/src/cluster/Cluster.h
@@ -48,6 +48,8 @@
 
     /** Starts polling for settings and reporting to the peers. Call once. */
     void start();
+    /** Ends the node's thread, which posts to `loop`. Call it when the loop runs no more. */
+    void stop();
     IdempotencyLedger& ledger() { return m_ledger; }
     SettingsStore& settingsStore() { return m_settingsStore; }
     /** Forms the replicated state of a new deployment. Blocks. Returns why it cannot be formed, or an empty string. */
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -99,6 +99,9 @@
 
 struct Daemon::Components {
     explicit Components(const DaemonSettings&);
+    ~Components();
+    Components(const Components&) = delete;
+    Components& operator=(const Components&) = delete;
 
     std::unique_ptr<Cluster> makeCluster();
     DumpSections dumpSections();
@@ -155,6 +158,13 @@
     }
 }
 
+Daemon::Components::~Components()
+{
+    if (cluster)
+        cluster->stop();
+    loops.destroyTasks(); // Requests that the end cuts off use the other members until then.
+}
+
 std::unique_ptr<Cluster> Daemon::Components::makeCluster()
 {
     if (!settings.inventoryFile.empty())
--- a/src/net/EventLoops.cpp
+++ b/src/net/EventLoops.cpp
@@ -2,11 +2,17 @@
 
 namespace HickoryHollow {
 
+class EventLoops::Loop : public asio::io_context {
+public:
+    using asio::execution_context::shutdown;
+    using asio::io_context::io_context;
+};
+
 EventLoops::EventLoops(std::size_t count)
 {
     constexpr int concurrencyHint = 1; // One thread runs each loop, so Asio can leave out some of its locking.
     for (std::size_t i = 0; i < count; ++i) {
-        m_loops.push_back(std::make_unique<asio::io_context>(concurrencyHint));
+        m_loops.push_back(std::make_unique<Loop>(concurrencyHint));
         m_guards.push_back(asio::make_work_guard(*m_loops.back()));
     }
 }
@@ -14,6 +20,12 @@
 EventLoops::~EventLoops()
 {
     stop();
+    destroyTasks();
+}
+
+asio::io_context& EventLoops::at(std::size_t i)
+{
+    return *m_loops.at(i);
 }
 
 void EventLoops::run()
@@ -32,4 +44,10 @@
         it->stop();
 }
 
+void EventLoops::destroyTasks()
+{
+    for (auto& it : m_loops)
+        it->shutdown();
+}
+
 } // namespace HickoryHollow
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -98,6 +98,9 @@
 
 struct NodeProcess::Impl {
     explicit Impl(Options);
+    ~Impl();
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
 
     std::string metricsText() const;
     Task<void> housekeeping();
@@ -148,6 +151,13 @@
     }
 }
 
+NodeProcess::Impl::~Impl()
+{
+    if (state)
+        state->stop();
+    loops.destroyTasks(); // Requests that the end cuts off use the other members until then.
+}
+
 std::string NodeProcess::Impl::metricsText() const
 {
     if (entry)
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -122,6 +122,11 @@
     createProviderReports();
 }
 
+void StateInstance::stop()
+{
+    m_node.reset();
+}
+
 StateInstance::~StateInstance()
 {
     *m_isAlive = false;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -40,6 +40,8 @@
     StateInstance& operator=(const StateInstance&) = delete;
 
     void start();
+    /** Ends the node's thread, which posts to the loop. Call it when the loop runs no more; only the destructor may follow. */
+    void stop();
     void setSeeds(const std::vector<InstanceId>&);
 
     Task<RoutingSubmission> submitRouting(std::string text) override;
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -72,6 +72,16 @@
     /** Tells an entry instance to stop. */
     void drainEntry(int entry) { m_entries[static_cast<std::size_t>(entry)]->requestDrain(); }
 
+    /** Stops an entry instance and waits for its end. Returns the number of requests that the end cut off. */
+    std::size_t stopEntry(int entry)
+    {
+        const auto instance = std::move(m_entries[static_cast<std::size_t>(entry)]);
+        return instance->stop();
+    }
+
+    /** Port of an entry instance for callers. */
+    int entryPort(int number) const { return m_options.firstPort + 2 + 3 * number; }
+
     /** Sends a request to an entry instance. */
     Answer ask(int entry, const std::string& path, const std::string& body, const std::string& key = "good-key", const HttpFields& fields = {}) const
     {
@@ -94,7 +104,6 @@
     static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
     int linkPort() const { return m_options.firstPort; }
     int controlPort() const { return m_options.firstPort + 1; }
-    int entryPort(int number) const { return m_options.firstPort + 2 + 3 * number; }
     std::string serverAddress(std::size_t number) const { return address(m_options.firstPort + 20 + static_cast<int>(number)); }
 
     std::string commonSettings() const
--- a/test/fakes/RunningInstance.h
+++ b/test/fakes/RunningInstance.h
@@ -33,14 +33,22 @@
         INFO(toString(diagnostics));
         REQUIRE(parsed);
         m_process = std::make_unique<NodeProcess>(NodeProcess::Options { .settingsFile = m_file, .settings = *parsed, .decoder = m_decoder, .codec = m_codec, .providerCodec = m_providerCodec, .readinessPath = "/readyz", .makeControlApi = [](ControlPlane& plane) { return std::make_unique<Platform::ControlApi>(plane); } });
-        m_thread = std::thread([this] { m_process->run(); });
+        m_thread = std::thread([this] { m_cut = m_process->run(); });
     }
     ~RunningInstance()
     {
-        m_process->requestDrain();
-        m_thread.join();
+        stop();
         std::filesystem::remove(m_file);
     }
+    /** Drains the instance and waits for its end. Returns the number of requests that the end cut off. */
+    std::size_t stop()
+    {
+        if (m_thread.joinable()) {
+            m_process->requestDrain();
+            m_thread.join();
+        }
+        return m_cut;
+    }
     /** Starts the drain, as SIGTERM does. */
     void requestDrain() { m_process->requestDrain(); }
 
@@ -53,6 +61,7 @@
     Platform::HeaderCodec m_codec;
     Platform::ProviderMessages m_providerCodec;
     std::unique_ptr<NodeProcess> m_process;
+    std::size_t m_cut = 0; // Valid after the end of the thread.
     std::thread m_thread;
 };
 
