Test that a silent server's request ends within 400 ms beside the next

The test 'a silent stream ends soon after another server has begun to read it' claimed the bound of TWICE and didn't prove it: with an overlap without end it passed, as the next server's answer ended the silent call 700 ms later. It now looks at what has ended 390 ms after the next server got the request. Seen to fail with that mutation of overlapEnd() (nothing ended), and to pass without. The checks before stay.

--- a/test/error/silent_servers.cpp
+++ b/test/error/silent_servers.cpp
@@ -190,12 +190,19 @@
     silent.silentAfter = 1;
     auto slow = pausingStream();
     slow.silence = 700ms;
+    std::vector<std::string> endedInTime;
+    Timer latest(bench.loop.get_executor());
+    slow.afterSending = [&] {
+        latest.expires_after(390ms); // The engine before may work on a request that goes on elsewhere for 400 ms.
+        latest.async_wait([&](const auto&) { endedInTime = bench.upstream.cancelled; });
+    };
     bench.upstream.scripts = { silent, slow };
     const auto begunAt = monotonicNow();
     Duration calls {};
     bench.writer.written = [&] { calls = monotonicNow() - begunAt; };
     bench.run(RoutedBench::request("/draft/7", "good-key", "60000"));
     CHECK(calls >= 700ms);
+    CHECK(endedInTime == std::vector<std::string> { bench.upstream.addresses[0] });
     CHECK(bench.upstream.cancelled == std::vector<std::string> { bench.upstream.addresses[0] });
     CHECK(bench.writer.isFinished);
     CHECK(bench.writer.streamed == wholeStream);
