Failing test: a feed leaves a state instance that confirms for a silent one

A frozen process's host still accepts connections.

Not fixed here: the new link has to say hello and be polled beside the present one, which goes on being polled, and takes over with its first confirmation.

--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -27,6 +27,9 @@
     }
 
     int polls() const { return m_polls; }
+    /** Number of links that entry instances have opened. */
+    std::size_t links() const { return m_links.size(); }
+    bool isSilent = false; ///< Answers nothing, as a frozen process whose host accepts connections.
     /** Sends the message on the link of each entry instance that polled. */
     void send(const Wire::LinkMessage& message)
     {
@@ -54,6 +57,8 @@
         if (!message.__isset.freshnessPoll)
             return;
         ++m_polls;
+        if (isSilent)
+            return polled(message.freshnessPoll);
         Wire::FreshnessReply reply;
         reply.id = message.freshnessPoll.id;
         reply.confirmed = m_confirms;
@@ -205,3 +210,32 @@
     // One that does not confirm is left again and not tried at once.
     CHECK(localInstance.polls() == (localConfirms ? polls : 1));
 }
+
+// Guards against an entry instance that leaves a state instance that confirms for one that may not, and loses its lease meanwhile.
+TEST_CASE("a feed leaves a state instance that confirms only for one that has confirmed", "[state][loopback]")
+{
+    constexpr int polls = 10;
+    asio::io_context loop(1);
+    const InstanceId seed("127.0.0.1:7951");
+    const InstanceId local("127.0.0.1:7952");
+    FakeStateInstance remoteInstance(loop, seed.value(), true);
+    FakeStateInstance localInstance(loop, local.value(), false);
+    localInstance.isSilent = true;
+    Wire::StateAddress address;
+    address.listen = local.value();
+    address.failureDomain = "d";
+    Wire::LinkHello hello;
+    hello.states.push_back(address);
+    Wire::LinkMessage advertisement;
+    advertisement.__set_hello(hello);
+    remoteInstance.polled = [&](const auto&) {
+        remoteInstance.send(advertisement);
+        if (remoteInstance.polls() >= polls && localInstance.links() > 0)
+            loop.stop();
+    };
+    StateFeed feed(loop, { .instance = "e", .failureDomain = FailureDomainId("d"), .seed = 1, .usageInterval = std::chrono::milliseconds(20), .moveDelay = Duration() }, ignoredEvents());
+    feed.start({ seed });
+    loop.run();
+    CHECK(localInstance.links() >= 1);
+    CHECK(remoteInstance.links() == 1);
+}
