Show which streams have no framing and how long their server has run

Event 2107 names both for each attempt, and hickory_unframed_streams_total counts complete streams without framing. How long a server has run is proved by the connections to it that overlap (http/OpenConnections): the kernel ends all of them with the process. No decision uses it yet.

--- a/src/forwarding/AttemptTrace.cpp
+++ b/src/forwarding/AttemptTrace.cpp
@@ -6,9 +6,17 @@
 
 namespace {
 
-std::string textOf(std::optional<std::uint64_t> id)
+template <typename Number>
+std::string textOf(std::optional<Number> number)
 {
-    return id ? std::to_string(*id) : "-";
+    return number ? std::to_string(*number) : "-";
+}
+
+std::string_view framingOf(std::optional<bool> isUnframed)
+{
+    if (!isUnframed)
+        return "-";
+    return *isUnframed ? "unframed" : "framed";
 }
 
 } // namespace
@@ -20,6 +28,14 @@
     return m_size++;
 }
 
+void AttemptTrace::recordAnswer(Index index, bool isUnframed, std::optional<Duration> ranFor)
+{
+    if (index >= m_attempts.size())
+        return;
+    m_attempts[index].isUnframed = isUnframed;
+    m_attempts[index].ranFor = ranFor;
+}
+
 void AttemptTrace::recordEvents(Index index, std::optional<std::uint64_t> first, std::uint64_t events)
 {
     if (index >= m_attempts.size())
@@ -39,8 +55,10 @@
 std::string AttemptTrace::toText() const
 {
     std::string text;
-    for (const auto& it : m_attempts)
-        text += fmt::format("{}{}/{}/{}/{}/{}/{}", text.empty() ? "" : ",", it.target, it.cause, textOf(it.after), textOf(it.first), it.events, it.took / std::chrono::milliseconds(1));
+    for (const auto& it : m_attempts) {
+        const auto ranFor = it.ranFor ? std::optional(*it.ranFor / std::chrono::milliseconds(1)) : std::nullopt;
+        text += fmt::format("{}{}/{}/{}/{}/{}/{}/{}/{}", text.empty() ? "" : ",", it.target, it.cause, textOf(it.after), textOf(it.first), it.events, it.took / std::chrono::milliseconds(1), framingOf(it.isUnframed), textOf(ranFor));
+    }
     return text;
 }
 
--- a/src/forwarding/AttemptTrace.h
+++ b/src/forwarding/AttemptTrace.h
@@ -22,6 +22,11 @@
 
     /** An attempt at `target` begins. `after` is the id of the last event that it is not to bring again. */
     Index begin(std::string_view target, std::optional<std::uint64_t> after, TimePoint now);
+    /**
+     * The attempt is answered. `isUnframed`: the answer has neither a length nor chunks. `ranFor`: how long the target is known to have
+     * run without an end.
+     */
+    void recordAnswer(Index, bool isUnframed, std::optional<Duration> ranFor);
     /** The attempt has brought `events` events so far, the first of them with the id `first`. */
     void recordEvents(Index, std::optional<std::uint64_t> first, std::uint64_t events);
     /** Ends the attempt. `cause` outlives the trace. */
@@ -29,7 +34,10 @@
 
     /** Number of attempts begun. */
     std::size_t size() const { return m_size; }
-    /** `target/cause/after/first/events/milliseconds` of each attempt, separated by commas; `-` for an id that does not exist. */
+    /**
+     * `target/cause/after/first/events/milliseconds/framing/run` of each attempt, separated by commas; `-` for what does not exist.
+     * `framing` is `framed` or `unframed`, `run` the milliseconds that the target was known to have run at its answer.
+     */
     std::string toText() const;
 
 private:
@@ -42,6 +50,8 @@
         std::uint64_t events = 0;
         TimePoint begunAt {};
         Duration took {};
+        std::optional<bool> isUnframed; // Nothing without an answer.
+        std::optional<Duration> ranFor;
         std::string_view cause = "unfinished";
     };
 
--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -31,6 +31,8 @@
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
+    const auto runsSince = call.serverRunsSince();
+    m_trace.recordAnswer(m_attempt, head.isCloseDelimited, runsSince ? std::optional(monotonicNow() - *runsSince) : std::nullopt);
     EventStreamScanner events(EventStreamScanner::EndMarker::None);
     BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     std::optional<TimePoint> firstEventAt;
@@ -117,6 +119,7 @@
     }
     if (callId)
         m_context.promptGuard.recordAnswered(m_parts, monotonicNow());
+    m_metrics->unframedStreams += head.isCloseDelimited ? 1 : 0;
     result.end = AttemptEnd::Delivered;
     result.outcome = CallOutcome::Answered;
     result.cause = "none";
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -99,6 +99,7 @@
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     setLostHostLimits(socket.native_handle(), m_limits);
+    m_open.add(address, connection, monotonicNow());
     co_return std::error_code();
 }
 
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "http/OpenConnections.h"
 #include "http/UpstreamClient.h"
 #include "net/LostHost.h"
 #include "net/Task.h"
@@ -13,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <unordered_map>
@@ -35,6 +37,7 @@
     boost::beast::basic_stream<asio::ip::tcp, Executor> stream;
     boost::beast::flat_buffer buf;
     TimePoint idleSince {};
+    TimePoint serverRunsSince {}; // See OpenConnections; set when it is opened.
     Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response.
 };
 
@@ -57,6 +60,9 @@
      */
     void allowLateReads(const std::shared_ptr<ServerConnection>&, Duration longest, std::shared_ptr<bool> isWriting);
 
+    /** See OpenConnections. */
+    std::optional<TimePoint> serverRunsSince(const std::string& address) const { return m_open.runsSince(address); }
+
     const UpstreamOptions& options() const { return m_options; }
     void setAnswerBudget(BufferBudget& budget) { m_answerBudget = &budget; }
     /** Null if nothing bounds the answers of all calls together. */
@@ -68,6 +74,7 @@
     LostHostLimits m_limits;
     BufferBudget* m_answerBudget = nullptr;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idle; // By the address of the server.
+    OpenConnections m_open;
 };
 
 } // namespace HickoryHollow
--- /dev/null
+++ b/src/http/OpenConnections.cpp
@@ -0,0 +1,45 @@
+#include "http/OpenConnections.h"
+
+#include "http/ConnectionPool.h"
+
+#include <poll.h>
+
+namespace HickoryHollow {
+
+namespace {
+
+/** True unless one of both sides has ended the connection. Bytes that wait to be read may have been sent before an end. */
+bool isOpen(ServerConnection& connection)
+{
+    auto& socket = connection.stream.socket();
+    if (!socket.is_open())
+        return false;
+    pollfd polled { .fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&polled, 1, 0) == 0;
+}
+
+} // namespace
+
+void OpenConnections::add(const std::string& address, const std::shared_ptr<ServerConnection>& connection, TimePoint now)
+{
+    // A process that still runs has accepted, or will accept, the new connection too.
+    connection->serverRunsSince = runsSince(address).value_or(now);
+    auto& connections = m_connections[address];
+    std::erase_if(connections, [](const auto& it) { return it.expired(); });
+    connections.push_back(connection);
+}
+
+std::optional<TimePoint> OpenConnections::runsSince(const std::string& address) const
+{
+    const auto found = m_connections.find(address);
+    if (found == m_connections.end())
+        return std::nullopt;
+    for (const auto& it : found->second) {
+        const auto connection = it.lock();
+        if (connection && isOpen(*connection))
+            return connection->serverRunsSince;
+    }
+    return std::nullopt;
+}
+
+} // namespace HickoryHollow
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -46,6 +46,7 @@
             head.ec = head.ec ? head.ec : make_error_code(RouterError::UpstreamConnectFailed);
             co_return head;
         }
+        m_serverRunsSince = m_connection->serverRunsSince;
         if (auto* budget = m_pool->answerBudget())
             m_share.emplace(*budget, [this] { cancel(); });
         auto checked = request; // Shares the body.
@@ -89,6 +90,7 @@
     void skipMismatchedResponses(const IsMismatchedResponse& test) override { m_isMismatched = test; }
     void checkBeforeSending(const BeforeSend& check) override { m_beforeSend = check; }
     bool reusedConnection() const override { return m_reusedConnection; }
+    std::optional<TimePoint> serverRunsSince() const override { return m_serverRunsSince; }
 
     Task<UpstreamChunk> readChunk() override
     {
@@ -329,6 +331,7 @@
     std::shared_ptr<bool> m_isWriting; // True until an asynchronous write of the request succeeds; null if begin writes it.
     bool m_skippedResponse = false;
     bool m_reusedConnection = false;
+    std::optional<TimePoint> m_serverRunsSince;
     bool m_isCancelled = false;
     std::array<char, readBufferBytes> m_readBuffer {};
 };
@@ -355,6 +358,7 @@
         co_return ec;
     }
 
+    std::optional<TimePoint> serverRunsSince(const std::string& address) const override { return m_pool->serverRunsSince(address); }
     void setAnswerBudget(BufferBudget& budget) override { m_pool->setAnswerBudget(budget); }
     void setMaxIdleConnections(std::size_t limit) override { m_pool->setMaxIdleConnections(limit); }
 
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -86,6 +87,11 @@
     virtual void checkBeforeSending(const BeforeSend&) { }
     /** True if the request was sent on a connection that had served another request. Valid after begin. */
     virtual bool reusedConnection() const { return false; }
+    /**
+     * Time since which the process that the request was sent to has run without an end, as the connections show that were open
+     * meanwhile; nothing before there is a connection. It may have run for longer. Valid from the check before sending on.
+     */
+    virtual std::optional<TimePoint> serverRunsSince() const { return std::nullopt; }
     /** True if bytes have come that no read has taken yet, as while the event loop was busy. */
     virtual bool hasUnreadBytes() const { return false; }
     /** Makes a pending begin or read end with an error. Call on the event loop of the call only. */
@@ -101,6 +107,8 @@
     virtual std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) = 0;
     /** Opens a connection that a later call may use, to learn whether the server can be reached. */
     virtual Task<std::error_code> connect(const std::string& address) = 0;
+    /** As UpstreamCall::serverRunsSince(), by the connections to `address` that are open now; nothing if there are none. */
+    virtual std::optional<TimePoint> serverRunsSince(const std::string& /*address*/) const { return std::nullopt; }
     /** Bounds what headers and framing take beyond the usual. The budget outlives all calls. */
     virtual void setAnswerBudget(BufferBudget&) { }
     /** Sets the number of idle connections kept for each server and closes those above it. */
--- a/src/metrics/ClassMetrics.h
+++ b/src/metrics/ClassMetrics.h
@@ -17,6 +17,7 @@
     std::atomic<std::uint64_t> refusedNotRun = 0; ///< Requests that ended with an error and the verdict `not-run`.
     std::atomic<std::uint64_t> refusedOverload = 0; ///< Number of these requests that were refused for overload; see event 2301.
     std::atomic<std::uint64_t> failedMayHaveRun = 0; ///< Requests that ended with an error and another verdict.
+    std::atomic<std::uint64_t> unframedStreams = 0; ///< Complete streams whose end was the end of a connection, without length or chunks.
     std::atomic<std::uint64_t> attempts = 0; ///< Attempts sent to backend servers.
     std::atomic<std::uint64_t> wastedAttempts = 0; ///< Number of these attempts that failed after the request may have run.
     std::atomic<std::uint64_t> retries = 0; ///< Attempts by the router after the first attempt of a request.
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -19,6 +19,7 @@
     CounterRow { "hickory_refused_not_run_total", &ClassMetrics::refusedNotRun },
     CounterRow { "hickory_refused_overload_total", &ClassMetrics::refusedOverload },
     CounterRow { "hickory_failed_may_have_run_total", &ClassMetrics::failedMayHaveRun },
+    CounterRow { "hickory_unframed_streams_total", &ClassMetrics::unframedStreams },
     CounterRow { "hickory_attempts_total", &ClassMetrics::attempts },
     CounterRow { "hickory_wasted_attempts_total", &ClassMetrics::wastedAttempts },
     CounterRow { "hickory_retries_total", &ClassMetrics::retries },
--- a/test/error/stream_attempts.cpp
+++ b/test/error/stream_attempts.cpp
@@ -38,10 +38,11 @@
 {
     AttemptTrace trace;
     const auto first = trace.begin("10.0.0.1:1", std::nullopt, start);
+    trace.recordAnswer(first, true, 250ms);
     trace.recordEvents(first, 1, 3);
     trace.end(first, "server-silent", start + 1200ms);
     trace.begin("10.0.0.2:1", 3, start + 1200ms);
-    CHECK(trace.toText() == "10.0.0.1:1/server-silent/-/1/3/1200,10.0.0.2:1/unfinished/3/-/0/0");
+    CHECK(trace.toText() == "10.0.0.1:1/server-silent/-/1/3/1200/unframed/250,10.0.0.2:1/unfinished/3/-/0/0/-/-");
 }
 
 TEST_CASE("the trace of attempts keeps the first twelve and counts all", "[routed]")
