Ask a silent server again if no other one takes its stream over

Cause: two servers may work on one request for 0.4 s only, so the silent attempt ends 0.3 s after the next one was asked. A refusal that comes later finds nothing left, since the silent server is left out for the rest of the request: giving up what one has before one has the other. Waiting longer would let two servers run one request (ruled out by the users' rule), so the silent server becomes a candidate again once no other one takes the stream. It goes on behind the last event that the caller has, as a further run within the route's attempts and with a retry of its own. A server that broke the stream off is not asked again.

Evidence: 'a stream whose next server refuses late ...' failed before (no-other-server, one event of two written); all tests of [routed] and [relay] pass.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -150,6 +150,8 @@
         recordCompletion(grant->placement, result, begunAt, requestsAtStart);
         if (!result.isHeldBack)
             m_placementRequest.excluded.insert(grant->placement.backend);
+        if (result.outcome == CallOutcome::Silent)
+            m_silentServers.insert(grant->placement.backend);
         recordResult(m_attempt, result);
         accepted = co_await awaitSuccessor(result);
         if (!accepted && !mayRetry(result)) {
@@ -184,6 +186,8 @@
         logEnd(0, "caller-gone");
         co_return std::nullopt;
     }
+    if (!grant && m_streamStarted)
+        grant = placeAtSilentServer(now);
     if (const auto refusal = overload ? overloadRefusal(*overload) : findRefusal(grant ? &grant->placement : nullptr, *m_retryWindow)) {
         if (grant) {
             m_lastPlacement = grant->placement;
@@ -196,6 +200,16 @@
     co_return grant;
 }
 
+// A sound server may have been silent for a while only, and its caller has a part of its stream.
+std::optional<AdmissionQueue::Grant> RoutedExchange::placeAtSilentServer(TimePoint now)
+{
+    if (m_silentServers.empty())
+        return std::nullopt;
+    for (const auto& it : std::exchange(m_silentServers, {}))
+        m_placementRequest.excluded.erase(it);
+    return m_context.admissionQueue.placeAtOnce(m_placementRequest, now);
+}
+
 void RoutedExchange::recordResult(AttemptTrace::Index attempt, AttemptResult& result)
 {
     m_trace.end(attempt, result.cause, monotonicNow());
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -137,6 +137,8 @@
     Task<bool> prepareAttempts();
     /** Waits for a server. Returns nothing if the request was refused or its caller has left. */
     Task<std::optional<AdmissionQueue::Grant>> awaitGrant();
+    /** Places a stream that no other server takes at one that an attempt was ended at for its silence; once for each. */
+    std::optional<AdmissionQueue::Grant> placeAtSilentServer(TimePoint now);
     /** Binds a stream that the caller resumes to the version that began it. Returns the refusal if it cannot go on there. */
     Task<std::optional<NotSent>> bindToOrigin();
     /** Binds the stream to the version of the server that brings its first event, and records that. */
@@ -290,6 +292,7 @@
     const RouteRule* m_route = nullptr; // Null until the route is found.
     const KeyedWorkspace* m_workspace = nullptr; // Null if the route needs no key.
     PlacementRequest m_placementRequest; // Excludes the servers of earlier attempts.
+    std::set<BackendId> m_silentServers; // Excluded for their silence only, and not asked again since.
     std::uint32_t m_sends = 0; // Attempts of which at least one byte may have reached a server.
     std::uint32_t m_possibleRuns = 0; // Attempts that may have executed the request.
     std::uint32_t m_unreachable = 0; // Attempts that found no connection to the server.
