Leave a confirming state instance only for one that has confirmed

What callers saw: while an entry instance moved to the state instance of its own failure domain and that one was frozen, the lease on the configuration could end; streams whose attempt ended then were cut as `configuration-unconfirmed`.

Cause: StateFeed dialled the new state instance and closed the present link as soon as the connection was open. A frozen process, and one that has no leader, accept connections as well.

Ruled out: a poll before the greeting, which would need no second link in use: state instances close links whose first message is no greeting. Applying what both links send: totals and limits of one would replace those of the other while the reports of this instance still go to the first.

The fix: LinkOnTrial greets, polls, and keeps what it is sent. The present link is served beside it. Once the new instance has confirmed, the feed takes the link over, with the messages kept and the confirmation; otherwise the link is closed after `confirmationTimeout`, or at once if the instance denies, and the next try comes 20 s later as before.

--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -3,6 +3,7 @@
 #include "base/LogEvent.h"
 #include "links/EntryAddressCodec.h"
 #include "links/StateMesh.h"
+#include "node/LinkOnTrial.h"
 #include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
 #include "wire/AdmissionCodec.h"
@@ -30,8 +31,8 @@
 // delay the state instances' recovery, and stays short enough to be back within a second of it.
 constexpr Duration reconnectDelay = std::chrono::milliseconds(100);
 constexpr Duration maxReconnectDelay = std::chrono::milliseconds(400);
-// Time between two moves into the own failure domain: a state instance there that is up but does not confirm is not tried all the time.
 constexpr Duration completionsInterval = std::chrono::milliseconds(100); // A report for each class takes some 40 bytes.
+// Time between two moves into the own failure domain: a state instance there that is up but does not confirm is not tried all the time.
 constexpr Duration moveInterval = std::chrono::seconds(20);
 // Mean time between two moves in the whole deployment: each new link is sent the records of all servers.
 constexpr Duration moveIntervalOfFleet = std::chrono::milliseconds(50);
@@ -48,11 +49,25 @@
     {
     }
 
+    /** A link that takes the place of the present one, to an instance that has confirmed. */
+    struct Move {
+        InstanceId instance;
+        std::shared_ptr<LinkOnTrial> link;
+        std::uint64_t poll = 0; // That was confirmed.
+        TimePoint polledAt {};
+    };
+
     InstanceId selectInstance(TimePoint now) const;
-    bool shouldMove(TimePoint now) const;
-    Task<void> prepareMove();
+    bool shouldTryMove(TimePoint now) const;
+    /** Opens a link to a state instance of the own failure domain; sets `move` once that has confirmed. */
+    Task<void> tryMove();
+    /** Drops a move whose link has closed. Returns true if there is another. */
+    bool hasMove();
     Task<void> run();
-    Task<void> serveLink(std::shared_ptr<Link>);
+    /** Uses a link until it ends or there is a better one. The link is null if it comes with a move. */
+    Task<void> serveLink(std::shared_ptr<Link>, std::optional<Move>);
+    Wire::LinkMessage hello() const;
+    Wire::LinkMessage makePoll(std::uint64_t id) const;
     void handleMessage(const Wire::LinkMessage&);
     void receiveRouting(RoutingDocument);
     void receiveRoutingDelta(const Wire::RoutingDelta&);
@@ -86,8 +101,7 @@
     TimePoint completionsSentAt {};
     TimePoint attachedAt {}; // When the current link was opened.
     std::optional<TimePoint> moveTriedAt; // When a state instance of the own failure domain was dialled last in order to move there.
-    std::shared_ptr<Link> prepared; // Open link to `preparedInstance`, which is used next; usually null.
-    InstanceId preparedInstance;
+    std::optional<Move> move; // Which is made next.
     TimePoint confirmedAt {}; // Time of the last confirmation, or of opening the link if there was none since.
     bool isPollDue = false; // pollNow() was called.
     bool hasConfirmed = false; // The attached instance has confirmed since the link was opened.
@@ -111,7 +125,7 @@
 }
 
 // A feed that has just started knows only seeds, and the failure domain of none of them.
-bool StateFeed::State::shouldMove(TimePoint now) const
+bool StateFeed::State::shouldTryMove(TimePoint now) const
 {
     constexpr std::uint64_t steps = 1000;
     const auto spread = options.moveDelay + moveIntervalOfFleet * entryInstances;
@@ -121,16 +135,40 @@
     return addresses.isInDomain(selectInstance(now), options.failureDomain);
 }
 
-// The present link stays until the other one is open: a state instance that is cut off must not cost the lease on the configuration.
-Task<void> StateFeed::State::prepareMove()
+// Runs beside serveLink(), so that the present link keeps the lease on the configuration whatever the other instance does.
+Task<void> StateFeed::State::tryMove()
+{
+    const auto keepAlive = shared_from_this();
+    Move next { .instance = selectInstance(monotonicNow()) };
+    std::shared_ptr<Link> link;
+    const auto ec = co_await dialLink(loop, next.instance.value(), dialTimeout, options.link, link);
+    auto hasConfirmedHere = false;
+    if (!ec && !isStopped) {
+        next.link = std::make_shared<LinkOnTrial>(loop, link);
+        next.poll = ++lastPoll;
+        next.polledAt = monotonicNow();
+        hasConfirmedHere = co_await next.link->run(hello(), makePoll(next.poll), options.confirmationTimeout);
+    }
+    if (isStopped && link)
+        link->close();
+    if (isStopped)
+        co_return;
+    if (!hasConfirmedHere) {
+        logEvent(LogEvent::PeerRejected, "instance={} cause={}", next.instance.value(), ec ? "unreachable" : "unconfirmed");
+        failedAt[next.instance] = monotonicNow();
+        co_return;
+    }
+    move = std::move(next);
+    wake.cancel();
+}
+
+bool StateFeed::State::hasMove()
 {
-    moveTriedAt = monotonicNow();
-    preparedInstance = selectInstance(monotonicNow());
-    const auto ec = co_await dialLink(loop, preparedInstance.value(), dialTimeout, options.link, prepared);
-    if (ec) {
-        failedAt[preparedInstance] = monotonicNow();
-        prepared = nullptr;
+    if (move && !move->link->isOpen()) {
+        failedAt[move->instance] = monotonicNow();
+        move.reset();
     }
+    return move.has_value();
 }
 
 Task<void> StateFeed::State::run()
@@ -140,22 +178,21 @@
     auto delay = reconnectDelay;
     while (!isStopped) {
         hasConfirmed = false;
-        auto next = selectInstance(monotonicNow());
-        auto link = std::exchange(prepared, nullptr);
-        if (link)
-            next = preparedInstance;
+        auto made = std::exchange(move, std::nullopt);
+        const auto next = made ? made->instance : selectInstance(monotonicNow());
+        std::shared_ptr<Link> link;
         std::error_code ec;
-        if (!link)
+        if (!made)
             ec = co_await dialLink(loop, next.value(), dialTimeout, options.link, link);
         if (!ec) {
             attached = next;
             attachedAt = monotonicNow();
             logEvent(LogEvent::PeerConnected, "instance={}", attached.value());
-            co_await serveLink(link);
+            co_await serveLink(std::move(link), std::move(made));
             logEvent(LogEvent::PeerLost, "instance={} unconfirmed_ms={}", next.value(), (monotonicNow() - confirmedAt) / std::chrono::milliseconds(1));
         }
         attached = {};
-        if (prepared)
+        if (hasMove())
             continue;
         failedAt[next] = monotonicNow();
         // Not `wake`: the end of the link cancels it.
@@ -165,30 +202,31 @@
     }
 }
 
-Task<void> StateFeed::State::serveLink(std::shared_ptr<Link> link)
+Task<void> StateFeed::State::serveLink(std::shared_ptr<Link> link, std::optional<Move> made)
 {
     pollSentAt.clear();
     confirmedAt = monotonicNow();
     hasConfirmed = false;
     cannotConfirm = false;
-    link->start([state = shared_from_this()](const auto& message) { state->handleMessage(message); }, [state = shared_from_this()] { state->wake.cancel(); });
-    Wire::LinkHello hello;
-    hello.instance = options.instance;
-    hello.failureDomain = options.failureDomain.value();
-    if (!options.relayListen.empty())
-        hello.__set_relayListen(options.relayListen);
-    Wire::LinkMessage message;
-    message.__set_hello(hello);
-    link->send(message);
+    const auto received = [state = shared_from_this()](const auto& message) { state->handleMessage(message); };
+    const auto closed = [state = shared_from_this()] { state->wake.cancel(); };
+    if (made) {
+        pollSentAt[made->poll] = made->polledAt;
+        link = made->link->take(received, closed);
+    } else {
+        link->start(received, closed);
+        link->send(hello());
+    }
     current = link;
     sendStreams(events.streamOrigins());
     auto isFirst = true;
     auto nextInterval = monotonicNow();
     for (int interval = 0; !isStopped && !cannotConfirm && link->isOpen() && monotonicNow() - confirmedAt <= options.confirmationTimeout;) {
-        if (shouldMove(monotonicNow())) {
-            co_await prepareMove();
-            if (prepared)
-                break;
+        if (hasMove())
+            break;
+        if (shouldTryMove(monotonicNow())) {
+            moveTriedAt = monotonicNow();
+            asio::co_spawn(loop, tryMove(), asio::detached);
         }
         // The loop also wakes between two intervals, for a report that is due at once.
         const auto isIntervalOver = monotonicNow() >= nextInterval;
@@ -230,16 +268,34 @@
         query.mapped()(version);
 }
 
-void StateFeed::State::poll(Link& link)
+Wire::LinkMessage StateFeed::State::hello() const
+{
+    Wire::LinkHello hello;
+    hello.instance = options.instance;
+    hello.failureDomain = options.failureDomain.value();
+    if (!options.relayListen.empty())
+        hello.__set_relayListen(options.relayListen);
+    Wire::LinkMessage message;
+    message.__set_hello(hello);
+    return message;
+}
+
+Wire::LinkMessage StateFeed::State::makePoll(std::uint64_t id) const
 {
     Wire::FreshnessPoll poll;
-    poll.id = toSigned(++lastPoll);
+    poll.id = toSigned(id);
     poll.held = toSigned(held.version.value());
     poll.__set_needsWhole(needsWhole);
-    pollSentAt[lastPoll] = monotonicNow();
     Wire::LinkMessage message;
     message.__set_freshnessPoll(poll);
-    link.send(message);
+    return message;
+}
+
+void StateFeed::State::poll(Link& link)
+{
+    const auto id = ++lastPoll;
+    pollSentAt[id] = monotonicNow();
+    link.send(makePoll(id));
 }
 
 void StateFeed::State::reportUsage(Link& link, bool evenIfUnchanged)
--- a/src/node/StateFeed.h
+++ b/src/node/StateFeed.h
@@ -2,8 +2,8 @@
  * An entry instance's link to the state instance that it is attached to. The link delivers routing configurations, backend
  * records, usage totals and cached prefixes of other instances, and confirmations that the held configuration is the newest.
  * The feed attaches to another state instance if the present one is unreachable or does not confirm in time, and to one of its
- * own failure domain once it knows one: usage totals and records of servers are most of what is sent between failure domains
- * otherwise.
+ * own failure domain once it knows one that has confirmed: usage totals and records of servers are most of what is sent between
+ * failure domains otherwise.
  */
 #pragma once
 
--- a/test/error/state_feed.cpp
+++ b/test/error/state_feed.cpp
@@ -239,3 +239,64 @@
     CHECK(localInstance.links() >= 1);
     CHECK(remoteInstance.links() == 1);
 }
+
+// What a state instance sends once, at the beginning of a link, comes before its first confirmation.
+TEST_CASE("a feed takes over what a state instance sent before it confirmed, and only if it does", "[state][loopback]")
+{
+    constexpr int polls = 10;
+    asio::io_context loop(1);
+    const InstanceId seed("127.0.0.1:7951");
+    const InstanceId local("127.0.0.1:7952");
+    FakeStateInstance remoteInstance(loop, seed.value(), true);
+    FakeStateInstance localInstance(loop, local.value(), true);
+    const auto confirms = GENERATE(true, false);
+    localInstance.isSilent = true;
+    Wire::StateAddress address;
+    address.listen = local.value();
+    address.failureDomain = "d";
+    Wire::LinkHello hello;
+    hello.states.push_back(address);
+    Wire::LinkMessage advertisement;
+    advertisement.__set_hello(hello);
+    Wire::LinkMessage whole;
+    whole.__set_routing(toWire(RoutingDocument { .version = RoutingVersion(3), .text = "text" }));
+    std::vector<std::string> seen;
+    remoteInstance.polled = [&](const auto&) {
+        remoteInstance.send(advertisement);
+        if (remoteInstance.polls() == polls)
+            loop.stop();
+    };
+    localInstance.polled = [&](const auto& poll) {
+        if (localInstance.polls() > 1)
+            return loop.stop();
+        localInstance.send(whole);
+        if (!confirms)
+            return;
+        localInstance.isSilent = false;
+        Wire::FreshnessReply reply;
+        reply.id = poll.id;
+        reply.confirmed = true;
+        reply.version = 3;
+        Wire::LinkMessage answer;
+        answer.__set_freshnessReply(reply);
+        localInstance.send(answer);
+    };
+    auto events = ignoredEvents();
+    events.routing = [&](const auto& document) { seen.push_back("version " + std::to_string(document.version.value())); };
+    events.confirmed = [&](auto version, auto) {
+        if (version == RoutingVersion(3))
+            seen.emplace_back("confirmed");
+    };
+    StateFeed feed(loop, { .instance = "e", .failureDomain = FailureDomainId("d"), .seed = 1, .usageInterval = std::chrono::milliseconds(20), .moveDelay = Duration() }, std::move(events));
+    feed.start({ seed });
+    loop.run();
+    CHECK(localInstance.links() == 1);
+    CHECK(remoteInstance.links() == 1);
+    if (confirms) {
+        CHECK(seen == std::vector<std::string> { "version 3", "confirmed" });
+        CHECK(feed.attachedInstance() == local);
+    } else {
+        CHECK(seen.empty());
+        CHECK(feed.attachedInstance() == seed);
+    }
+}
