Keep a silent second attempt until a third one is accepted

What callers saw: on a route with three attempts a stream was cut when its second attempt was silent and the third server refused, could not be reached, broke off before its answer or answered with an error, though the second one would have gone on.

Cause: RoutedExchange::awaitSuccessor() took a server for the third attempt and then ended the second one (cancelSuccessor("server-silent")). What one has was given up for what may still be refused. The first attempt has not been given up that way since; the second one had a rule of its own, and one through another instance had none at all (it was never replaced).

Evidence: `a silent second attempt is not given up for a third server that does not take the stream over` failed on the code before in its eight cases (first attempt broken off or ended with the overlap, by the four ways in which the third does not take over), as in

event=2107 outcome=no-other-server written=1 attempts=10.0.0.3:1/ server-silent/-/1/1/320/framed/-,10.0.0.1:1/server-silent/1/-/0/305/-/-, 10.0.0.2:1/unreachable/1/-/0/0/-/-

and the case through other instances never asked the third (2 == 3). With the other tests of the name: 18 of 42 assertions failed, now none does.

Ruled out: a longer overlap for the second attempt; it would let two engines run one request for longer than 0.4 s.

Why this works: a successor whose predecessor has ended takes its place. It is watched for silence by the same function as a first attempt, direct or through another instance, and its own successor is a Successor like any other: the silent one ends when that is accepted, or 0.3 s after its request was sent. At most two attempts are open at once. A second attempt that is accepted first ends the third (`a third server is not left running beside a second one that has accepted`; without that line, the third ran on). As attempts may now begin beside one that is refused at last, a refusal no longer permits a run more than the route's attempts (`attempts beside one that is refused at last count as runs`: 4 requests instead of 3 without that line). A second attempt that ends for its silence counts as silent for its server's health, as a first one does; it counted as a refusal.

FakeUpstream: a script may pause between its header and its first chunk.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -330,7 +330,7 @@
     case AttemptEnd::Declined:
         return false;
     case AttemptEnd::NotRun:
-        return m_sends <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
+        return possibleRuns() < m_route->maxAttempts && m_sends <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
     case AttemptEnd::ServerError:
     case AttemptEnd::Failed:
         return m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts;
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -190,14 +190,18 @@
     Task<Opening> openSuccessor(Successor&);
     /** Reports how the attempt of a successor ended that has not been accepted, or is not needed any more. */
     void endSuccessor(Successor&, AttemptResult&);
-    /** Gives the successor up, if it has not been accepted. `cause` outlives the exchange. */
-    void cancelSuccessor(std::string_view cause = "not-needed");
+    /** Gives the successor up, if it has not been accepted. */
+    void cancelSuccessor();
+    /** The present attempt is answered: gives its successor up, unless the answer is an error. */
+    void endSilence(const UpstreamHead&);
     /** True if a successor has been accepted, so that the present attempt is over. */
     bool isSucceeded() const;
     /** Time until which the present attempt goes on beside its successor; nothing if that is over. */
     std::optional<TimePoint> overlapEnd(TimePoint now) const;
     /** After the end of an attempt: waits until its successor is accepted, and returns it; null if there is none, or none is needed. */
     Task<std::shared_ptr<Successor>> awaitSuccessor(AttemptResult&);
+    /** Waits until the successor of an attempt that has ended is answered or over. Meanwhile it may get a successor itself. */
+    Task<void> awaitAnswer(Successor&);
     /** Error code of a request that crashes servers, or a part of its prompt does; empty if it may be sent. */
     std::string_view quarantineCode() const;
     /** The refusal of such a request. */
@@ -251,6 +255,8 @@
     /** Sends the request and reads the header of a server's answer, or the whole answer that the other instance gave itself. */
     Task<Opening> openRelayAttempt(UpstreamCall&, RelayOutcome&, std::optional<TimePoint>& sentAt);
     Task<AttemptResult> relayPeersAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
+    /** As silenceLimit(), for an attempt through another instance. */
+    Duration peerSilenceLimit() const;
     /** As silenceDeadline(), for an attempt through another instance. */
     std::optional<TimePoint> relaySilenceDeadline(TimePoint begunAt);
     /** Takes an answer that the other instance gave itself. */
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -80,7 +80,7 @@
         auto result = co_await runRelayAttempt(*peer, std::move(accepted));
         recordResult(m_attempt, result);
         accepted = co_await awaitSuccessor(result);
-        const auto mayGoOn = result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_delivered.mayGoOn() && m_route->mayRunAgain() && possibleRuns() < m_route->maxAttempts);
+        const auto mayGoOn = possibleRuns() < m_route->maxAttempts && (result.end == AttemptEnd::NotRun || (result.end == AttemptEnd::Failed && m_delivered.mayGoOn() && m_route->mayRunAgain()));
         if (!accepted && !mayGoOn) {
             co_await finish(result);
             co_return true;
@@ -99,19 +99,24 @@
     return request;
 }
 
+Duration RoutedExchange::peerSilenceLimit() const
+{
+    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
+    return std::max<Duration>(m_context.minPeerSilence, target * peerSilenceTargetFactor);
+}
+
 // As for a silent server: the attempt ends only for one through a further instance.
 std::optional<TimePoint> RoutedExchange::relaySilenceDeadline(TimePoint begunAt)
 {
     const auto now = monotonicNow();
-    const auto target = m_lastChunkAt ? m_route->interTokenTarget : m_route->firstTokenTarget;
-    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + std::max<Duration>(m_context.minPeerSilence, target * peerSilenceTargetFactor);
+    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + peerSilenceLimit();
     const auto later = now + m_context.minPeerSilence / silencePolls;
     if (now < silentUntil)
         return silentUntil;
     if (m_isWriting)
         return later;
     if (m_successor)
-        return overlapEnd(now);
+        return m_successor->cancelCause.empty() ? overlapEnd(now) : later;
     if (!mayAddAttempt() || findRelayRefusal() || m_triedPeers.size() >= maxPeersTried || !(m_hasRetry || m_retryWindow->mayRetry(m_context.entryInstances, now)))
         return later;
     m_nextPeer = m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -42,7 +42,7 @@
     if (m_isWriting)
         return later;
     if (m_successor)
-        return overlapEnd(now);
+        return m_successor->cancelCause.empty() ? overlapEnd(now) : later;
     const auto isActive = m_context.selector.wasActiveSince(placement.backend, now - m_context.minSilence);
     if (!isActive)
         m_context.selector.recordSilence(placement.backend, now);
@@ -114,16 +114,19 @@
     auto opening = co_await openSuccessor(*successor);
     opening.result.wasSent = opening.result.wasSent || opening.head;
     m_hasRetry = m_hasRetry || !opening.result.wasSent;
+    const auto isPresent = m_presentCall == successor->call.get();
     // An error is not worth more than an answer that may still go on.
-    if (opening.head && opening.head->status >= firstServerError && m_presentCall) {
+    if (opening.head && opening.head->status >= firstServerError && m_presentCall && !isPresent) {
         opening.head.reset();
         opening.result.outcome = CallOutcome::ServerError;
         opening.result.cause = "server-error";
     }
-    if (opening.head && successor->cancelCause.empty()) {
+    if (opening.head && successor->cancelCause.empty() && !isSucceeded()) {
         successor->head = std::move(*opening.head);
         successor->state = Successor::State::Accepted;
-        if (m_presentCall)
+        if (isPresent)
+            endSilence(successor->head);
+        else if (m_presentCall)
             m_presentCall->cancel();
     } else {
         endSuccessor(*successor, opening.result);
@@ -150,13 +153,15 @@
 void RoutedExchange::endSuccessor(Successor& successor, AttemptResult& result)
 {
     const auto isUnconnected = result.outcome == CallOutcome::Unreachable || successor.relayOutcome == RelayOutcome::Unreachable;
-    if (!successor.cancelCause.empty() && (result.end != AttemptEnd::NotRun || isUnconnected)) {
-        result.isHeldBack = result.end == AttemptEnd::NotRun;
-        result.end = result.isHeldBack ? AttemptEnd::NotRun : AttemptEnd::Failed;
-        result.outcome = CallOutcome::Rejected; // The server is not to blame.
-        result.cause = successor.cancelCause;
+    successor.wasSilent = successor.cancelCause.empty() && (successor.wasSilent || isSucceeded());
+    if ((successor.wasSilent || !successor.cancelCause.empty()) && (result.end != AttemptEnd::NotRun || isUnconnected)) {
+        result.isHeldBack = !successor.wasSilent && result.end == AttemptEnd::NotRun;
+        result.end = result.end == AttemptEnd::NotRun ? AttemptEnd::NotRun : AttemptEnd::Failed;
+        result.outcome = successor.wasSilent ? CallOutcome::Silent : CallOutcome::Rejected; // Otherwise the server is not to blame.
+        result.cause = successor.wasSilent ? (successor.grant ? "server-silent" : "peer-silent") : successor.cancelCause;
         result.hasBrokenOff = false;
-        successor.relayOutcome = RelayOutcome::Answered;
+        if (!successor.wasSilent)
+            successor.relayOutcome = RelayOutcome::Answered;
     }
     if (successor.grant) {
         settle(successor.grant->placement, successor.grant->call, result, successor.begunAt);
@@ -173,12 +178,16 @@
         m_successor.reset();
 }
 
-void RoutedExchange::cancelSuccessor(std::string_view cause)
+void RoutedExchange::cancelSuccessor()
 {
-    if (!m_successor || m_successor->state != Successor::State::Opening || !m_successor->cancelCause.empty())
-        return;
-    m_successor->cancelCause = cause;
-    m_successor->call->cancel();
+    if (m_successor)
+        m_successor->giveUp();
+}
+
+void RoutedExchange::endSilence(const UpstreamHead& head)
+{
+    if (head.status < firstServerError)
+        cancelSuccessor();
 }
 
 bool RoutedExchange::isSucceeded() const
@@ -199,31 +208,47 @@
     const auto isOver = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::CallerGone || result.end == AttemptEnd::DeadlinePassed;
     if (isOver)
         cancelSuccessor();
-    const auto successor = m_successor;
-    if (!successor)
-        co_return nullptr;
-    setInterruption([this] { cancelSuccessor(); });
-    while (successor->state == Successor::State::Opening) {
-        // A third attempt, if the route permits one, follows a silent one as usual.
-        const auto isWatched = mayAddAttempt() && successor->grant;
-        const auto age = monotonicNow() - successor->begunAt;
-        if (isWatched)
-            successor->ended.expires_after(std::max(silenceLimit() - age, m_context.minSilence / silencePolls));
-        const auto [ec] = co_await successor->ended.async_wait(asTuple);
-        if (isWatched && !ec && successor->state == Successor::State::Opening && prepareNext(successor->grant->placement))
-            cancelSuccessor("server-silent");
+    std::shared_ptr<Successor> accepted;
+    while (!accepted && m_successor) {
+        const auto present = std::exchange(m_successor, nullptr);
+        co_await awaitAnswer(*present);
+        if (present->state == Successor::State::Accepted)
+            accepted = present;
     }
-    setInterruption({});
-    if (successor->state == Successor::State::Accepted && isOver) {
+    if (accepted && isOver) {
         AttemptResult unused;
         unused.wasSent = true;
-        successor->cancelCause = "not-needed";
-        endSuccessor(*successor, unused);
+        accepted->cancelCause = "not-needed";
+        endSuccessor(*accepted, unused);
+        accepted.reset();
     }
     if (m_writer.isCallerDisconnected() && result.end != AttemptEnd::Delivered)
         result.end = AttemptEnd::CallerGone;
-    m_successor.reset();
-    co_return successor->state == Successor::State::Accepted ? successor : nullptr;
+    co_return accepted;
+}
+
+Task<void> RoutedExchange::awaitAnswer(Successor& present)
+{
+    if (present.state != Successor::State::Opening)
+        co_return;
+    setInterruption([this, &present] {
+        present.giveUp();
+        cancelSuccessor();
+    });
+    m_presentCall = present.call.get();
+    {
+        const auto isWatched = present.cancelCause.empty() && mayAddAttempt();
+        const auto limit = present.grant ? silenceLimit() : peerSilenceLimit();
+        const DeadlineWatch silence(m_context.loop.get_executor(), isWatched ? std::optional(present.begunAt + limit) : std::nullopt, *present.call, [this, &present] {
+            const auto later = present.grant ? silenceDeadline(present.begunAt, present.grant->placement) : relaySilenceDeadline(present.begunAt);
+            present.wasSilent = !later;
+            return later;
+        });
+        while (present.state == Successor::State::Opening)
+            co_await present.ended.async_wait(asTuple);
+    }
+    m_presentCall = nullptr;
+    setInterruption({});
 }
 
 } // namespace HickoryHollow
--- a/src/forwarding/Successor.h
+++ b/src/forwarding/Successor.h
@@ -1,6 +1,7 @@
 /** \file
  * A further attempt that is asked for while a silent one still runs. The silent one may go on at any moment, and the further one may
- * be refused, so the silent one ends only once the further one has been accepted.
+ * be refused, so the silent one ends only once the further one has been accepted. The further one takes the place of one that has ended
+ * and may get a successor itself. At most two attempts of a request are open.
  */
 #pragma once
 
@@ -28,6 +29,15 @@
     {
     }
 
+    /** Gives the attempt up, if it has not been answered. */
+    void giveUp()
+    {
+        if (state != State::Opening || !cancelCause.empty())
+            return;
+        cancelCause = "not-needed";
+        call->cancel();
+    }
+
     std::optional<AdmissionQueue::Grant> grant; ///< Nothing if another instance relays the request.
     InstanceId peer; ///< That instance; empty if there is a grant.
     std::unique_ptr<UpstreamCall> call;
@@ -37,7 +47,8 @@
     std::optional<TimePoint> sentAt; ///< Time at which the first byte of the request was sent.
     UpstreamHead head;
     State state = State::Opening;
-    std::string_view cancelCause; ///< Set if it was given up while opening.
+    std::string_view cancelCause; ///< Set if it was given up while opening, for another reason than its silence.
+    bool wasSilent = false; ///< It was given up for its own successor.
     Timer ended; ///< Never expires; it is cancelled at the end of `Opening`.
 };
 
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -35,6 +35,7 @@
     bool isStalled = false; ///< No header is received until the call is cancelled.
     Duration silence {}; ///< Time without bytes after `silentAfter` chunks, or before the header if that is 0.
     std::size_t silentAfter = 0;
+    Duration pauseAfterHeader {}; ///< Time without bytes between the header and the first chunk.
     std::vector<HttpField> fields; ///< Additional header fields.
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
     std::vector<std::string> chunks;
@@ -97,7 +98,7 @@
                 m_script.beginError = make_error_code(RouterError::UpstreamBroken);
             }
             if (m_script.silentAfter == 0)
-                co_await beSilent();
+                co_await beSilent(m_script.silence);
             if (m_isCancelled)
                 m_script.beginError = make_error_code(RouterError::UpstreamBroken);
             head.ec = m_script.beginError;
@@ -116,8 +117,10 @@
         Task<UpstreamChunk> readChunk() override
         {
             UpstreamChunk chunk;
-            if (m_next > 0 && m_next == m_script.silentAfter)
-                co_await beSilent();
+            if (m_next == 0)
+                co_await beSilent(m_script.pauseAfterHeader);
+            else if (m_next == m_script.silentAfter)
+                co_await beSilent(m_script.silence);
             if (m_isCancelled)
                 chunk.ec = make_error_code(RouterError::UpstreamBroken);
             else if (m_next < m_script.chunks.size())
@@ -140,11 +143,11 @@
         }
 
     private:
-        Task<void> beSilent()
+        Task<void> beSilent(Duration time)
         {
-            if (m_script.silence == Duration::zero() || m_isCancelled)
+            if (time == Duration::zero() || m_isCancelled)
                 co_return;
-            m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, m_script.silence);
+            m_stall = std::make_unique<Timer>(co_await asio::this_coro::executor, time);
             co_await m_stall->async_wait(asTuple);
         }
 
