Keep a silent attempt that is answered while the next one is not

What callers saw: a stream was cut at a server that had sent its header 0.04 s after another one was asked, and would have gone on, for one that never answered.

Cause: only an event of the silent attempt ended its successor; its header did not, so that it ended with the overlap (0.3 s after the send), though the successor had nothing yet. The successor counts as accepted by its header.

Ruled out: that the overlap was too short; the successor was stalled for good.

Why this works: both attempts are judged by the same sign, a header that is no server error. The one whose header comes first stays; its silence is counted from that header on.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -172,8 +172,8 @@
     UpstreamTimeouts upstreamTimeouts(TimePoint now) const;
     /** Longest time without bytes from the server before a further attempt is considered. */
     Duration silenceLimit() const;
-    /** Time at which a silent attempt is looked at again, or nothing if it is to end now; then the next one is prepared. */
-    std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&);
+    /** Time at which an attempt that was begun, or answered, at `heardAt` is looked at again; nothing if it is to end now. */
+    std::optional<TimePoint> silenceDeadline(TimePoint heardAt, const Placement&);
     /** Takes a server, and a retry from the budget, for the attempt after the present one. False if none may begin. */
     bool prepareNext(const Placement& present);
     /** Gives the server back if the next attempt does not begin. */
@@ -192,8 +192,8 @@
     void endSuccessor(Successor&, AttemptResult&);
     /** Gives the successor up, if it has not been accepted. */
     void cancelSuccessor();
-    /** The present attempt is answered: gives its successor up, unless the answer is an error. */
-    void endSilence(const UpstreamHead&);
+    /** The present attempt is answered: gives its successor up, unless the answer is an error. Returns true if it did. */
+    bool endSilence(const UpstreamHead&);
     /** True if a successor has been accepted, so that the present attempt is over. */
     bool isSucceeded() const;
     /** Time until which the present attempt goes on beside its successor; nothing if that is over. */
@@ -258,7 +258,7 @@
     /** As silenceLimit(), for an attempt through another instance. */
     Duration peerSilenceLimit() const;
     /** As silenceDeadline(), for an attempt through another instance. */
-    std::optional<TimePoint> relaySilenceDeadline(TimePoint begunAt);
+    std::optional<TimePoint> relaySilenceDeadline(TimePoint heardAt);
     /** Takes an answer that the other instance gave itself. */
     Task<AttemptResult> readPeersOwnAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
     HttpRequest makeRelayRequest(const UpstreamCall&) const;
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -66,15 +66,18 @@
     {
         const auto executor = m_context.loop.get_executor();
         const DeadlineWatch deadline(executor, m_deadline, *call);
-        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, now, &placement] { return silenceDeadline(now, placement); });
+        auto heardAt = now;
+        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(now + silenceLimit()) : std::nullopt, *call, [this, &heardAt, &placement] { return silenceDeadline(heardAt, placement); });
         if (accepted) {
             result = co_await relayAnswer(*call, accepted->head, callId);
         } else {
             std::optional<TimePoint> sentAt;
             auto opening = co_await openAttempt(*call, placement, callId, sentAt);
             result = std::move(opening.result);
-            if (opening.head)
+            if (opening.head) {
+                heardAt = endSilence(*opening.head) ? monotonicNow() : now;
                 result = co_await relayAnswer(*call, *opening.head, callId);
+            }
         }
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError;
         if (!isWhole && deadline.hasPassed()) {
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -106,10 +106,10 @@
 }
 
 // As for a silent server: the attempt ends only for one through a further instance.
-std::optional<TimePoint> RoutedExchange::relaySilenceDeadline(TimePoint begunAt)
+std::optional<TimePoint> RoutedExchange::relaySilenceDeadline(TimePoint heardAt)
 {
     const auto now = monotonicNow();
-    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + peerSilenceLimit();
+    const auto silentUntil = std::max({ heardAt, m_lastChunkAt.value_or(heardAt), m_wroteAt }) + peerSilenceLimit();
     const auto later = now + m_context.minPeerSilence / silencePolls;
     if (now < silentUntil)
         return silentUntil;
@@ -149,15 +149,18 @@
     {
         const auto executor = m_context.loop.get_executor();
         const DeadlineWatch deadline(executor, m_deadline, *call);
-        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(begunAt + m_context.minPeerSilence) : std::nullopt, *call, [this, begunAt] { return relaySilenceDeadline(begunAt); });
+        auto heardAt = begunAt;
+        const DeadlineWatch silence(executor, mayAddAttempt() ? std::optional(begunAt + m_context.minPeerSilence) : std::nullopt, *call, [this, &heardAt] { return relaySilenceDeadline(heardAt); });
         if (accepted) {
             result = co_await relayPeersAnswer(*call, accepted->head, outcome);
         } else {
             std::optional<TimePoint> sentAt;
             auto opening = co_await openRelayAttempt(*call, outcome, sentAt);
             result = std::move(opening.result);
-            if (opening.head)
+            if (opening.head) {
+                heardAt = endSilence(*opening.head) ? monotonicNow() : begunAt;
                 result = co_await relayPeersAnswer(*call, *opening.head, outcome);
+            }
         }
         const auto isWhole = result.end == AttemptEnd::Delivered || result.end == AttemptEnd::ServerError || result.end == AttemptEnd::Declined;
         if (!isWhole && deadline.hasPassed()) {
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -31,11 +31,11 @@
 // A request that may run again does not wait for a silent server until its deadline. But a server that sends data on other calls
 // of this instance is busy, and one that is silent may go on, so the attempt ends only for another one: that of a whole answer for
 // one that may begin, and that of a stream, of which the caller may have a part, for one that has been accepted.
-std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint begunAt, const Placement& placement)
+std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint heardAt, const Placement& placement)
 {
     const auto now = monotonicNow();
     const auto later = now + m_context.minSilence / silencePolls;
-    const auto silentUntil = std::max({ begunAt, m_lastChunkAt.value_or(begunAt), m_wroteAt }) + silenceLimit();
+    const auto silentUntil = std::max({ heardAt, m_lastChunkAt.value_or(heardAt), m_wroteAt }) + silenceLimit();
     if (now < silentUntil)
         return silentUntil;
     // What the server has sent meanwhile is not read.
@@ -184,10 +184,12 @@
         m_successor->giveUp();
 }
 
-void RoutedExchange::endSilence(const UpstreamHead& head)
+bool RoutedExchange::endSilence(const UpstreamHead& head)
 {
-    if (head.status < firstServerError)
-        cancelSuccessor();
+    if (head.status >= firstServerError || !m_successor || isSucceeded())
+        return false;
+    cancelSuccessor();
+    return true;
 }
 
 bool RoutedExchange::isSucceeded() const
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -290,6 +290,22 @@
     CHECK(bench.selector.localUsage().empty());
 }
 
+// Guards against streams that were cut at a server that had answered, for one that had not.
+TEST_CASE("a silent attempt that is answered is not given up for one that is not", "[routed]")
+{
+    ImpatientBench bench;
+    auto first = twoEvents();
+    first.silence = 60ms;
+    first.pauseAfterHeader = 500ms;
+    bench.upstream.scripts = { first, stalled() };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.upstream.cancelled == std::vector<std::string> { bench.upstream.addresses.back() });
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == wholeStream);
+    CHECK(bench.selector.localUsage().empty());
+}
+
 // Guards against a run more than the route permits, after a server that refused late.
 TEST_CASE("attempts beside one that is refused at last count as runs", "[routed]")
 {
