--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -174,8 +174,8 @@
     UpstreamTimeouts upstreamTimeouts(TimePoint now) const;
     /** Longest time without bytes from the server before a further attempt is considered. */
     Duration silenceLimit() const;
-    /** Time at which a silent attempt is looked at again, or nothing if it is to end now; then the next one is prepared. */
-    std::optional<TimePoint> silenceDeadline(TimePoint begunAt, const Placement&);
+    /** Time at which an attempt that was begun, or answered, at `heardAt` is looked at again; nothing if it is to end now. */
+    std::optional<TimePoint> silenceDeadline(TimePoint heardAt, const Placement&);
     /** Takes a server, and a retry from the budget, for the attempt after the present one. False if none may begin. */
     bool prepareNext(const Placement& present);
     /** Gives the server back if the next attempt does not begin. */
@@ -192,14 +192,18 @@
     Task<Opening> openSuccessor(Successor&);
     /** Reports how the attempt of a successor ended that has not been accepted, or is not needed any more. */
     void endSuccessor(Successor&, AttemptResult&);
-    /** Gives the successor up, if it has not been accepted. `cause` outlives the exchange. */
-    void cancelSuccessor(std::string_view cause = "not-needed");
+    /** Gives the successor up, if it has not been accepted. */
+    void cancelSuccessor();
+    /** The present attempt is answered: gives its successor up, unless the answer is an error. Returns true if it did. */
+    bool endSilence(const UpstreamHead&);
     /** True if a successor has been accepted, so that the present attempt is over. */
     bool isSucceeded() const;
     /** Time until which the present attempt goes on beside its successor; nothing if that is over. */
     std::optional<TimePoint> overlapEnd(TimePoint now) const;
     /** After the end of an attempt: waits until its successor is accepted, and returns it; null if there is none, or none is needed. */
     Task<std::shared_ptr<Successor>> awaitSuccessor(AttemptResult&);
+    /** Waits until the successor of an attempt that has ended is answered or over. Meanwhile it may get a successor itself. */
+    Task<void> awaitAnswer(Successor&);
     /** Error code of a request that crashes servers, or a part of its prompt does; empty if it may be sent. */
     std::string_view quarantineCode() const;
     /** The refusal of such a request. */
@@ -253,8 +257,10 @@
     /** Sends the request and reads the header of a server's answer, or the whole answer that the other instance gave itself. */
     Task<Opening> openRelayAttempt(UpstreamCall&, RelayOutcome&, std::optional<TimePoint>& sentAt);
     Task<AttemptResult> relayPeersAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
+    /** As silenceLimit(), for an attempt through another instance. */
+    Duration peerSilenceLimit() const;
     /** As silenceDeadline(), for an attempt through another instance. */
-    std::optional<TimePoint> relaySilenceDeadline(TimePoint begunAt);
+    std::optional<TimePoint> relaySilenceDeadline(TimePoint heardAt);
     /** Takes an answer that the other instance gave itself. */
     Task<AttemptResult> readPeersOwnAnswer(UpstreamCall&, const UpstreamHead&, RelayOutcome&);
     HttpRequest makeRelayRequest(const UpstreamCall&) const;
