Don't join versions at a server that may have started again unannounced

What callers saw: pieces of one software version behind pieces of another, in one answer or over their tries.

Cause: the start and version of a server were taken from its record, which names the start before from the moment at which the server starts again under its id and address until its announcement has come. isSameStart() compared the placement with the record, and both were of the start before. A stream that began at such a start was bound to the wrong version, and a stream was sent on to one.

Ruled out: clocks (born against the time of the connection), which differ by more than a restart takes; connections proved by 2.5 s of overlap only, as an instance of many has no such connection to most servers; holding events back until they are proved, which is longer than callers wait.

Why it works: a server that ends breaks the calls in progress there. Since such a sign, only a connection whose server is shown to run since before it, the announcement, or the time in which it must have come proves the version. Streams are not sent on without that proof, and are bound only with it. It holds for services of which the instance has seen two versions.

The call that is broken off may be counted for the start before, if the server was announced during it; the sign counts all the same.

Left: servers that end without a call of this instance in progress, and the first server of a release that starts again under its id.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -233,10 +233,20 @@
     co_return NotSent { .code = "stream-version-gone", .retryAfter = {} };
 }
 
-void RoutedExchange::recordOrigin()
+bool RoutedExchange::mayJoinVersions(const UpstreamCall& call, const Placement& placement) const
+{
+    const auto runsSince = call.serverRunsSince();
+    return m_placementRequest.version && runsSince && m_context.selector.mayBeOtherVersion(placement, *runsSince, monotonicNow());
+}
+
+void RoutedExchange::recordOrigin(const UpstreamCall& call)
 {
     if (!m_route->isResumable)
         return;
+    const auto runsSince = call.serverRunsSince();
+    m_delivered.setOriginKnown(!runsSince || !m_context.selector.mayBeOtherVersion(m_lastPlacement, *runsSince, monotonicNow()));
+    if (!m_delivered.isOriginKnown())
+        return;
     m_placementRequest.version = m_lastPlacement.version;
     m_context.streamOrigins.record({ .stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.id), .version = m_lastPlacement.version });
 }
@@ -358,7 +368,7 @@
         co_await respondWithError(m_possibleRuns == 0 ? unavailable : gatewayTimeout, result.cause, shortRetryAfter);
         co_return;
     case AttemptEnd::Failed:
-        co_await respondWithError(badGateway, result.cause, {});
+        co_await respondWithError(badGateway, m_delivered.isOriginKnown() ? result.cause : "stream-version-unknown", {});
         co_return;
     case AttemptEnd::Declined:
         // A refusal of the other instance says that the request did not run there; it may have run before.
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -27,7 +27,9 @@
 constexpr Duration maxIdleForSingleRun = std::chrono::milliseconds(1500);
 constexpr std::chrono::hours maxIdleForRepeatable(1); // No limit in practice: the client closes idle connections sooner.
 
-constexpr std::string_view serverWithdrawn = "server-withdrawn"; // The one obstacle that is the server's.
+// The obstacles that are the server's.
+constexpr std::string_view serverWithdrawn = "server-withdrawn";
+constexpr std::string_view startUnannounced = "start-unannounced"; // The process may be a later start than the one known, of another version.
 
 } // namespace
 
@@ -136,14 +138,16 @@
         result.end = AttemptEnd::NotRun;
         result.outcome = CallOutcome::Rejected;
         result.cause = obstacle;
-        result.isHeldBack = obstacle != serverWithdrawn;
+        result.isHeldBack = obstacle != serverWithdrawn && obstacle != startUnannounced;
     };
     if (!obstacle.empty()) {
         forbid();
         co_return opening;
     }
-    call.checkBeforeSending([this, &placement, &obstacle, &sentAt](HttpRequest& request) {
+    call.checkBeforeSending([this, &call, &placement, &obstacle, &sentAt](HttpRequest& request) {
         obstacle = findObstacle(placement);
+        if (obstacle.empty() && mayJoinVersions(call, placement))
+            obstacle = startUnannounced;
         if (!obstacle.empty())
             return false;
         request = makeUpstreamRequest(placement); // With the time that is left now.
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -27,6 +27,7 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(250);
 constexpr Duration answerTimeAtEnd = std::chrono::milliseconds(200); // For the answers to requests that the end gives up.
 constexpr Duration idleBeforeClose = std::chrono::milliseconds(800); // A drain ends after this time without a request.
+constexpr Duration announceDelay = std::chrono::milliseconds(1300); // A server waits a second for each reply; the rest is the way here.
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 constexpr Duration upstreamSilenceLimit = std::chrono::milliseconds(2000);
 constexpr double idleConnectionShare = 0.5; // Fraction of a server's connection limit; the rest is left for active requests.
@@ -48,7 +49,7 @@
     , m_settings(settings)
     , m_decoder(decoder)
     , m_random(std::make_unique<SeededRandom>(systemSeed()))
-    , m_selector({ .ownDomain = settings.failureDomain }, *m_random)
+    , m_selector({ .ownDomain = settings.failureDomain, .announceTime = settings.bounds.announceInterval + announceDelay }, *m_random)
     , m_relayPeers(*m_random)
     , m_admissionQueue(m_loop, m_selector, [this] {
         if (m_selector.limits().isReportDue())
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -56,6 +56,7 @@
         m_reaches.forget(record.service, record.id);
     }
     if (isNewStart) {
+        server.evidence.recordStart();
         server.recentCalls = {};
         server.backoffUntil = {};
         server.fleetFailures = 0;
@@ -114,6 +115,15 @@
     return server && server->record.incarnation == placement.incarnation && server->version == placement.version;
 }
 
+bool BackendSelector::mayBeOtherVersion(const Placement& placement, TimePoint runsSince, TimePoint now)
+{
+    auto* server = m_servers.find(placement.backend);
+    if (!server || server->version != placement.version)
+        return true;
+    const auto isInDoubt = server->evidence.mayBeUnannounced(runsSince, now, m_options.announceTime);
+    return isInDoubt && m_servers.ofService(server->record.service).hadSeveralVersions;
+}
+
 bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     if (!isSameStart(placement))
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -35,6 +35,7 @@
     struct Options {
         FailureDomainId ownDomain; ///< Failure domain of this instance; servers in it are preferred slightly.
         std::size_t exactBelow = 128; ///< Services with fewer servers are decided by looking at all of them.
+        Duration announceTime = std::chrono::milliseconds(2500); ///< Longest time from a server's start until its record is here.
     };
 
     /** `random` outlives the selector. */
@@ -59,6 +60,11 @@
     bool mayReceive(const Placement&, TimePoint now) const;
     /** Returns true if no later start of the server, and no change of its version, is known. */
     bool isSameStart(const Placement&) const;
+    /**
+     * Returns true if a process that has run at the selected server's address since `runsSince` may have another version than the server
+     * was selected for: its record names another one, or it may have started again unannounced and its service has had several versions.
+     */
+    bool mayBeOtherVersion(const Placement&, TimePoint runsSince, TimePoint now);
     /** Returns the first time at which a server may take the request; nothing if none ever will. */
     std::optional<TimePoint> availableAt(const PlacementRequest&, TimePoint now) const;
     /** Sets the limits of each engine of the service: requests that run at once, and tokens that fit into its memory. */
--- a/src/placement/KnownServer.h
+++ b/src/placement/KnownServer.h
@@ -11,6 +11,7 @@
 #include "placement/Placement.h"
 #include "placement/ServerHandle.h"
 #include "placement/ServerStart.h"
+#include "placement/StartEvidence.h"
 
 namespace HickoryHollow {
 
@@ -33,6 +34,7 @@
     std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of their last report.
     ServerStartId start; ///< Identifies the present start.
     VersionId version; ///< Of `record`.
+    StartEvidence evidence;
     EnginePrefixCache cache { 0 };
     ServerUsage remoteUsage; ///< Usage of all other instances together.
     std::uint32_t calls = 0; ///< Number of calls of this instance that have not ended.
--- a/src/placement/KnownServers.cpp
+++ b/src/placement/KnownServers.cpp
@@ -68,7 +68,10 @@
     server.start = serverStartOf(record.id, record.incarnation);
     if (!isNew && !isMoved)
         return;
-    insert(m_byService[record.service], server);
+    auto& service = m_byService[record.service];
+    service.hadSeveralVersions = service.hadSeveralVersions || service.firstVersion.value_or(version) != version;
+    service.firstVersion = service.firstVersion.value_or(version);
+    insert(service, server);
     insert(m_byVersion[version], server);
 }
 
--- a/src/placement/KnownServers.h
+++ b/src/placement/KnownServers.h
@@ -19,6 +19,8 @@
     std::size_t serving = 0; ///< Number of members that serve.
     std::uint64_t revision = 0; ///< Grows when a member comes, goes or changes its state.
     std::optional<LoadOrder> byLoad; ///< All members, if the group is large.
+    std::optional<VersionId> firstVersion; ///< Of the first member there was.
+    bool hadSeveralVersions = false; ///< At some time, one after the other or at once.
 };
 
 class KnownServers {
--- a/test/error/streams_over_all_tries.cpp
+++ b/test/error/streams_over_all_tries.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <map>
 #include <optional>
+#include <set>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Fakes;
@@ -59,6 +60,7 @@
     int replaced = 0;
     int relayed = 0;
     int emptyEnds = 0;
+    int startedAgain = 0;
 };
 
 /** One stream with its servers, its other instances and its caller. */
@@ -111,10 +113,26 @@
     void announce(const std::string& server, const std::string& version)
     {
         m_versions[server] = version;
+        m_unannounced.erase(server);
         m_bench.streamOrigins.earlierVersions.insert(versionIdOf(ServiceId("models"), SoftwareVersion(version)));
         m_bench.addServer(server, "models", version, ++m_starts);
     }
 
+    /** Announces what runs at the server, which may have started again since the last time, or a further start. */
+    void announceAnew(const std::string& server) { announce(server, m_unannounced.contains(server) ? m_versions.at(server) : anyVersion()); }
+
+    /** The server has broken its answer off, and starts again under its id and address. Its announcement comes later, or never. */
+    void startAgain(const std::string& server)
+    {
+        // Until two versions are known, nobody doubts the version of a server.
+        if (m_bench.writer.isDisconnected || m_bench.streamOrigins.earlierVersions.size() < 2)
+            return;
+        ++m_tally.startedAgain;
+        m_bench.upstream.restart(server);
+        m_versions[server] = anyVersion();
+        m_unannounced.insert(server);
+    }
+
     void setReach(bool isInReach)
     {
         for (const auto& it : servers)
@@ -162,7 +180,7 @@
             return;
         const auto& server = servers[below(servers.size())];
         if (oneIn(2))
-            announce(server, anyVersion());
+            announceAnew(server);
         else
             m_bench.selector.recordLeaving(BackendId(server), Incarnation(m_starts));
     }
@@ -225,6 +243,8 @@
         script.chunks.resize(below(script.chunks.size() + 1));
         const auto isTimeout = !isPeer && oneIn(4);
         script.bodyError = make_error_code(isTimeout ? RouterError::UpstreamTimeout : RouterError::UpstreamBroken);
+        if (!isPeer && !isTimeout && oneIn(3))
+            script.onBodyError = [this, server = m_bench.upstream.addresses.back()] { startAgain(server); };
         if (script.chunks.empty() || !oneIn(4))
             return;
         auto& piece = script.chunks.back();
@@ -241,7 +261,7 @@
         if (!oneIn(4))
             return before;
         ++m_tally.replaced;
-        announce(server, anyVersion());
+        announceAnew(server);
         return oneIn(2) ? before : m_versions.at(server);
     }
 
@@ -258,7 +278,8 @@
     RoutedBench m_bench;
     std::uint64_t m_last;
     bool m_hasTwoVersions;
-    std::map<std::string, std::string> m_versions;
+    std::map<std::string, std::string> m_versions; // Of what runs at each server.
+    std::set<std::string> m_unannounced; // Servers that have started again since they announced themselves.
     std::uint64_t m_starts = 1;
     Held m_held;
     Held m_earlier; // Before the present try.
@@ -277,7 +298,7 @@
         CHECK(fault.empty());
     }
     std::cout << "streams from seeds " << firstSeed << " to " << firstSeed + seeds - 1 << ": whole " << tally.whole << ", tries cut " << tally.cut << ", taken up " << tally.takenUp
-              << ", gone on " << tally.goneOn << ", servers replaced " << tally.replaced << ", through other instances " << tally.relayed << ", empty ends " << tally.emptyEnds << "\n";
-    for (const auto n : { tally.whole, tally.cut, tally.takenUp, tally.goneOn, tally.replaced, tally.relayed, tally.emptyEnds })
+              << ", gone on " << tally.goneOn << ", servers replaced " << tally.replaced << ", through other instances " << tally.relayed << ", empty ends " << tally.emptyEnds << ", servers started again unannounced " << tally.startedAgain << "\n";
+    for (const auto n : { tally.whole, tally.cut, tally.takenUp, tally.goneOn, tally.replaced, tally.relayed, tally.emptyEnds, tally.startedAgain })
         CHECK(n > seeds / 100);
 }
--- a/test/fakes/FakeUpstream.h
+++ b/test/fakes/FakeUpstream.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -39,6 +40,7 @@
     bool isCloseDelimited = false; ///< The body has neither a length nor chunks.
     std::vector<std::string> chunks;
     std::error_code bodyError; ///< Error after the last chunk; if unset, the body is complete.
+    std::function<void()> onBodyError; ///< Runs once that error is read.
 };
 
 class FakeUpstream final : public UpstreamClient {
@@ -50,6 +52,7 @@
     std::set<std::string> unreachable; ///< Servers to which connect() fails.
     std::vector<std::string> probes; ///< Calls of connect().
     std::vector<std::string> cancelled; ///< Servers of the calls that were cancelled, in this order.
+    std::map<std::string, TimePoint> runsSince; ///< First call of each server since it started.
 
     std::unique_ptr<UpstreamCall> open(const std::string& address, const UpstreamTimeouts&) override
     {
@@ -66,6 +69,9 @@
         co_return unreachable.contains(address) ? make_error_code(RouterError::UpstreamConnectFailed) : std::error_code();
     }
 
+    /** The server ends, and another process runs at its address from now on. */
+    void restart(const std::string& address) { runsSince.erase(address); }
+
 private:
     class Call final : public UpstreamCall {
     public:
@@ -80,6 +86,7 @@
         {
             UpstreamHead head;
             auto checked = request;
+            m_serverRunsSince = m_owner.runsSince.try_emplace(m_address, monotonicNow()).first->second;
             if (m_script.beforeSending)
                 m_script.beforeSending();
             if (m_check && !m_check(checked)) {
@@ -124,11 +131,14 @@
                 chunk.bytes = m_script.chunks[m_next++];
             else
                 chunk.ec = m_script.bodyError;
+            if (chunk.ec && !m_isCancelled && m_script.onBodyError)
+                m_script.onBodyError();
             chunk.isLast = m_next == m_script.chunks.size() && !m_script.bodyError && !chunk.ec;
             co_return chunk;
         }
 
         bool reusedConnection() const override { return m_script.reusesConnection; }
+        std::optional<TimePoint> serverRunsSince() const override { return m_serverRunsSince; }
         void checkBeforeSending(const BeforeSend& check) override { m_check = check; }
 
         void cancel() override
@@ -152,6 +162,7 @@
         std::string m_address;
         Script m_script;
         std::size_t m_next = 0;
+        std::optional<TimePoint> m_serverRunsSince;
         std::unique_ptr<Timer> m_stall;
         bool m_isCancelled = false;
         BeforeSend m_check;
