Tell a server that ends between two events from the end of its answer

Cause: relayStream() took the orderly end of the connection for the end of the answer. The kernel closes the connections of a process that ends in the same orderly way.

Evidence: on the code before, over sockets on loopback, "an unframed stream whose server ends between two events is not complete" failed in each of its rows (server gone or started again at once; may or may not go on elsewhere): isFinished after 3 of 6 events, no crash recorded.

Ruled out: asking another server for the rest of every unframed stream (a prefill and a run for each sound end; streams that may run once can't be asked for); ending the caller's answer as ambiguously as the server's (callers with chunks have no such end); taking the end of any other connection for a crash (idle connections end by themselves, and those of other unframed answers end with them).

Why it works: the kernel ends all connections of a process with it. One connection beside the answer, shared by all answers of a server, is open while it is read. Behind the end a connection is tried, a round trip in which the ends of the others arrive. If one that overlapped is still open, the server has run past the end; if the watching one ended too, or none can be opened, the answer was broken off (ended-with-server) and is handled like any broken stream. A server that has said that it leaves ends its connections with its last answer, which counts as whole. judgeUnframedEnd() is pure. A connection that is opened now keeps to the Keep-Alive time that the server stated last.

Not told apart: a crash of a server that leaves; a watching connection that the server closes for another reason in the moment of the end.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -39,7 +39,9 @@
 class DeadlineWatch;
 class HeldAnswer;
 class ResponseWriter;
+class UnframedAnswer;
 class UpstreamCall;
+enum class UnframedEnd;
 struct Successor;
 struct UpstreamHead;
 struct UpstreamTimeouts;
@@ -167,6 +169,8 @@
     Task<std::error_code> startStream(const UpstreamHead&);
     /** True if a stream of which the present attempt brought no event may end with that attempt's connection. */
     bool isEndConfirmed() const;
+    /** Decides on the end of an answer of the last placement's server. */
+    Task<UnframedEnd> judgeEnd(UnframedAnswer&) const;
     /** True if the request may go to a further server after this attempt. */
     bool mayRetry(const AttemptResult&);
     UpstreamTimeouts upstreamTimeouts(TimePoint now) const;
--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/RoutedExchange.h"
 
 #include "base/RouterError.h"
+#include "forwarding/UnframedAnswer.h"
 #include "http/EventStreamScanner.h"
 #include "http/ResponseWriter.h"
 #include "http/UpstreamClient.h"
@@ -28,11 +29,21 @@
     return m_hasEndedEmpty && !hasEvents;
 }
 
+Task<UnframedEnd> RoutedExchange::judgeEnd(UnframedAnswer& answer) const
+{
+    auto facts = co_await answer.learnFacts();
+    facts.isLeaving = m_context.selector.isLeaving(m_lastPlacement);
+    co_return judgeUnframedEnd(facts);
+}
+
 Task<RoutedExchange::AttemptResult> RoutedExchange::relayStream(UpstreamCall& call, const UpstreamHead& head, std::optional<CallId> callId)
 {
     AttemptResult result;
     const auto runsSince = call.serverRunsSince();
     m_trace.recordAnswer(m_attempt, head.isCloseDelimited, runsSince ? std::optional(monotonicNow() - *runsSince) : std::nullopt);
+    std::optional<UnframedAnswer> unframed;
+    if (callId && head.isCloseDelimited)
+        unframed.emplace(m_context.upstream, m_lastPlacement.backend.value(), runsSince);
     EventStreamScanner events(EventStreamScanner::EndMarker::None);
     BufferBudget::Share held(m_context.answerBytes, [&call] { call.cancel(); });
     std::optional<TimePoint> firstEventAt;
@@ -64,8 +75,17 @@
             result.cause = "event-oversized";
             co_return result;
         }
-        const auto isEmptyEnd = chunk.isLast && head.isCloseDelimited && events.progressCount() == 0 && !events.isInsideEvent();
-        const auto isComplete = chunk.isLast && !events.isInsideEvent() && (!isEmptyEnd || isEndConfirmed());
+        auto end = UnframedEnd::Unknown;
+        if (unframed && chunk.isLast && !events.isInsideEvent())
+            end = co_await judgeEnd(*unframed);
+        else if (unframed)
+            unframed->keepWatching();
+        if (isSucceeded()) {
+            result.cause = "server-silent";
+            co_return result;
+        }
+        const auto isEmptyEnd = chunk.isLast && head.isCloseDelimited && events.progressCount() == 0 && !events.isInsideEvent() && end != UnframedEnd::BrokenOff;
+        const auto isComplete = chunk.isLast && !events.isInsideEvent() && end != UnframedEnd::BrokenOff && (!isEmptyEnd || isEndConfirmed());
         std::string lastBytes;
         if (isComplete && !events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(events.incompleteEvent());
@@ -106,7 +126,7 @@
         events.dropOutput();
         held.resize(events.heldBytes()); // Less than before.
         if (chunk.isLast && !isComplete) {
-            result.cause = events.isInsideEvent() ? "ended-inside-event" : "ended-before-event";
+            result.cause = end == UnframedEnd::BrokenOff ? "ended-with-server" : (events.isInsideEvent() ? "ended-inside-event" : "ended-before-event");
             // A stream that its caller takes up may be at its end, and then neither the server nor the prompt is to blame.
             const auto mayBeEnd = isEmptyEnd && m_metadata.lastEventId;
             result.hasBrokenOff = !mayBeEnd;
--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -1,6 +1,7 @@
 #include "http/ConnectionPool.h"
 
 #include "base/RouterError.h"
+#include "http/PooledWatch.h"
 #include "net/Endpoint.h"
 #include "net/Timer.h"
 
@@ -43,6 +44,17 @@
     }
 }
 
+Task<void> openWatch(std::shared_ptr<ConnectionPool> pool, std::string address, std::shared_ptr<ServerConnection> connection, std::weak_ptr<PooledWatch> weak)
+{
+    const auto ec = co_await pool->open(connection, address);
+    if (!ec)
+        connection->stream.expires_never();
+    if (const auto watch = weak.lock())
+        watch->setOpened(!ec);
+    else if (!ec)
+        pool->put(address, std::move(connection));
+}
+
 } // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context& loop, const UpstreamOptions& options)
@@ -74,9 +86,34 @@
         connection->buf.shrink_to_fit();
     connection->idleSince = monotonicNow();
     connection->stream.expires_never();
+    if (connection->serverIdleTimeout != Duration::max())
+        m_serverIdleTimeouts[address] = connection->serverIdleTimeout;
     idle.push_back(std::move(connection));
 }
 
+void ConnectionPool::giveBack(const std::string& address, std::shared_ptr<ServerConnection> connection)
+{
+    auto& idle = m_idle[address];
+    if (idle.size() < m_options.maxIdlePerServer)
+        idle.insert(idle.begin(), std::move(connection));
+}
+
+std::shared_ptr<PooledWatch> ConnectionPool::watch(const std::string& address)
+{
+    auto& present = m_watches[address];
+    if (auto watch = present.lock(); watch && !watch->hasEnded() && watch->isFresh(monotonicNow()))
+        return watch;
+    auto connection = take(address, Duration::max());
+    const auto isNew = !connection;
+    if (isNew)
+        connection = make();
+    auto watch = std::make_shared<PooledWatch>(weak_from_this(), address, connection);
+    present = watch;
+    if (isNew)
+        asio::co_spawn(m_loop, openWatch(shared_from_this(), address, std::move(connection), watch), asio::detached);
+    return watch;
+}
+
 void ConnectionPool::setMaxIdleConnections(std::size_t limit)
 {
     m_options.maxIdlePerServer = limit;
@@ -99,7 +136,10 @@
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     setLostHostLimits(socket.native_handle(), m_limits);
-    m_open.add(address, connection, monotonicNow());
+    if (const auto stated = m_serverIdleTimeouts.find(address); stated != m_serverIdleTimeouts.end())
+        connection->serverIdleTimeout = stated->second;
+    connection->idleSince = monotonicNow();
+    m_open.add(address, connection, connection->idleSince);
     co_return std::error_code();
 }
 
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -36,12 +36,14 @@
 
     boost::beast::basic_stream<asio::ip::tcp, Executor> stream;
     boost::beast::flat_buffer buf;
-    TimePoint idleSince {};
+    TimePoint idleSince {}; // Since the connection was opened or served its last request.
     TimePoint serverRunsSince {}; // See OpenConnections; set when it is opened.
-    Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response.
+    Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response, on any connection until there is one on this.
 };
 
-class ConnectionPool {
+class PooledWatch;
+
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
     ConnectionPool(asio::io_context&, const UpstreamOptions&);
 
@@ -49,6 +51,10 @@
     std::shared_ptr<ServerConnection> take(const std::string& address, Duration maxIdle);
     /** Keeps the connection for a later request, or closes it. */
     void put(const std::string& address, std::shared_ptr<ServerConnection>);
+    /** As put(), for a connection that has been idle since it was taken. */
+    void giveBack(const std::string& address, std::shared_ptr<ServerConnection>);
+    /** Watches the server by an idle connection, or opens one; see ServerWatch. */
+    std::shared_ptr<PooledWatch> watch(const std::string& address);
     void setMaxIdleConnections(std::size_t limit);
     /** Makes a connection that is not open and not in the pool. */
     std::shared_ptr<ServerConnection> make() { return std::make_shared<ServerConnection>(m_loop); }
@@ -74,6 +80,8 @@
     LostHostLimits m_limits;
     BufferBudget* m_answerBudget = nullptr;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idle; // By the address of the server.
+    std::unordered_map<std::string, std::weak_ptr<PooledWatch>> m_watches; // By address; some are over.
+    std::unordered_map<std::string, Duration> m_serverIdleTimeouts; // By address; what the server stated last, if it did.
     OpenConnections m_open;
 };
 
--- a/src/http/OpenConnections.cpp
+++ b/src/http/OpenConnections.cpp
@@ -6,10 +6,7 @@
 
 namespace HickoryHollow {
 
-namespace {
-
-/** True unless one of both sides has ended the connection. Bytes that wait to be read may have been sent before an end. */
-bool isOpen(ServerConnection& connection)
+bool isOpenAtBothSides(ServerConnection& connection)
 {
     auto& socket = connection.stream.socket();
     if (!socket.is_open())
@@ -18,8 +15,6 @@
     return ::poll(&polled, 1, 0) == 0;
 }
 
-} // namespace
-
 void OpenConnections::add(const std::string& address, const std::shared_ptr<ServerConnection>& connection, TimePoint now)
 {
     // A process that still runs has accepted, or will accept, the new connection too.
@@ -36,7 +31,7 @@
         return std::nullopt;
     for (const auto& it : found->second) {
         const auto connection = it.lock();
-        if (connection && isOpen(*connection))
+        if (connection && isOpenAtBothSides(*connection))
             return connection->serverRunsSince;
     }
     return std::nullopt;
--- a/src/http/OpenConnections.h
+++ b/src/http/OpenConnections.h
@@ -16,6 +16,9 @@
 
 struct ServerConnection;
 
+/** True unless one of both sides has ended the connection. Bytes that wait to be read may have been sent before an end. */
+bool isOpenAtBothSides(ServerConnection&);
+
 class OpenConnections {
 public:
     /** Adds a connection that has just been opened and sets its `serverRunsSince`. */
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -3,6 +3,7 @@
 #include "base/RouterError.h"
 #include "http/BufferBudget.h"
 #include "http/ConnectionPool.h"
+#include "http/PooledWatch.h"
 
 #include <algorithm>
 #include <array>
@@ -359,6 +360,7 @@
     }
 
     std::optional<TimePoint> serverRunsSince(const std::string& address) const override { return m_pool->serverRunsSince(address); }
+    std::shared_ptr<ServerWatch> watch(const std::string& address) override { return m_pool->watch(address); }
     void setAnswerBudget(BufferBudget& budget) override { m_pool->setAnswerBudget(budget); }
     void setMaxIdleConnections(std::size_t limit) override { m_pool->setMaxIdleConnections(limit); }
 
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -20,6 +20,7 @@
 namespace HickoryHollow {
 
 class BufferBudget;
+class ServerWatch;
 
 /** Timeouts of one call to a backend server. */
 struct UpstreamTimeouts {
@@ -109,6 +110,8 @@
     virtual Task<std::error_code> connect(const std::string& address) = 0;
     /** As UpstreamCall::serverRunsSince(), by the connections to `address` that are open now; nothing if there are none. */
     virtual std::optional<TimePoint> serverRunsSince(const std::string& /*address*/) const { return std::nullopt; }
+    /** Watches the process at `address`; null if this client cannot. A watch that has ended is not taken up again. */
+    virtual std::shared_ptr<ServerWatch> watch(const std::string& /*address*/) { return nullptr; }
     /** Bounds what headers and framing take beyond the usual. The budget outlives all calls. */
     virtual void setAnswerBudget(BufferBudget&) { }
     /** Sets the number of idle connections kept for each server and closes those above it. */
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -114,6 +114,12 @@
     return server && server->record.incarnation == placement.incarnation && server->version == placement.version;
 }
 
+bool BackendSelector::isLeaving(const Placement& placement) const
+{
+    const auto* server = m_servers.find(placement.backend);
+    return !server || (server->record.incarnation == placement.incarnation && server->record.state == BackendState::Leaving);
+}
+
 bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     if (!isSameStart(placement))
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -57,6 +57,8 @@
      * limit and the permit has run out.
      */
     bool mayReceive(const Placement&, TimePoint now) const;
+    /** Returns true if that start of the server has said that it leaves, or has taken itself off. */
+    bool isLeaving(const Placement&) const;
     /** Returns true if no later start of the server, and no change of its version, is known. */
     bool isSameStart(const Placement&) const;
     /** Returns the first time at which a server may take the request; nothing if none ever will. */
--- /dev/null
+++ b/test/error/unframed_ends.cpp
@@ -0,0 +1,109 @@
+/** \file
+ * Answers with neither a length nor chunks, over sockets. Guards against an answer whose server ends between two events, and that its caller takes
+ * for complete.
+ */
+#include "test/fakes/CountedStream.h"
+#include "test/fakes/RoutedBench.h"
+#include "test/fakes/UnframedServer.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace HickoryHollow;
+using namespace HickoryHollow::Fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t lastEvent = 6;
+using End = UnframedServer::End;
+
+/** The bench with sockets to servers of the services `models` and `orders`. */
+class SocketBench : public RoutedBench {
+public:
+    SocketBench()
+    {
+        for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1" })
+            selector.recordLeaving(BackendId(it), Incarnation(1));
+    }
+
+    UnframedServer& add(const std::string& service, std::vector<std::string> parts, End end, const std::string& fields = "", bool endsAtOnce = false)
+    {
+        const auto type = service == "models" ? "text/event-stream" : "application/json";
+        const auto usual = "Attempt-Id: " + attemptId + "\r\nRunner-Seal: seal\r\nContent-Type: " + type + "\r\n";
+        servers.push_back(std::make_unique<UnframedServer>(loop, UnframedServer::Options { .fields = usual + fields, .parts = std::move(parts), .end = end, .endsAtOnce = endsAtOnce }));
+        addServer(servers.back()->address(), service);
+        return *servers.back();
+    }
+
+    UnframedServer& addStream(std::uint64_t first, std::uint64_t last, End end, const std::string& fields = "", bool endsAtOnce = false)
+    {
+        std::vector<std::string> parts;
+        for (auto i = first; i <= last; ++i)
+            parts.push_back(countedEvents(i, i));
+        return add("models", std::move(parts), end, fields, endsAtOnce);
+    }
+
+    void serve(const HttpRequest& http)
+    {
+        auto isDone = false;
+        asio::co_spawn(loop, socketHandler.handle(http, writer), [&isDone](const auto&) { isDone = true; });
+        while (!isDone)
+            loop.run_one_for(100ms);
+        for (const auto& it : servers)
+            it->stop();
+    }
+
+    std::unique_ptr<UpstreamClient> client = makeUpstreamClient(loop, { .connectTimeout = 300ms, .acceptsCloseDelimited = true });
+    ForwardingContext socketContext { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = *client, .relayPeers = relayPeers, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) }, .startedAt = context.startedAt };
+    RoutedHandler socketHandler { socketContext };
+    std::vector<std::unique_ptr<UnframedServer>> servers;
+};
+
+} // namespace
+
+TEST_CASE("an unframed stream whose server ends between two events is not complete", "[routed][streams][unframed]")
+{
+    const auto end = GENERATE(End::Crash, End::Restart);
+    const auto endsAtOnce = GENERATE(false, true);
+    CAPTURE(static_cast<int>(end), endsAtOnce);
+    SocketBench bench;
+    bench.addStream(1, 3, end, "", endsAtOnce);
+    SECTION("it may not go on elsewhere")
+    {
+        bench.serve(RoutedBench::request("/chat/7"));
+        CHECK(bench.writer.streamed == countedEvents(1, 3));
+        CHECK_FALSE(bench.writer.isFinished);
+        CHECK(bench.writer.isAbandoned);
+    }
+    SECTION("it goes on at another server")
+    {
+        auto& next = bench.addStream(1, lastEvent, End::Orderly);
+        bench.selector.recordLeaving(BackendId(next.address()), Incarnation(1));
+        bench.writer.written = [&] { bench.addServer(next.address(), "models", "v1", 2); };
+        bench.serve(RoutedBench::request("/draft/7"));
+        CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+        CHECK(bench.writer.isFinished);
+    }
+    CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.size() == 1);
+}
+
+TEST_CASE("an unframed stream whose server goes on is complete", "[routed][streams][unframed]")
+{
+    SocketBench bench;
+    auto& server = bench.addStream(1, lastEvent, End::Orderly);
+    auto& other = bench.addStream(1, lastEvent, End::Orderly);
+    bench.serve(RoutedBench::request(GENERATE("/draft/7", "/chat/7")));
+    CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+    CHECK(bench.writer.isFinished);
+    CHECK(server.requests() + other.requests() == 1);
+}
+
+TEST_CASE("an unframed stream whose server leaves after its last answer is complete", "[routed][streams][unframed]")
+{
+    SocketBench bench;
+    bench.addStream(1, lastEvent, GENERATE(End::Crash, End::Restart), "Server-Leaving: 1\r\n");
+    bench.serve(RoutedBench::request(GENERATE("/draft/7", "/chat/7")));
+    CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+    CHECK(bench.writer.isFinished);
+}
