Tell a server that ends inside a whole answer from the end of the answer

Cause: relayWholeAnswer() took the orderly end of the connection for the end of the answer, as relayStream() did.

Evidence: on the code before, over sockets, "an unframed whole answer whose server ends inside it is not complete" failed with a server that is gone and with one that is started again at once: status 200 with half of the body.

Ruled out: refusing unframed whole answers (sound servers send them); holding them to be checked against a second one (an idempotent request may differ from run to run).

Why it works: the same judgement as for streams, once the body is taken out of the memory for held answers, which may be withdrawn meanwhile. A broken one is sent again where the route permits, and 502 otherwise. An answer that comes in one piece with its end costs no watching connection; it is broken off only if no connection to its server can be had.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -4,6 +4,7 @@
 #include "base/RouterError.h"
 #include "forwarding/AsyncAdmissionQueue.h"
 #include "forwarding/Successor.h"
+#include "forwarding/UnframedAnswer.h"
 #include "http/DeadlineWatch.h"
 #include "http/HeldAnswer.h"
 #include "http/ResponseWriter.h"
@@ -243,7 +244,12 @@
     AttemptResult result;
     result.answer = { .status = head.status, .fields = m_context.codec.fieldsForCaller(head.fields), .body = {} };
     result.held = std::make_shared<HeldAnswer>(m_context.answerBytes, head.contentLength(), [&call] { call.cancel(); });
+    std::optional<UnframedAnswer> unframed;
+    if (callId && head.isCloseDelimited)
+        unframed.emplace(m_context.upstream, m_lastPlacement.backend.value(), call.serverRunsSince());
     for (auto isLast = false; !isLast;) {
+        if (unframed)
+            unframed->keepWatching();
         const auto chunk = co_await call.readChunk();
         const auto isOversized = result.held->isWithdrawn() || (!chunk.ec && !result.held->append(chunk.bytes));
         if (chunk.ec || isOversized) {
@@ -255,6 +261,12 @@
         isLast = chunk.isLast;
     }
     result.answer.body = result.held->take();
+    if (unframed && co_await judgeEnd(*unframed) == UnframedEnd::BrokenOff) {
+        result.cause = "ended-with-server";
+        result.hasBrokenOff = true;
+        result.held.reset(); // It refers to the call.
+        co_return result;
+    }
     if (head.status >= firstServerError) {
         result.end = AttemptEnd::ServerError;
         result.outcome = CallOutcome::ServerError;
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Answers with neither a length nor chunks, over sockets. Guards against an answer whose server ends between two events, and that its caller takes
- * for complete.
+ * Answers with neither a length nor chunks, over sockets. Guards against an answer whose server ends between two events, or inside a whole
+ * answer, and that its caller takes for complete.
  */
 #include "test/fakes/CountedStream.h"
 #include "test/fakes/RoutedBench.h"
@@ -107,3 +107,26 @@
     CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
     CHECK(bench.writer.isFinished);
 }
+
+TEST_CASE("an unframed whole answer whose server ends inside it is not complete", "[routed][unframed]")
+{
+    const auto end = GENERATE(End::Crash, End::Restart);
+    const auto endsAtOnce = GENERATE(false, true);
+    CAPTURE(static_cast<int>(end), endsAtOnce);
+    SocketBench bench;
+    bench.add("orders", { "{\"half\":" }, end, "", endsAtOnce);
+    bench.serve(RoutedBench::request("/order/7"));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 502);
+}
+
+TEST_CASE("an unframed whole answer whose server goes on is complete", "[routed][unframed]")
+{
+    SocketBench bench;
+    auto& server = bench.add("orders", { "{\"half\":", "1}" }, End::Orderly);
+    bench.serve(RoutedBench::request(GENERATE("/order/7", "/look/7")));
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 200);
+    CHECK(bench.writer.response->body == "{\"half\":1}");
+    CHECK(server.requests() == 1);
+}
