--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -124,6 +124,12 @@
     return isInDoubt && m_servers.ofService(server->record.service).hadSeveralVersions;
 }
 
+bool BackendSelector::isLeaving(const Placement& placement) const
+{
+    const auto* server = m_servers.find(placement.backend);
+    return !server || (server->record.incarnation == placement.incarnation && server->record.state == BackendState::Leaving);
+}
+
 bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     if (!isSameStart(placement))
