Keep the logs of each seed of the soak

Cause: all runs used the same folder, `run/soak/streams` or `run/soak`, and a run begins by deleting the contents of its folder. A run of other parts deleted the folder of `streams` as well, which lay within its own.

Each run now has a folder of its parts and its seed within `--folder`, such as `streams-21` and `disks-faults-stops-7`, and deletes that one only.

Ruled out: a time in the name, with which the folders would grow without bound when one seed runs again and again.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -389,7 +389,6 @@
 int runStreams(Deployment::Options options, std::chrono::milliseconds length)
 {
     GuaranteeChecker checker;
-    options.folder /= "streams";
     checkStreams(std::move(options), checker, length);
     return printViolations(checker);
 }
@@ -400,7 +399,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("hickory-soak", "Injects faults into a deployment of real daemons and checks its guarantees.");
-    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("parts", "What runs", cxxopts::value<std::vector<std::string>>()->default_value("faults,disks,cuts,stops,streams"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Folder of settings, data and logs; its contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
+    options.add_options()("seed", "Determines the faults and their order", cxxopts::value<std::uint64_t>()->default_value("1"))("minutes", "Time during which faults are injected", cxxopts::value<double>()->default_value("1"))("processes", "Number of state and entry instances together, at least 8", cxxopts::value<int>()->default_value("9"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("12"))("network", "The second number of the loopback addresses, even", cxxopts::value<int>()->default_value("20"))("parts", "What runs", cxxopts::value<std::vector<std::string>>()->default_value("faults,disks,cuts,stops,streams"))("program", "Path of the daemon", cxxopts::value<std::string>()->default_value("build/platform/hickoryhollowd-platform"))("folder", "Settings, data and logs are in a folder of the parts and the seed in this one, whose former contents are deleted", cxxopts::value<std::string>()->default_value("run/soak"))("help", "Shows this help");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -410,11 +409,15 @@
         constexpr int states = 5;
         const auto processes = std::max(states + 3, arguments["processes"].as<int>());
         const auto entries = processes - states;
-        const Deployment::Options deployment { .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() };
+        Deployment::Options deployment { .program = arguments["program"].as<std::string>(), .folder = std::filesystem::absolute(arguments["folder"].as<std::string>()), .states = states, .entries = entries, .backends = std::max(4, entries / 8), .seed = arguments["seed"].as<std::uint64_t>(), .network = arguments["network"].as<int>() };
         auto parts = parseParts(arguments["parts"].as<std::vector<std::string>>());
         const std::chrono::milliseconds length(static_cast<std::int64_t>(arguments["minutes"].as<double>() * 60'000));
         const auto hasStreams = parts.erase("streams") > 0;
+        // The logs of a run stay until its seed runs again.
+        const auto folder = deployment.folder;
+        deployment.folder = folder / fmt::format("{}-{}", fmt::join(parts, "-"), deployment.seed);
         auto result = parts.empty() ? EXIT_SUCCESS : runSoak(deployment, parts, arguments["callers"].as<int>(), length);
+        deployment.folder = folder / fmt::format("streams-{}", deployment.seed);
         if (hasStreams && runStreams(deployment, length) != EXIT_SUCCESS)
             result = EXIT_FAILURE;
         return result;
