Callers of the soak that take their streams up elsewhere by themselves

What was missing: the callers of the part `streams` took a stream up only after its connection had ended, so the instance that had held it always knew that first. The users' callers give up after a silence, and go on at another instance while the first one may still hold the stream.

The check is as strict as it was. It goes over all tries: what a caller dropped must come again, once, in order, of the version that it got first. A try that its caller left is no cut, and is counted by itself; the check that each try names the last piece that came now includes refused tries.

--- a/test/soak/BlockingHttpClient.cpp
+++ b/test/soak/BlockingHttpClient.cpp
@@ -14,6 +14,7 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+constexpr std::size_t readBytes = 16384;
 constexpr std::size_t minReceiveBuffer = 16384; // Less makes TCP wait for its timers.
 
 struct BlockingHttpClient::Socket {
@@ -100,22 +101,32 @@
     parser.body_limit(64U << 20U);
     parser.eager(true);
     auto& buf = m_socket->buf;
-    while (readPace.pieceBytes > 0 && !ec && !parser.is_done()) {
+    const auto deadline = std::chrono::steady_clock::now() + m_timeout;
+    const auto readsPieces = readPace.pieceBytes > 0 || readPace.leaveAfter || readPace.patience.count() > 0;
+    while (readsPieces && !ec && !parser.is_done()) {
+        if (readPace.leaveAfter && parser.is_header_done() && parser.get().body().size() >= *readPace.leaveAfter) {
+            result.wasLeft = true;
+            break;
+        }
+        const auto left = deadline - std::chrono::steady_clock::now();
+        const auto isImpatient = readPace.patience.count() > 0 && readPace.patience < left;
+        stream.expires_after(isImpatient ? readPace.patience : std::max<std::chrono::steady_clock::duration>(left, {}));
         std::size_t n = 0;
         ec = runToCompletion(m_socket->io, [&](auto handler) {
-            stream.async_read_some(buf.prepare(readPace.pieceBytes), [&n, handler](const boost::system::error_code& readEc, std::size_t read) {
+            stream.async_read_some(buf.prepare(readPace.pieceBytes > 0 ? readPace.pieceBytes : readBytes), [&n, handler](const boost::system::error_code& readEc, std::size_t read) {
                 n = read;
                 handler(readEc);
             });
         });
         buf.commit(n);
+        result.wasLeft = isImpatient && ec == boost::beast::error::timeout;
         if (!ec)
             buf.consume(parser.put(buf.data(), ec));
         if (ec == http::error::need_more)
             ec = {};
         std::this_thread::sleep_for(readPace.pause);
     }
-    if (!ec && !parser.is_done())
+    if (!ec && !result.wasLeft && !parser.is_done())
         ec = runToCompletion(m_socket->io, [&](auto handler) { http::async_read(stream, buf, parser, handler); });
     const auto& response = parser.get();
     for (const auto& it : response) {
@@ -124,9 +135,9 @@
         result.fields[name] = std::string(it.value());
     }
     result.body = response.body();
-    result.status = ec ? 0 : response.result_int();
-    result.closesConnection = ec || !response.keep_alive();
-    if (result.closesConnection)
+    result.status = ec || result.wasLeft ? 0 : response.result_int();
+    result.closesConnection = ec || result.wasLeft || !response.keep_alive();
+    if (result.closesConnection && !result.wasLeft)
         close();
     return result;
 }
--- a/test/soak/BlockingHttpClient.h
+++ b/test/soak/BlockingHttpClient.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace HickoryHollow::Soak {
@@ -16,6 +17,7 @@
     std::map<std::string, std::string> fields; ///< Header fields; the names are in lower case.
     std::string body; ///< The part that arrived, if the response is incomplete.
     bool closesConnection = false; ///< True after an error and if the server ends the connection.
+    bool wasLeft = false; ///< The client left the answer, as its ReadPace says. The connection is open still, unless a silence was the reason.
 };
 
 /** How the bytes of a request are sent. */
@@ -29,6 +31,8 @@
 struct ReadPace {
     std::size_t pieceBytes = 0; ///< Largest size of the pieces between which the client pauses; 0 for no pauses.
     std::chrono::milliseconds pause {};
+    std::optional<std::size_t> leaveAfter; ///< Bytes of the body after which the client reads no further.
+    std::chrono::milliseconds patience {}; ///< Silence after which the client closes the connection; 0 for none.
 };
 
 /** Sends requests one after another over a persistent connection, which it opens when needed. Not thread-safe. */
--- a/test/soak/StreamCallers.h
+++ b/test/soak/StreamCallers.h
@@ -1,5 +1,6 @@
 /** \file
- * Callers of the part `streams`. They keep their connections, some read slowly, and they take up streams that break off, at any instance.
+ * Callers of the part `streams`. They keep their connections, some read slowly, and they take up streams that break off, at any instance. Some
+ * leave a stream in its midst and take it up at another instance, also while the first one still holds it.
  */
 #pragma once
 
@@ -38,6 +39,8 @@
         int entry = 0;
     };
 
+    /** Connects if there is no connection: to another instance than the one that it has left, or to any. */
+    void connect(Kept&, bool hasLeft, SeededRandom&);
     void run(int number);
     void runStream(const std::string& stream, Kept&, SeededRandom&);
 
--- a/test/soak/StreamLedger.cpp
+++ b/test/soak/StreamLedger.cpp
@@ -39,6 +39,13 @@
     return "?";
 }
 
+const char* describeEnd(const StreamTry& it)
+{
+    if (it.wasLeft)
+        return " (left by the caller)";
+    return it.hasHead && it.status == 0 ? " (cut)" : "";
+}
+
 bool isDenial(unsigned status)
 {
     return status >= 300 && status < 500 && status != 408 && status != 421 && status != 429;
@@ -54,6 +61,7 @@
     std::size_t whole = 0;
     std::size_t takenUp = 0;
     std::size_t goneOn = 0; // Of those taken up.
+    std::size_t left = 0; // By their caller.
     std::size_t resumedRuns = 0; // Runs that went on behind another run of the same attempt.
     std::size_t excessRuns = 0;
     std::size_t denials = 0;
@@ -155,18 +163,19 @@
     return runs;
 }
 
-// Each piece once and in order, all by one version, and a proper end only behind the last one. What a cut left of a piece is the beginning of
-// the piece that is due.
+// Each piece that the caller kept once and in order, all by one version, and a proper end only behind the last one. What a cut left of a piece
+// is the beginning of the piece that is due.
 std::optional<std::string> StreamLedger::findFault(const std::string& name, const Stream& stream)
 {
     auto last = 0;
     std::string version;
     for (const auto& it : stream.tries) {
+        // A further try of a stream of which nothing had come begins anew.
+        if (it.after + it.dropped != last)
+            return fmt::format("{} was sent after piece {} with {} dropped, but {} had come", it.attempt, it.after, it.dropped, last);
+        last = it.after;
         if (!it.hasHead || (it.status != ok && it.status != 0))
             continue;
-        // A further try of a stream of which nothing had come begins anew.
-        if (it.after != last)
-            return fmt::format("{} was sent after piece {}, but {} had come", it.attempt, it.after, last);
         std::size_t at = 0;
         for (auto end = it.body.find("\n\n"); end != std::string::npos; end = it.body.find("\n\n", at)) {
             const auto piece = it.body.substr(at, end + 2 - at);
@@ -245,7 +254,7 @@
         std::string numbers;
         for (std::sregex_iterator piece(it.body.begin(), it.body.end(), pieceId), end; piece != end; ++piece)
             numbers += ' ' + (*piece)[1].str();
-        text += fmt::format("  caller: {} at entry instance {} after piece {}, {:.3f} to {:.3f} s, status {}{}, pieces{}\n", it.attempt, it.entry, it.after, seconds(it.sentAt), seconds(it.endedAt), it.status, it.hasHead && it.status == 0 ? " (cut)" : "", numbers);
+        text += fmt::format("  caller: {} at entry instance {} after piece {}, {:.3f} to {:.3f} s, status {}{}, pieces{}\n", it.attempt, it.entry, it.after, seconds(it.sentAt), seconds(it.endedAt), it.status, describeEnd(it), numbers);
         for (const auto* run : runsOf(it.attempt)) {
             text += fmt::format("  server: {} {} after piece {} wrote up to {}, {:.3f} to {:.3f} s, {}", run->start, run->version, run->after, run->written, seconds(run->beganAt), run->end == RunEnd::Running ? 0 : seconds(run->endedAt), toString(run->end));
             for (const auto& [at, length] : run->silences)
@@ -276,7 +285,8 @@
             counts.denials += isDenial(it.status) && !isDisturbed(it.entry, it.sentAt, it.endedAt) ? 1 : 0;
             counts.takenUp += it.after > 0 ? 1 : 0;
             counts.goneOn += it.after > 0 && (it.status == ok || (it.status == 0 && !it.body.empty())) ? 1 : 0;
-            if (it.status != 0)
+            counts.left += it.wasLeft ? 1 : 0;
+            if (it.status != 0 || it.wasLeft)
                 continue;
             const auto cause = causeOfCut(it, isRelayed);
             ++counts.cuts[cause];
@@ -288,7 +298,7 @@
             checker.recordViolation("no stream is cut without a reason", fmt::format("{} ({})\n{}", it.attempt, cause.substr(1), describe(name, stream)));
         }
     }
-    std::cout << fmt::format("streams: {}, {} tries, {} whole, {} taken up of which {} went on; {} runs, {} behind another one of their attempt, both ran for {} ms at most, event loop late by {} ms\n", m_streams.size(), counts.tries, counts.whole, counts.takenUp, counts.goneOn, m_runs.size(), counts.resumedRuns, counts.latestLeft.count(), m_lateness.count());
+    std::cout << fmt::format("streams: {}, {} tries, {} whole, {} left by their callers, {} taken up of which {} went on; {} runs, {} behind another one of their attempt, both ran for {} ms at most, event loop late by {} ms\n", m_streams.size(), counts.tries, counts.whole, counts.left, counts.takenUp, counts.goneOn, m_runs.size(), counts.resumedRuns, counts.latestLeft.count(), m_lateness.count());
     for (const auto& [status, n] : counts.statuses)
         std::cout << fmt::format("  status {}: {}\n", status, n);
     for (const auto& [cause, n] : counts.cuts)
--- a/test/soak/StreamLedger.h
+++ b/test/soak/StreamLedger.h
@@ -34,13 +34,15 @@
 struct StreamTry {
     std::string attempt; ///< Its Attempt-Id.
     int entry = 0;
-    int after = 0; ///< Number of the last piece that the caller had; 0 for a new stream.
+    int after = 0; ///< Number of the last piece that the caller had and kept; 0 for a new stream.
+    int dropped = 0; ///< Pieces behind that one that the caller had too, and wants again.
     int maxAttempts = 0; ///< Of its route.
     std::chrono::milliseconds limit {}; ///< The shortest time limit that applied.
     Clock::time_point sentAt {};
     Clock::time_point endedAt {};
     unsigned status = 0; ///< 0 if no complete answer came.
     bool hasHead = false; ///< A status was received.
+    bool wasLeft = false; ///< The caller read no further.
     std::string body;
 };
 
