Servers of the soak that start again within milliseconds

What was missing: servers of the part `streams` crashed with resets only, one at a time, two of six changed their version, and a start was announced up to 0.4 s later than drawn, as announcements came at fixed intervals.

Servers now also start again in series, 0 to 50 ms after their crash and up to 0.4 s one after another, beside all other faults. Half of the crashes close all connections in order, as the kernel does it for a process that has read all. Half of the starts are announced at once, the others up to 0.5 s later. Any server of the two versions may change, as long as two others of its version run, where four never did before. What waited to be accepted at a crash, and is lost with the listener, counts as broken off, as unread requests on accepted connections did.

The checks are the same. A run's description names when its server's start ran and was announced, which tells a record of an earlier start from a current one; event 2107 is printed for streams out of order as well. The connection is in a header of its own (one class a header).

--- a/test/soak/StreamLedger.cpp
+++ b/test/soak/StreamLedger.cpp
@@ -83,6 +83,18 @@
     return m_runs.size() - 1;
 }
 
+void StreamLedger::recordStart(const std::string& start)
+{
+    const std::lock_guard guard(m_mutex);
+    m_starts.emplace(start, Clock::now());
+}
+
+void StreamLedger::recordAnnounced(const std::string& start)
+{
+    const std::lock_guard guard(m_mutex);
+    m_announcements.emplace(start, Clock::now());
+}
+
 void StreamLedger::recordWritten(std::size_t run, int piece)
 {
     const std::lock_guard guard(m_mutex);
@@ -256,7 +268,10 @@
             numbers += ' ' + (*piece)[1].str();
         text += fmt::format("  caller: {} at entry instance {} after piece {}, {:.3f} to {:.3f} s, status {}{}, pieces{}\n", it.attempt, it.entry, it.after, seconds(it.sentAt), seconds(it.endedAt), it.status, describeEnd(it), numbers);
         for (const auto* run : runsOf(it.attempt)) {
-            text += fmt::format("  server: {} {} after piece {} wrote up to {}, {:.3f} to {:.3f} s, {}", run->start, run->version, run->after, run->written, seconds(run->beganAt), run->end == RunEnd::Running ? 0 : seconds(run->endedAt), toString(run->end));
+            const auto startedAt = m_starts.find(run->start);
+            const auto announcedAt = m_announcements.find(run->start);
+            const auto age = startedAt == m_starts.end() ? std::string("lost") : fmt::format("started at {:.3f} s, announced {}", seconds(startedAt->second), announcedAt == m_announcements.end() ? std::string("never") : fmt::format("at {:.3f} s", seconds(announcedAt->second)));
+            text += fmt::format("  server: {} {} ({}) after piece {} wrote up to {}, {:.3f} to {:.3f} s, {}", run->start, run->version, age, run->after, run->written, seconds(run->beganAt), run->end == RunEnd::Running ? 0 : seconds(run->endedAt), toString(run->end));
             for (const auto& [at, length] : run->silences)
                 text += fmt::format(", silent for {} ms from {:.3f} s", length.count(), seconds(at));
             text += '\n';
@@ -272,10 +287,13 @@
 {
     const std::lock_guard guard(m_mutex);
     Counts counts;
-    std::vector<std::pair<std::string, int>> cut;
+    std::vector<std::pair<std::string, int>> faulty;
     for (const auto& [name, stream] : m_streams) {
-        if (const auto fault = findFault(name, stream))
+        if (const auto fault = findFault(name, stream)) {
+            for (const auto& it : stream.tries)
+                faulty.emplace_back(it.attempt, it.entry);
             checker.recordViolation("streams are in order", fmt::format("{}\n{}", *fault, describe(name, stream)));
+        }
         checkRuns(name, stream, counts, checker);
         for (const auto& it : stream.tries) {
             ++counts.tries;
@@ -294,7 +312,7 @@
                 continue;
             // The users' rule LOST allows none around a stop, and beside a configuration three times as many as at other times, when nothing
             // here excuses one either.
-            cut.emplace_back(it.attempt, it.entry);
+            faulty.emplace_back(it.attempt, it.entry);
             checker.recordViolation("no stream is cut without a reason", fmt::format("{} ({})\n{}", it.attempt, cause.substr(1), describe(name, stream)));
         }
     }
@@ -308,7 +326,7 @@
         checker.recordViolation("attempts run no more often than their route allows", fmt::format("{} did, {} allowed", counts.excessRuns, excessRuns));
     if (counts.denials > fewDenials + counts.tries / requestsPerDenial)
         checker.recordViolation("valid requests are not denied", fmt::format("{} of {} tries were", counts.denials, counts.tries));
-    return cut;
+    return faulty;
 }
 
 } // namespace HickoryHollow::Soak
--- a/test/soak/StreamLedger.h
+++ b/test/soak/StreamLedger.h
@@ -51,6 +51,9 @@
 public:
     /** Returns the number of the run. `start` names the server's start; `isNewVersion`: it came back as another version a short while ago. */
     std::size_t beginRun(const std::string& attempt, const std::string& start, const std::string& version, bool isNewVersion, int after);
+    /** A server runs, or was announced, for the first time since this start. */
+    void recordStart(const std::string& start);
+    void recordAnnounced(const std::string& start);
     void recordWritten(std::size_t run, int piece);
     /** The run is silent for so long from now on. */
     void recordSilence(std::size_t run, std::chrono::milliseconds);
@@ -72,7 +75,7 @@
     using IsRelayed = std::function<bool(const StreamTry&, int)>;
     /**
      * Checks all streams after the last one has ended and prints the counts. Returns the attempts whose streams were cut without
-     * an excuse, with the number of the entry instance.
+     * an excuse or are out of order, with the number of the entry instance.
      */
     std::vector<std::pair<std::string, int>> check(GuaranteeChecker&, const IsRelayed&) const;
 
@@ -111,6 +114,8 @@
     std::vector<Run> m_runs;
     std::multimap<std::string, std::size_t> m_runsByAttempt;
     std::multimap<std::string, std::string> m_refusals; // By attempt.
+    std::map<std::string, Clock::time_point> m_starts; // By the start's name.
+    std::map<std::string, Clock::time_point> m_announcements; // The first one that was acknowledged, by the start's name.
     std::map<std::string, Stream> m_streams;
     std::multimap<int, Span> m_disturbances; // By entry instance; the end is the largest time while it lasts.
     std::vector<Span> m_configurations; // From the sending to the end of the time that the users' rule counts.
--- a/test/soak/StreamServer.cpp
+++ b/test/soak/StreamServer.cpp
@@ -1,13 +1,13 @@
 #include "soak/StreamServer.h"
 
 #include "net/Timer.h"
+#include "soak/StreamConnection.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
@@ -20,6 +20,7 @@
 using namespace std::chrono_literals;
 
 constexpr int backlog = 128;
+constexpr auto announceInterval = 400ms;
 constexpr auto waitInterval = 10ms; // Of checks whether a silence has ended.
 constexpr std::uint64_t maxFirstPause = 300; // In milliseconds, before the first piece.
 constexpr std::uint64_t maxPiecePause = 70;
@@ -32,7 +33,6 @@
 constexpr auto contactTime = 3s; // `contact-ms` of the users' rules.
 constexpr auto coldTime = 1500ms; // After a start, the first piece takes longer.
 constexpr std::uint64_t maxColdPause = 700;
-const std::string attemptField = "Attempt-Id: ";
 
 std::uint64_t unixMilliseconds()
 {
@@ -41,46 +41,6 @@
 
 } // namespace
 
-struct StreamServer::Connection {
-    explicit Connection(tcp::socket accepted, asio::io_context& loop)
-        : socket(std::move(accepted))
-        , timer(loop.get_executor())
-    {
-    }
-
-    /** Whether the other side has closed it; a further request is no end. */
-    bool isClosedByPeer()
-    {
-        char byte = 0;
-        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    /** The attempt of a request that has arrived and was not read; empty if there is none. */
-    std::string unreadAttempt()
-    {
-        std::string bytes(4096, ' ');
-        const auto n = ::recv(socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
-        bytes.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
-        const auto at = bytes.find(attemptField);
-        return at == std::string::npos ? std::string() : bytes.substr(at + attemptField.size(), bytes.find('\r', at) - at - attemptField.size());
-    }
-
-    void reset()
-    {
-        boost::system::error_code ignored;
-        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        socket.close(ignored);
-        hasEnded = true;
-        timer.cancel();
-    }
-
-    tcp::socket socket;
-    Timer timer;
-    boost::beast::flat_buffer buf;
-    bool hasEnded = false;
-};
-
 /** A run's answer. */
 struct StreamServer::Answer {
     enum class Framing { Length,
@@ -112,13 +72,14 @@
 {
     {
         const std::lock_guard guard(m_mutex);
-        m_bornMilliseconds = unixMilliseconds();
+        m_bornMilliseconds = std::max(unixMilliseconds(), m_bornMilliseconds + 1);
         m_sequence = 0;
         m_isDown = false;
         m_isLeaving = false;
         m_hasLeft = false;
     }
     m_startedAt = Clock::now();
+    m_ledger.recordStart(startName());
     m_acceptor = std::make_unique<Acceptor>(openListener(m_loop, m_options.address));
     asio::co_spawn(m_loop, accept(), asio::detached);
 }
@@ -137,8 +98,9 @@
 {
     const std::lock_guard guard(m_mutex);
     if (m_isDown || Clock::now() < m_announcedFrom)
-        return { .name = name(), .body = {} };
-    return { .name = name(), .body = fmt::format(R"({{"service":"{}","address":"{}","zone":"a","version":"{}","slots":64,"state":"{}","cold-left-ms":0,"seq":{},"born":{}}})", m_options.service, m_options.address, m_version, m_isLeaving ? "draining" : "ready", ++m_sequence, m_bornMilliseconds), .isLast = m_hasLeft };
+        return {};
+    m_announcedFrom = Clock::now() + announceInterval;
+    return { .name = name(), .start = startName(), .body = fmt::format(R"({{"service":"{}","address":"{}","zone":"a","version":"{}","slots":64,"state":"{}","cold-left-ms":0,"seq":{},"born":{}}})", m_options.service, m_options.address, m_version, m_isLeaving ? "draining" : "ready", ++m_sequence, m_bornMilliseconds), .isLast = m_hasLeft };
 }
 
 void StreamServer::fallSilent(std::chrono::milliseconds length)
@@ -168,27 +130,41 @@
     return !m_isDown && Clock::now() >= m_acceptsFrom;
 }
 
-void StreamServer::crash(std::chrono::milliseconds down, std::chrono::milliseconds unannounced, std::string version)
+void StreamServer::crash(Crash crash)
 {
-    if (version != m_version)
-        m_newVersionUntil = Clock::now() + down + unannounced + contactTime;
+    if (crash.version != m_version)
+        m_newVersionUntil = Clock::now() + crash.down + crash.unannounced + contactTime;
     {
         const std::lock_guard guard(m_mutex);
         m_isDown = true;
-        m_version = std::move(version);
+        m_version = std::move(crash.version);
         ++m_start;
     }
+    // What waits to be accepted ends with the listener.
+    boost::system::error_code ec;
+    for (m_acceptor->non_blocking(true, ec); !ec;) {
+        tcp::socket socket(m_loop);
+        m_acceptor->accept(socket, ec);
+        if (!ec)
+            m_connections.push_back(m_ending.emplace_back(std::make_shared<StreamConnection>(std::move(socket), m_loop)));
+    }
     m_acceptor.reset();
     for (const auto& it : m_connections) {
         const auto connection = it.lock();
         if (!connection)
             continue;
-        if (const auto attempt = connection->unreadAttempt(); !attempt.empty())
-            m_ledger.recordEnd(m_ledger.beginRun(attempt, startName(), m_version, false, 0), RunEnd::BrokenOff);
-        connection->reset();
+        recordUnread(*connection);
+        connection->end(crash.resets);
     }
     m_connections.clear();
-    asio::co_spawn(m_loop, comeBack(down, unannounced), asio::detached);
+    m_ending.clear();
+    asio::co_spawn(m_loop, comeBack(crash.down, crash.unannounced), asio::detached);
+}
+
+void StreamServer::recordUnread(StreamConnection& connection)
+{
+    if (const auto attempt = connection.unreadAttempt(); !attempt.empty())
+        m_ledger.recordEnd(m_ledger.beginRun(attempt, startName(), m_version, false, 0), RunEnd::BrokenOff);
 }
 
 Task<void> StreamServer::comeBack(std::chrono::milliseconds down, std::chrono::milliseconds unannounced)
@@ -208,6 +184,7 @@
     {
         const std::lock_guard guard(m_mutex);
         m_isLeaving = true;
+        m_announcedFrom = {};
     }
     asio::co_spawn(m_loop, finishLeaving(serving), asio::detached);
 }
@@ -222,6 +199,7 @@
     {
         const std::lock_guard guard(m_mutex);
         m_hasLeft = true;
+        m_announcedFrom = {};
     }
     timer.expires_after(1s); // The last announcement is on its way.
     co_await timer.async_wait(asTuple);
@@ -234,7 +212,7 @@
         const std::lock_guard guard(m_mutex);
         ++m_life;
     }
-    crash(500ms, 0ms, version);
+    crash({ .down = 500ms, .version = version });
 }
 
 Task<void> StreamServer::accept()
@@ -245,9 +223,13 @@
     Timer timer(m_loop.get_executor());
     for (;;) {
         auto [ec, socket] = co_await acceptor->async_accept(asTuple);
-        if (ec || start != m_start)
+        if (ec)
             co_return;
-        auto connection = std::make_shared<Connection>(std::move(socket), m_loop);
+        auto connection = std::make_shared<StreamConnection>(std::move(socket), m_loop);
+        if (start != m_start) {
+            recordUnread(*connection);
+            co_return;
+        }
         m_connections.remove_if([](const auto& it) { return it.expired(); });
         m_connections.push_back(connection);
         if (Clock::now() < m_acceptsFrom) {
@@ -263,7 +245,7 @@
     }
 }
 
-Task<void> StreamServer::serve(std::shared_ptr<Connection> connection)
+Task<void> StreamServer::serve(std::shared_ptr<StreamConnection> connection)
 {
     for (auto isUsable = true; isUsable;) {
         http::request<http::string_body> request;
@@ -289,7 +271,7 @@
     }
 }
 
-Task<bool> StreamServer::refuse(Connection& connection, const std::string& attempt, unsigned status)
+Task<bool> StreamServer::refuse(StreamConnection& connection, const std::string& attempt, unsigned status)
 {
     m_ledger.recordRefusal(attempt, startName(), status);
     const auto text = fmt::format("HTTP/1.1 {} Refused\r\nAttempt-Id: {}\r\nNot-Executed: 1\r\n{}Content-Length: 0\r\n\r\n", status, attempt, m_isLeaving ? "Server-Leaving: 1\r\n" : "");
@@ -297,7 +279,7 @@
     co_return !ec;
 }
 
-Task<void> StreamServer::watch(std::shared_ptr<Connection> connection, std::size_t run)
+Task<void> StreamServer::watch(std::shared_ptr<StreamConnection> connection, std::size_t run)
 {
     const auto [ec] = co_await connection->socket.async_wait(tcp::socket::wait_read, asTuple);
     if (ec || !connection->isClosedByPeer())
@@ -307,7 +289,7 @@
     connection->timer.cancel();
 }
 
-Task<bool> StreamServer::pause(Connection& connection, std::size_t run, std::chrono::milliseconds length)
+Task<bool> StreamServer::pause(StreamConnection& connection, std::size_t run, std::chrono::milliseconds length)
 {
     auto isNoted = false;
     for (const auto end = Clock::now() + length; !connection.hasEnded && Clock::now() < std::max(end, m_silentUntil);) {
@@ -320,7 +302,7 @@
     co_return !connection.hasEnded;
 }
 
-Task<bool> StreamServer::handle(std::shared_ptr<Connection> connection, const std::string& attempt, const std::string& lastId, const std::string& body)
+Task<bool> StreamServer::handle(std::shared_ptr<StreamConnection> connection, const std::string& attempt, const std::string& lastId, const std::string& body)
 {
     const auto space = body.find(' ');
     Answer answer { .attempt = attempt, .stream = body.substr(0, space), .version = m_version, .bytes = std::stoull(body.substr(space + 1)), .after = lastId.empty() ? 0 : std::stoi(lastId), .framing = static_cast<Answer::Framing>(m_random.below(3)) };
@@ -337,7 +319,7 @@
     co_return isUsable;
 }
 
-Task<bool> StreamServer::runStream(std::shared_ptr<Connection> connection, Answer& answer)
+Task<bool> StreamServer::runStream(std::shared_ptr<StreamConnection> connection, Answer& answer)
 {
     const auto write = [&](std::string text) -> Task<bool> {
         const auto [ec, n] = co_await asio::async_write(connection->socket, asio::buffer(text), asTuple);
@@ -373,7 +355,7 @@
             m_ledger.recordEnd(answer.run, RunEnd::BrokenOff);
             co_await write(head + answer.framed(text.substr(0, text.size() - streamPiece(answer.stream, answer.version, last, answer.bytes).size() / 2)));
             if (m_random.below(2) == 0)
-                connection->reset();
+                connection->end(true);
             co_return false;
         }
         // In one write, or cut anywhere.
--- a/test/soak/StreamServer.h
+++ b/test/soak/StreamServer.h
@@ -16,6 +16,8 @@
 
 namespace HickoryHollow::Soak {
 
+struct StreamConnection;
+
 /** Runs on one event loop. The methods that are called from other threads say so. */
 class StreamServer {
 public:
@@ -30,10 +32,19 @@
     /** What it says of itself to the state instances. */
     struct Announcement {
         std::string name;
-        std::string body; ///< Empty if it says nothing, as it does not run.
+        std::string start; ///< Names the start, as runs do.
+        std::string body; ///< Empty if nothing is due.
         bool isLast = false; ///< It leaves the service now.
     };
 
+    /** A crash, after which the server runs again under its id. */
+    struct Crash {
+        std::chrono::milliseconds down {};
+        std::chrono::milliseconds unannounced {}; ///< From its start to its first announcement.
+        std::string version;
+        bool resets = true; ///< Its connections; else they are closed in order, as the kernel does it for a process that has read all.
+    };
+
     StreamServer(asio::io_context&, Options, StreamLedger&);
 
     /** Begins to listen. */
@@ -44,8 +55,7 @@
     void stopAccepting(std::chrono::milliseconds);
     /** Answers requests that go on with a stream 503, not executed, for so long. */
     void refuseResumed(std::chrono::milliseconds);
-    /** Resets all connections, and runs again after `down`, under its id, as this version, and is announced after a further while. */
-    void crash(std::chrono::milliseconds down, std::chrono::milliseconds unannounced, std::string version);
+    void crash(Crash);
     /** Announces that it leaves, serves on for `serving` at least and until its runs have ended, and comes back under a new id. */
     void leave(std::chrono::milliseconds serving);
     /** Down or leaving. */
@@ -55,23 +65,24 @@
     const std::string& version() const { return m_version; }
     const Options& options() const { return m_options; }
 
-    /** Callable from any thread. */
+    /** What is due to be said now. Callable from any thread. */
     Announcement nextAnnouncement();
 
 private:
-    struct Connection;
     struct Answer;
 
     Task<void> accept();
-    Task<void> serve(std::shared_ptr<Connection>);
+    Task<void> serve(std::shared_ptr<StreamConnection>);
     /** Returns false once the connection cannot be used any more. */
-    Task<bool> handle(std::shared_ptr<Connection>, const std::string& attempt, const std::string& lastId, const std::string& body);
-    Task<bool> runStream(std::shared_ptr<Connection>, Answer&);
-    Task<bool> refuse(Connection&, const std::string& attempt, unsigned status);
+    Task<bool> handle(std::shared_ptr<StreamConnection>, const std::string& attempt, const std::string& lastId, const std::string& body);
+    Task<bool> runStream(std::shared_ptr<StreamConnection>, Answer&);
+    Task<bool> refuse(StreamConnection&, const std::string& attempt, unsigned status);
+    /** What a crash loses before it was read counts as broken off. */
+    void recordUnread(StreamConnection&);
     /** Notices that the other side closes the connection during the run. */
-    Task<void> watch(std::shared_ptr<Connection>, std::size_t run);
+    Task<void> watch(std::shared_ptr<StreamConnection>, std::size_t run);
     /** Waits for the time and until the server is not silent. Returns false if the connection has ended. */
-    Task<bool> pause(Connection&, std::size_t run, std::chrono::milliseconds);
+    Task<bool> pause(StreamConnection&, std::size_t run, std::chrono::milliseconds);
     Task<void> comeBack(std::chrono::milliseconds down, std::chrono::milliseconds unannounced);
     Task<void> finishLeaving(std::chrono::milliseconds serving);
     std::string name() const;
@@ -82,7 +93,8 @@
     StreamLedger& m_ledger;
     SeededRandom m_random;
     std::unique_ptr<Acceptor> m_acceptor; // Null while it is down.
-    std::list<std::weak_ptr<Connection>> m_connections;
+    std::list<std::weak_ptr<StreamConnection>> m_connections;
+    std::list<std::shared_ptr<StreamConnection>> m_ending; // Accepted by a crash.
     int m_runs = 0; // In progress.
     Clock::time_point m_startedAt {};
     Clock::time_point m_newVersionUntil {}; // Others may not know it before.
@@ -96,7 +108,7 @@
     int m_start = 1; // Counts starts.
     std::uint64_t m_sequence = 0;
     std::uint64_t m_bornMilliseconds = 0;
-    Clock::time_point m_announcedFrom {};
+    Clock::time_point m_announcedFrom {}; // The next announcement is due.
     bool m_isDown = false;
     bool m_isLeaving = false;
     bool m_hasLeft = false;
--- a/test/soak/Streams.cpp
+++ b/test/soak/Streams.cpp
@@ -24,12 +24,15 @@
 
 using namespace std::chrono_literals;
 
-constexpr int mainServers = 6; // Two stay at each of two versions, and two change theirs when they crash.
-constexpr int fixedServers = 4;
+constexpr int mainServers = 6; // Of two versions.
+constexpr int leastOfVersion = 2; // No further one changes its version then.
+constexpr std::uint64_t longestRestart = 50; // In milliseconds, within a series of restarts.
+constexpr std::uint64_t restartRange = 400; // Between two restarts of a series.
+constexpr int shortestSeries = 4;
+constexpr std::uint64_t seriesRange = 8;
 constexpr int sideServers = 2;
 constexpr int serverNetwork = 9; // Third number of their addresses.
 constexpr int serverPort = 7945;
-constexpr auto announceInterval = 400ms;
 constexpr auto announceTimeout = 1s;
 constexpr auto startTime = 1500ms; // Until the servers are known.
 constexpr auto timeLimit = 9000ms;
@@ -55,7 +58,7 @@
         asio::co_spawn(m_loops.at(0), measureLateness(ledger), asio::detached);
         m_thread = std::thread([this] { m_loops.run(); });
         for (const auto& it : m_servers)
-            m_announcers.emplace_back([this, &server = *it] { announce(server); });
+            m_announcers.emplace_back([this, &server = *it, &ledger] { announce(server, ledger); });
     }
     ~StreamFleet()
     {
@@ -90,7 +93,7 @@
         }
     }
 
-    void announce(StreamServer& server)
+    void announce(StreamServer& server, StreamLedger& ledger)
     {
         auto state = 0;
         while (!m_isStopping) {
@@ -100,10 +103,12 @@
                 BlockingHttpClient client(m_deployment.controlAddress(state), announceTimeout);
                 const auto answer = client.call("POST", fmt::format("/instances/{}/{}", announcement.name, announcement.isLast ? "deregister" : "heartbeat"), { { "Host", "control" } }, announcement.body);
                 isAcknowledged = answer.status == 200;
+                if (isAcknowledged)
+                    ledger.recordAnnounced(announcement.start);
             }
             if (!isAcknowledged)
                 state = (state + 1) % m_deployment.options().states;
-            std::this_thread::sleep_for(announcement.body.empty() ? pollInterval : announceInterval);
+            std::this_thread::sleep_for(pollInterval);
         }
     }
 
@@ -135,6 +140,7 @@
         const auto end = Clock::now() + length;
         for (auto next = Clock::now(); Clock::now() < end; std::this_thread::sleep_for(pollInterval)) {
             followInstance();
+            followRestarts();
             if (Clock::now() < next)
                 continue;
             inject();
@@ -154,8 +160,12 @@
     void inject()
     {
         const auto number = static_cast<std::size_t>(m_random.below(mainServers + sideServers));
-        const auto kind = m_random.below(14);
+        const auto kind = m_random.below(17);
         const auto length = draw(500, 2500);
+        if (kind >= 14) {
+            m_restarts += shortestSeries + static_cast<int>(m_random.below(seriesRange));
+            return log(fmt::format("{} servers start again, one after another", m_restarts));
+        }
         const auto text = kind < 12 ? m_fleet.call([&](Servers& servers) { return injectAtServer(servers, number, kind, length); }) : disturbInstance(kind == 12);
         if (!text.empty())
             log(text);
@@ -196,13 +206,7 @@
         case 10: {
             if (!mayGo)
                 return {};
-            const auto isFixed = number < fixedServers || number >= mainServers;
-            const auto version = isFixed || m_random.below(2) == 0 ? server.version() : server.version() == "v1" ? "v2"
-                                                                                                                 : "v1";
-            const auto down = draw(0, 600);
-            const auto unannounced = draw(0, 500);
-            server.crash(down, unannounced, version);
-            return fmt::format("st-{} crashes and runs again as {} after {} ms, announced {} ms later", number, version, down.count(), unannounced.count());
+            return crash(servers, server, draw(0, 600));
         }
         default:
             if (!mayGo)
@@ -212,6 +216,34 @@
         }
     }
 
+    // Crashes the server, which runs again as its version or as the other one.
+    std::string crash(const Servers& servers, StreamServer& server, std::chrono::milliseconds down)
+    {
+        const auto sameVersion = std::count_if(servers.begin(), servers.end(), [&](const auto& it) { return it->version() == server.version(); });
+        auto version = server.version();
+        if (m_random.below(2) == 0 && sameVersion > leastOfVersion)
+            version = version == "v1" ? "v2" : "v1";
+        const auto unannounced = m_random.below(2) == 0 ? 0ms : draw(0, 500);
+        const auto resets = m_random.below(2) == 0;
+        server.crash({ .down = down, .unannounced = unannounced, .version = version, .resets = resets });
+        return fmt::format("st-{} crashes {}, and runs again as {} after {} ms, announced {} ms later", server.options().number, resets ? "with resets" : "in order", version, down.count(), unannounced.count());
+    }
+
+    void followRestarts()
+    {
+        if (m_restarts == 0 || Clock::now() < m_nextRestart)
+            return;
+        --m_restarts;
+        m_nextRestart = Clock::now() + draw(0, restartRange);
+        const auto number = static_cast<std::size_t>(m_random.below(mainServers + sideServers));
+        const auto text = m_fleet.call([&](Servers& servers) {
+            auto& server = *servers.at(number);
+            return server.isAccepting() && !server.isAway() ? crash(servers, server, draw(0, longestRestart)) : std::string();
+        });
+        if (!text.empty())
+            log(text);
+    }
+
     std::string disturbInstance(bool stops)
     {
         if (m_disturbed >= 0 || Clock::now() < m_calmUntil)
@@ -262,6 +294,8 @@
     StreamFleet& m_fleet;
     SeededRandom m_random;
     Clock::time_point m_startedAt = Clock::now();
+    int m_restarts = 0; // Of servers, to come.
+    Clock::time_point m_nextRestart {};
     int m_disturbed = -1; // The number of the instance that is stopped or paused.
     bool m_isStopped = false;
     Clock::time_point m_resumesAt {};
