--- a/test/soak/StreamLedger.cpp
+++ b/test/soak/StreamLedger.cpp
@@ -101,6 +101,12 @@
     m_runs.at(run).written = piece;
 }
 
+void StreamLedger::recordUnframed(std::size_t run)
+{
+    const std::lock_guard guard(m_mutex);
+    m_runs.at(run).isUnframed = true;
+}
+
 void StreamLedger::recordSilence(std::size_t run, std::chrono::milliseconds length)
 {
     const std::lock_guard guard(m_mutex);
@@ -271,7 +277,7 @@
             const auto startedAt = m_starts.find(run->start);
             const auto announcedAt = m_announcements.find(run->start);
             const auto age = startedAt == m_starts.end() ? std::string("lost") : fmt::format("started at {:.3f} s, announced {}", seconds(startedAt->second), announcedAt == m_announcements.end() ? std::string("never") : fmt::format("at {:.3f} s", seconds(announcedAt->second)));
-            text += fmt::format("  server: {} {} ({}) after piece {} wrote up to {}, {:.3f} to {:.3f} s, {}", run->start, run->version, age, run->after, run->written, seconds(run->beganAt), run->end == RunEnd::Running ? 0 : seconds(run->endedAt), toString(run->end));
+            text += fmt::format("  server: {} {} ({}) after piece {} wrote up to {}, {:.3f} to {:.3f} s, {}{}", run->start, run->version, age, run->after, run->written, seconds(run->beganAt), run->end == RunEnd::Running ? 0 : seconds(run->endedAt), toString(run->end), run->isUnframed ? ", unframed" : "");
             for (const auto& [at, length] : run->silences)
                 text += fmt::format(", silent for {} ms from {:.3f} s", length.count(), seconds(at));
             text += '\n';
--- a/test/soak/StreamLedger.h
+++ b/test/soak/StreamLedger.h
@@ -55,6 +55,8 @@
     void recordStart(const std::string& start);
     void recordAnnounced(const std::string& start);
     void recordWritten(std::size_t run, int piece);
+    /** The run's answer has neither a length nor chunks. */
+    void recordUnframed(std::size_t run);
     /** The run is silent for so long from now on. */
     void recordSilence(std::size_t run, std::chrono::milliseconds);
     /** Only the first end of a run counts. */
@@ -86,6 +88,7 @@
         std::string start;
         std::string version;
         bool isNewVersion = false;
+        bool isUnframed = false;
         int after = 0;
         int written = 0;
         std::vector<std::pair<Clock::time_point, std::chrono::milliseconds>> silences;
--- a/test/soak/StreamServer.cpp
+++ b/test/soak/StreamServer.cpp
@@ -307,6 +307,8 @@
     const auto space = body.find(' ');
     Answer answer { .attempt = attempt, .stream = body.substr(0, space), .version = m_version, .bytes = std::stoull(body.substr(space + 1)), .after = lastId.empty() ? 0 : std::stoi(lastId), .framing = static_cast<Answer::Framing>(m_random.below(3)) };
     answer.run = m_ledger.beginRun(attempt, startName(), answer.version, Clock::now() < m_newVersionUntil, answer.after);
+    if (answer.framing == Answer::Framing::Close)
+        m_ledger.recordUnframed(answer.run);
     const auto start = m_start;
     ++m_runs;
     asio::co_spawn(m_loop, watch(connection, answer.run), asio::detached);
