Leave only answers of success in the soak

Cause: a caller that leaves after a number of bytes did so with an error that the instance itself had made, too; its text was then taken for the beginning of a piece. Such an answer is read to its end now and counts with its status, as all others do. The check stays as it is; it was right about the bytes.

Ruled out: a fault of the instance.

--- a/test/soak/BlockingHttpClient.cpp
+++ b/test/soak/BlockingHttpClient.cpp
@@ -104,7 +104,7 @@
     const auto deadline = std::chrono::steady_clock::now() + m_timeout;
     const auto readsPieces = readPace.pieceBytes > 0 || readPace.leaveAfter || readPace.patience.count() > 0;
     while (readsPieces && !ec && !parser.is_done()) {
-        if (readPace.leaveAfter && parser.is_header_done() && parser.get().body().size() >= *readPace.leaveAfter) {
+        if (readPace.leaveAfter && parser.is_header_done() && http::to_status_class(parser.get().result()) == http::status_class::successful && parser.get().body().size() >= *readPace.leaveAfter) {
             result.wasLeft = true;
             break;
         }
--- a/test/soak/BlockingHttpClient.h
+++ b/test/soak/BlockingHttpClient.h
@@ -31,7 +31,7 @@
 struct ReadPace {
     std::size_t pieceBytes = 0; ///< Largest size of the pieces between which the client pauses; 0 for no pauses.
     std::chrono::milliseconds pause {};
-    std::optional<std::size_t> leaveAfter; ///< Bytes of the body after which the client reads no further.
+    std::optional<std::size_t> leaveAfter; ///< Bytes of the body of a successful answer after which the client reads no further.
     std::chrono::milliseconds patience {}; ///< Silence after which the client closes the connection; 0 for none.
 };
 
