Keep the connections that a crash ends within the crash

StreamServer held the connections that waited at its listener in a member, though they live only while crash() runs: crash() holds them itself now. Head comments and includes of the connection completed.

--- a/test/soak/StreamConnection.h
+++ b/test/soak/StreamConnection.h
@@ -7,13 +7,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <string>
 #include <sys/socket.h>
+#include <utility>
 
 namespace HickoryHollow::Soak {
 
 struct StreamConnection {
-    explicit StreamConnection(boost::asio::ip::tcp::socket accepted, asio::io_context& loop)
+    StreamConnection(boost::asio::ip::tcp::socket accepted, asio::io_context& loop)
         : socket(std::move(accepted))
         , timer(loop.get_executor())
     {
--- a/test/soak/StreamServer.cpp
+++ b/test/soak/StreamServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
+#include <vector>
 
 namespace HickoryHollow::Soak {
 
@@ -141,12 +142,13 @@
         ++m_start;
     }
     // What waits to be accepted ends with the listener.
+    std::vector<std::shared_ptr<StreamConnection>> waiting;
     boost::system::error_code ec;
     for (m_acceptor->non_blocking(true, ec); !ec;) {
         tcp::socket socket(m_loop);
         m_acceptor->accept(socket, ec);
         if (!ec)
-            m_connections.push_back(m_ending.emplace_back(std::make_shared<StreamConnection>(std::move(socket), m_loop)));
+            m_connections.push_back(waiting.emplace_back(std::make_shared<StreamConnection>(std::move(socket), m_loop)));
     }
     m_acceptor.reset();
     for (const auto& it : m_connections) {
@@ -157,7 +159,6 @@
         connection->end(crash.resets);
     }
     m_connections.clear();
-    m_ending.clear();
     asio::co_spawn(m_loop, comeBack(crash.down, crash.unannounced), asio::detached);
 }
 
--- a/test/soak/StreamServer.h
+++ b/test/soak/StreamServer.h
@@ -55,6 +55,7 @@
     void stopAccepting(std::chrono::milliseconds);
     /** Answers requests that go on with a stream 503, not executed, for so long. */
     void refuseResumed(std::chrono::milliseconds);
+    /** Ends the listener and all connections, and runs again. */
     void crash(Crash);
     /** Announces that it leaves, serves on for `serving` at least and until its runs have ended, and comes back under a new id. */
     void leave(std::chrono::milliseconds serving);
@@ -94,7 +95,6 @@
     SeededRandom m_random;
     std::unique_ptr<Acceptor> m_acceptor; // Null while it is down.
     std::list<std::weak_ptr<StreamConnection>> m_connections;
-    std::list<std::shared_ptr<StreamConnection>> m_ending; // Accepted by a crash.
     int m_runs = 0; // In progress.
     Clock::time_point m_startedAt {};
     Clock::time_point m_newVersionUntil {}; // Others may not know it before.
