Keep a silent whole answer until the next server has accepted

What callers saw: a request that may run again got an error though its silent server would have answered 0.04 s later: 502 no-other-server, answer-broken, configuration-unconfirmed or no-path, the other server's 500, or 504 after a second server that was silent for good.

Cause: silenceDeadline() and relaySilenceDeadline() ended the attempt of a whole answer as soon as another one might begin, without a Successor. Only streams kept theirs.

Ruled out: waiting longer before the next attempt begins; it is a longer wait for those whose server is silent for good, and no bound on how long a sound one may be silent is known.

Why this works: whole answers take the way of streams, so one rule serves both, direct and through other instances: the silent attempt ends once the next one is accepted, or 0.3 s after that was sent. A part of the body of the silent answer ends the successor, as an event does, so that no engine runs the request while the caller reads the answer.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -255,6 +255,7 @@
             result.held.reset(); // It refers to the call.
             co_return result;
         }
+        endSilence(head); // The rest may come after a silence as well.
         isLast = chunk.isLast;
     }
     result.answer.body = result.held->take();
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -122,8 +122,6 @@
     m_nextPeer = m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
     if (!m_nextPeer || !takeRetry(now))
         return later;
-    if (!m_route->isStream())
-        return std::nullopt;
     beginSuccessor();
     return later;
 }
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -29,8 +29,8 @@
 }
 
 // A request that may run again does not wait for a silent server until its deadline. But a server that sends data on other calls
-// of this instance is busy, and one that is silent may go on, so the attempt ends only for another one: that of a whole answer for
-// one that may begin, and that of a stream, of which the caller may have a part, for one that has been accepted.
+// of this instance is busy, and one that is silent may go on, so the attempt ends only for another one that has been accepted, or
+// that has had the request for as long as both may run.
 std::optional<TimePoint> RoutedExchange::silenceDeadline(TimePoint heardAt, const Placement& placement)
 {
     const auto now = monotonicNow();
@@ -48,8 +48,6 @@
         m_context.selector.recordSilence(placement.backend, now);
     if (isActive || !prepareNext(placement))
         return later;
-    if (!m_route->isStream())
-        return std::nullopt;
     beginSuccessor();
     return later;
 }
--- a/test/error/silent_servers.cpp
+++ b/test/error/silent_servers.cpp
@@ -144,6 +144,131 @@
     CHECK(bench.selector.localUsage().empty());
 }
 
+// Guards against errors for callers whose silent server would have answered.
+TEST_CASE("a silent whole answer is not given up for a server that does not take the request over", "[routed]")
+{
+    ImpatientBench bench;
+    auto script = RoutedBench::answer("whole");
+    script.silence = 60ms;
+    script.silentAfter = 0;
+    SECTION("the other server refuses")
+    {
+        bench.upstream.otherwise = RoutedBench::rejection();
+    }
+    SECTION("the other server is unreachable")
+    {
+        bench.upstream.otherwise = RoutedBench::failure(RouterError::UpstreamConnectFailed, Verdict::NotRun);
+    }
+    SECTION("the other server breaks off before its answer")
+    {
+        bench.upstream.otherwise = RoutedBench::failure(RouterError::UpstreamBroken, Verdict::MayHaveRun);
+    }
+    SECTION("the other server answers with an error")
+    {
+        bench.upstream.otherwise = RoutedBench::answer("error", 500);
+    }
+    SECTION("the other server is silent as well")
+    {
+        Script stalled;
+        stalled.isStalled = true;
+        bench.upstream.otherwise = stalled;
+    }
+    SECTION("the configuration is not confirmed any more while the other server is asked")
+    {
+        auto late = RoutedBench::answer("late");
+        late.beforeSending = [&bench] { bench.expireLease(); };
+        bench.upstream.otherwise = late;
+    }
+    bench.upstream.scripts = { script };
+    bench.run(RoutedBench::request("/look/7"));
+    CHECK(bench.upstream.addresses.size() >= 2);
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 200);
+    CHECK(bench.writer.response->body == "whole");
+    CHECK(bench.selector.localUsage().empty());
+}
+
+TEST_CASE("a silent whole answer through another instance is not given up for one that can't help", "[relay][routed]")
+{
+    ImpatientBench bench;
+    bench.context.minPeerSilence = 20ms;
+    bench.context.instance = InstanceId("edge-1");
+    bench.relayPeers.set({ { .address = InstanceId("10.0.9.1:7000"), .isInOwnDomain = true }, { .address = InstanceId("10.0.9.2:7000") } });
+    for (const auto* it : { "10.0.0.4:1", "10.0.0.5:1" })
+        bench.selector.recordProbe(BackendId(it), false, monotonicNow());
+    auto script = RoutedBench::answer("whole");
+    script.silence = 60ms;
+    Script refusal;
+    refusal.status = 503;
+    refusal.fields = { { .name = "X-Hickory-Relay", .value = "no-path" } };
+    refusal.chunks = { "{}" };
+    bench.upstream.scripts = { script, refusal };
+    bench.run(RoutedBench::request("/look/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->status == 200);
+    CHECK(bench.writer.response->body == "whole");
+}
+
+TEST_CASE("a whole answer that is silent comes from another server that takes the request over", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = RoutedBench::answer("whole");
+    silent.silence = 1h;
+    bench.upstream.scripts = { silent, RoutedBench::answer("other") };
+    bench.run(RoutedBench::request("/look/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.upstream.cancelled == std::vector<std::string> { bench.upstream.addresses[0] });
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "other");
+    CHECK(bench.selector.localUsage().empty());
+}
+
+// An engine must not run the request for long beside the one that goes on with it.
+TEST_CASE("a whole answer that is silent ends soon after another server has begun to read the request", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = RoutedBench::answer("whole");
+    silent.silence = 1h;
+    auto slow = RoutedBench::answer("other");
+    slow.silence = 700ms;
+    std::vector<std::string> endedInTime;
+    Timer latest(bench.loop.get_executor());
+    slow.afterSending = [&] {
+        latest.expires_after(390ms); // The engine before may work on a request that goes on elsewhere for 400 ms.
+        latest.async_wait([&](const auto&) { endedInTime = bench.upstream.cancelled; });
+    };
+    bench.upstream.scripts = { silent, slow };
+    bench.run(RoutedBench::request("/look/7"));
+    CHECK(endedInTime == std::vector<std::string> { bench.upstream.addresses[0] });
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "other");
+    CHECK(bench.selector.localUsage().empty());
+}
+
+TEST_CASE("a whole answer that goes on after its header ends the attempt that was begun for it", "[routed]")
+{
+    ImpatientBench bench;
+    auto silent = RoutedBench::answer("whole");
+    silent.pauseAfterHeader = 60ms;
+    bench.writer.readTime = 200ms;
+    Script stalled;
+    stalled.isStalled = true;
+    std::vector<std::string> endedAtOnce;
+    Timer latest(bench.loop.get_executor());
+    stalled.afterSending = [&] {
+        latest.expires_after(100ms); // The caller still reads.
+        latest.async_wait([&](const auto&) { endedAtOnce = bench.upstream.cancelled; });
+    };
+    bench.upstream.scripts = { silent, stalled };
+    bench.run(RoutedBench::request("/look/7"));
+    REQUIRE(bench.upstream.addresses.size() == 2);
+    CHECK(endedAtOnce == std::vector<std::string> { bench.upstream.addresses[1] });
+    REQUIRE(bench.writer.response);
+    CHECK(bench.writer.response->body == "whole");
+    CHECK(bench.selector.localUsage().empty());
+}
+
 // The server that was asked may have run the request, so the attempts of the route are used up.
 TEST_CASE("a silent stream that goes on ends the attempt that was begun for it", "[routed]")
 {
