Drop the server that was held for an attempt after the present one

Cause: since whole answers have a successor as streams do, every server that prepareNext() takes is passed to beginSuccessor() at once. So no server waits for the end of the present attempt, releaseNext() never found one, and awaitGrant() never got one. No change of behaviour; ruled out that another caller relies on it (prepareNext() has one, in silenceDeadline()).

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -121,7 +121,6 @@
             co_return;
         }
         if (accepted ? !accepted->grant : mustRelay()) {
-            releaseNext();
             if (co_await relay(std::move(accepted)))
                 co_return;
             accepted.reset();
@@ -153,7 +152,6 @@
         recordResult(m_attempt, result);
         accepted = co_await awaitSuccessor(result);
         if (!accepted && !mayRetry(result)) {
-            releaseNext();
             co_await finish(result);
             co_return;
         }
@@ -166,13 +164,12 @@
     const auto now = monotonicNow();
     co_await awaitCandidate();
     if (const auto quarantine = findQuarantine()) {
-        releaseNext();
         co_await refuse(*quarantine);
         co_return std::nullopt;
     }
-    auto grant = std::exchange(m_next, std::nullopt);
+    std::optional<AdmissionQueue::Grant> grant;
     std::optional<AdmissionQueue::Refusal> overload;
-    if (!grant) {
+    {
         const DemandMeter::Wait wait(m_context.demand, m_placementRequest.service);
         auto admission = co_await m_context.admissionQueue.place(m_placementRequest, queueUntil(now), queueTiming(now), [this](auto cancelWait) { setInterruption(std::move(cancelWait)); });
         grant = std::move(admission.grant);
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -174,10 +174,8 @@
     Duration silenceLimit() const;
     /** Time at which an attempt that was begun, or answered, at `heardAt` is looked at again; nothing if it is to end now. */
     std::optional<TimePoint> silenceDeadline(TimePoint heardAt, const Placement&);
-    /** Takes a server, and a retry from the budget, for the attempt after the present one. False if none may begin. */
+    /** Takes a server, and a retry from the budget, for the attempt after the present one. False if none may begin; otherwise call beginSuccessor(). */
     bool prepareNext(const Placement& present);
-    /** Gives the server back if the next attempt does not begin. */
-    void releaseNext();
     /** Takes a retry from the budget unless one is taken already. */
     bool takeRetry(TimePoint now);
 
@@ -314,10 +312,10 @@
     AttemptTrace m_trace;
     AttemptTrace::Index m_attempt = 0; // Of the attempt that runs.
     RetryWindow* m_retryWindow = nullptr; // Of the request's service; null until the first attempt.
-    std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, if the present one was given up for it.
+    std::optional<AdmissionQueue::Grant> m_next; // Server of the next attempt, between prepareNext() and beginSuccessor().
     std::shared_ptr<Successor> m_successor; // Beside the present attempt; null once it is over or the present one.
     UpstreamCall* m_presentCall = nullptr; // Of the attempt that runs.
-    std::optional<InstanceId> m_nextPeer; // Instance of the next attempt, if that is to be relayed.
+    std::optional<InstanceId> m_nextPeer; // As m_next, if that is to be relayed.
     bool m_isWriting = false; // To the caller; see WriteGuard.
     TimePoint m_wroteAt {}; // End of the last write to the caller.
     bool m_hasRetry = false; // The next attempt's retry was taken from the budget.
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -77,13 +77,6 @@
     return m_hasRetry;
 }
 
-void RoutedExchange::releaseNext()
-{
-    m_nextPeer.reset();
-    if (const auto next = std::exchange(m_next, std::nullopt))
-        m_context.selector.endCall(next->call, CallOutcome::Rejected, monotonicNow());
-}
-
 bool RoutedExchange::mayAddAttempt() const
 {
     return m_delivered.mayGoOn() && m_route->mayRunAgain() && possibleRuns() + 1 < m_route->maxAttempts && m_sends + 1 <= extraSendsAfterRejection + m_route->maxAttempts && m_placements < maxPlacements;
