Bind streams at servers in doubt as before

Cause: a stream that was bound to no version was not recorded, and for a stream that nobody knows the only version of the service that is picked now is taken.

Ruled out: leaving it so; it is worse than what it mends.

Why it works: such streams are bound to the version of the record again. Streams are still not sent on to servers in doubt.

--- a/src/forwarding/DeliveredStream.h
+++ b/src/forwarding/DeliveredStream.h
@@ -28,11 +28,8 @@
     void takeUpAfter(std::uint64_t id) { m_position = id; }
     /** Id of the last event that the caller has, after which an attempt goes on; nothing if it has none. */
     std::optional<std::uint64_t> position() const { return m_position; }
-    /** Says whether it is certain which version writes the events. While it is not, no further attempt may go on behind them. */
-    void setOriginKnown(bool isKnown) { m_isOriginKnown = isKnown; }
-    bool isOriginKnown() const { return m_isOriginKnown; }
-    /** False if the last event that the caller has been sent has no id, so that no attempt can be told to go on behind it, or no known origin. */
-    bool mayGoOn() const { return m_mayGoOn && m_isOriginKnown; }
+    /** False if the last event that the caller has been sent has no id, so that no attempt can be told to go on behind it. */
+    bool mayGoOn() const { return m_mayGoOn; }
 
     /** Takes bytes of an attempt's answer. Returns the events that they complete, without those that the caller has; valid until the next call. */
     std::string_view read(EventStreamScanner&, std::string_view bytes) const;
@@ -42,8 +39,7 @@
 private:
     ResponseWriter& m_writer;
     std::optional<std::uint64_t> m_position; // Never decreases.
-    bool m_mayGoOn = true; // By its ids.
-    bool m_isOriginKnown = true;
+    bool m_mayGoOn = true;
 };
 
 } // namespace HickoryHollow
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -239,14 +239,10 @@
     return m_placementRequest.version && runsSince && m_context.selector.mayBeOtherVersion(placement, *runsSince, monotonicNow());
 }
 
-void RoutedExchange::recordOrigin(const UpstreamCall& call)
+void RoutedExchange::recordOrigin()
 {
     if (!m_route->isResumable)
         return;
-    const auto runsSince = call.serverRunsSince();
-    m_delivered.setOriginKnown(!runsSince || !m_context.selector.mayBeOtherVersion(m_lastPlacement, *runsSince, monotonicNow()));
-    if (!m_delivered.isOriginKnown())
-        return;
     m_placementRequest.version = m_lastPlacement.version;
     m_context.streamOrigins.record({ .stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), m_metadata.id), .version = m_lastPlacement.version });
 }
@@ -368,7 +364,7 @@
         co_await respondWithError(m_possibleRuns == 0 ? unavailable : gatewayTimeout, result.cause, shortRetryAfter);
         co_return;
     case AttemptEnd::Failed:
-        co_await respondWithError(badGateway, m_delivered.isOriginKnown() ? result.cause : "stream-version-unknown", {});
+        co_await respondWithError(badGateway, result.cause, {});
         co_return;
     case AttemptEnd::Declined:
         // A refusal of the other instance says that the request did not run there; it may have run before.
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -139,8 +139,8 @@
     Task<std::optional<AdmissionQueue::Grant>> awaitGrant();
     /** Binds a stream that the caller resumes to the version that began it. Returns the refusal if it cannot go on there. */
     Task<std::optional<NotSent>> bindToOrigin();
-    /** Binds the stream to the version of the server that brings its events, and records that, as soon as the version is certain. */
-    void recordOrigin(const UpstreamCall&);
+    /** Binds the stream to the version of the server that brings its first event, and records that. */
+    void recordOrigin();
     /** True if the request goes on with a stream, and the process that the call has reached may be of another version than its server was. */
     bool mayJoinVersions(const UpstreamCall&, const Placement&) const;
     /** Waits, after a start of the process, until some backend server of the service is known. */
--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -82,8 +82,8 @@
                 cancelSuccessor();
                 if (callId && !std::exchange(isCounted, true))
                     countStart();
-                if (callId && (!m_lastChunkAt || !m_delivered.isOriginKnown()))
-                    recordOrigin(call);
+                if (callId && !m_lastChunkAt)
+                    recordOrigin();
                 recordChunk(callId);
                 firstEventAt = firstEventAt.value_or(*m_lastChunkAt);
                 isSound = isSound || (callId && m_context.promptGuard.recordProgress(m_parts, *firstEventAt, *m_lastChunkAt));
