Take an unframed empty rest for the end of a stream if its server runs on

What callers saw: a stream that had all its events and went on at another server was cut or refused (502) when that server's rest was empty and had neither a length nor chunks, also after it was taken up; with a second server to ask, it cost one more run.

Cause: nothing told the end of such an answer from a crash, so that only a second one like it was believed, and none once the caller had events of the same answer.

Evidence: with the new condition taken out, "a stream that is taken up is at its end if a server that goes on has no event left" and "a stream whose server ends behind its last event is at its end if a server that goes on has no event left" failed (not finished, both ways of ending).

Ruled out: believing any second empty rest (the case of two crashes).

Why it works: a server that is known to have run past the end of its answer did not crash in it. Where that is not known, the earlier rule stays as it was; test/error/empty_rests.cpp is unchanged.

--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -168,7 +168,7 @@
     /** Sends status and header fields to the caller, unless an earlier attempt has sent them. */
     Task<std::error_code> startStream(const UpstreamHead&);
     /** True if a stream of which the present attempt brought no event may end with that attempt's connection. */
-    bool isEndConfirmed() const;
+    bool isEndConfirmed(UnframedEnd) const;
     /** Decides on the end of an answer of the last placement's server. */
     Task<UnframedEnd> judgeEnd(UnframedAnswer&) const;
     /** True if the request may go to a further server after this attempt. */
--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -19,8 +19,11 @@
 }
 
 // An answer that ends with its connection before any event looks the same after a crash right behind the header as at the end of the stream.
-bool RoutedExchange::isEndConfirmed() const
+bool RoutedExchange::isEndConfirmed(UnframedEnd end) const
 {
+    // Of a server that runs on it is the end, if there were events before.
+    if (end == UnframedEnd::Whole && m_route->isResumable && lastEventId())
+        return true;
     if (!m_metadata.lastEventId)
         return false;
     if (!m_route->isResumable)
@@ -85,7 +88,7 @@
             co_return result;
         }
         const auto isEmptyEnd = chunk.isLast && head.isCloseDelimited && events.progressCount() == 0 && !events.isInsideEvent() && end != UnframedEnd::BrokenOff;
-        const auto isComplete = chunk.isLast && !events.isInsideEvent() && end != UnframedEnd::BrokenOff && (!isEmptyEnd || isEndConfirmed());
+        const auto isComplete = chunk.isLast && !events.isInsideEvent() && end != UnframedEnd::BrokenOff && (!isEmptyEnd || isEndConfirmed(end));
         std::string lastBytes;
         if (isComplete && !events.incompleteEvent().empty()) {
             lastBytes = std::string(bytes) + std::string(events.incompleteEvent());
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -60,6 +60,13 @@
     std::vector<std::unique_ptr<UnframedServer>> servers;
 };
 
+HttpRequest takeUpAfter(std::uint64_t id)
+{
+    auto http = RoutedBench::request("/draft/7");
+    http.fields.add("Last-Event-Id", std::to_string(id));
+    return http;
+}
+
 } // namespace
 
 TEST_CASE("an unframed stream whose server ends between two events is not complete", "[routed][streams][unframed]")
@@ -130,3 +137,36 @@
     CHECK(bench.writer.response->body == "{\"half\":1}");
     CHECK(server.requests() == 1);
 }
+
+TEST_CASE("a stream that is taken up is at its end if a server that goes on has no event left", "[routed][streams][unframed]")
+{
+    SocketBench bench;
+    auto& server = bench.add("models", {}, End::Orderly);
+    bench.serve(takeUpAfter(lastEvent));
+    CHECK(server.requests() == 1);
+    CHECK(bench.writer.isFinished);
+}
+
+TEST_CASE("a stream that is taken up is not at its end because two servers end behind their header", "[routed][streams][unframed]")
+{
+    const auto end = GENERATE(End::Crash, End::Restart);
+    CAPTURE(static_cast<int>(end));
+    SocketBench bench;
+    bench.add("models", {}, end);
+    bench.add("models", {}, end);
+    bench.serve(takeUpAfter(2));
+    CHECK_FALSE(bench.writer.isFinished);
+}
+
+TEST_CASE("a stream whose server ends behind its last event is at its end if a server that goes on has no event left", "[routed][streams][unframed]")
+{
+    SocketBench bench;
+    bench.addStream(1, lastEvent, GENERATE(End::Crash, End::Restart));
+    auto& next = bench.add("models", {}, End::Orderly);
+    bench.selector.recordLeaving(BackendId(next.address()), Incarnation(1));
+    bench.writer.written = [&] { bench.addServer(next.address(), "models", "v1", 2); };
+    bench.serve(RoutedBench::request("/draft/7"));
+    CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+    CHECK(bench.writer.isFinished);
+    CHECK(next.requests() == 1);
+}
