Refuse at once what can't begin beside an attempt that still runs

Cause: the silent attempt ends 0.3 s after the request was sent on. The asked instance admitted it as any caller's request and waited for its lease or its first server (2 s), in its queue, or for the origin of the stream (0.4 s).

Ruled out: a longer overlap. More text in the one header field: builds that run now take it for malformed and answer 400.

The fix: RelayedRequest says that an attempt still runs beside, and the stream's version if it is known. Both go into a second field of the same name, of which former builds read the first and pass on none. The asked instance waits for nothing then, and at most 0.1 s for a version that it has to ask for.

A server behind the asked instance that is slow to refuse is not covered.

--- a/src/forwarding/RelayedRequest.h
+++ b/src/forwarding/RelayedRequest.h
@@ -8,6 +8,7 @@
 
 #include "base/Ids.h"
 #include "http/HttpMessage.h"
+#include "placement/StreamOrigins.h"
 
 #include <cstdint>
 #include <optional>
@@ -16,18 +17,29 @@
 
 namespace HickoryHollow {
 
-/** Header field of a relayed request, and of an answer that the other instance gives itself; there its value is the error code. */
+/**
+ * Header field of a relayed request, and of an answer that the other instance gives itself; there its value is the error code. A
+ * request may have it twice: former builds know the first one, and pass neither of them on.
+ */
 inline constexpr std::string_view relayField = "X-Hickory-Relay";
 
 struct RelayedRequest {
     InstanceId from; ///< Instance that the caller is connected to.
     std::uint32_t earlierRuns = 0; ///< Attempts of this request that may have run already.
     bool continuesStream = false; ///< The caller has received events of the stream, which began under the id of this request.
+    /**
+     * An earlier attempt still runs at `from`, is silent, and ends a moment after this one was sent. So what can't begin at once is
+     * refused at once: a refusal that comes after the end of the earlier attempt leaves the caller with neither.
+     */
+    bool isBesideAttempt = false;
+    std::optional<VersionId> version = std::nullopt; ///< Of the stream that is to go on, if `from` knows it.
 };
 
-/** Value of the header field. */
+/** Adds what another instance has to know. */
+void addTo(HttpFields&, const RelayedRequest&);
+/** Value of the first header field. */
 std::string toText(const RelayedRequest&);
-/** Reads the header field of a request; nothing if it is missing or malformed. */
+/** Reads the header fields of a request; nothing if the first is missing, or one is malformed. Words of later builds are skipped. */
 std::optional<RelayedRequest> parseRelayedRequest(const HttpFields&);
 /** The fields without relayField. */
 HttpFields withoutRelayField(const HttpFields&);
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -30,6 +30,7 @@
 
 constexpr Duration maxStartupWait = std::chrono::milliseconds(2000);
 constexpr Duration maxOriginWait = std::chrono::milliseconds(400);
+constexpr Duration maxOriginWaitBesideAttempt = std::chrono::milliseconds(100); // The attempt ends 0.3 s after the request was sent here.
 constexpr double startupWaitShare = 0.3; // Largest share of the caller timeout that is spent on the startup wait.
 
 } // namespace
@@ -44,7 +45,7 @@
     , m_deadline(m_arrival)
     , m_table(context.routing.table())
     , m_metadata(context.codec.parseRequest(http))
-    , m_startupWaitEnd(m_arrival + std::min<Duration>(maxStartupWait, std::chrono::duration_cast<Duration>(m_metadata.callerTimeout.value_or(maxStartupWait) * startupWaitShare)))
+    , m_startupWaitEnd(m_arrival + startupWait())
     , m_delivered(writer)
 {
 }
@@ -62,6 +63,13 @@
         co_await runAttempts();
 }
 
+Duration RoutedExchange::startupWait() const
+{
+    if (isBesideAttempt())
+        return Duration::zero();
+    return std::min<Duration>(maxStartupWait, std::chrono::duration_cast<Duration>(m_metadata.callerTimeout.value_or(maxStartupWait) * startupWaitShare));
+}
+
 const ServiceId& RoutedExchange::pickService() const
 {
     const auto& services = m_route->services;
@@ -218,7 +226,9 @@
         co_return std::nullopt;
     const auto& attempt = m_relayed && m_relayed->continuesStream ? m_metadata.id : m_metadata.resumes;
     const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), attempt);
-    m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_deadline, monotonicNow() + maxOriginWait));
+    m_placementRequest.version = m_relayed ? m_relayed->version : std::nullopt;
+    if (!m_placementRequest.version)
+        m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_deadline, monotonicNow() + (isBesideAttempt() ? maxOriginWaitBesideAttempt : maxOriginWait)));
     if (!m_placementRequest.version)
         co_return NotSent { .code = "stream-version-unknown", .retryAfter = shortRetryAfter };
     // The version belongs to one service of a route that splits its requests.
@@ -316,7 +326,7 @@
 
 TimePoint RoutedExchange::queueUntil(TimePoint now) const
 {
-    return m_placements > 0 ? now : m_arrival + maxQueueTime(requestTiming(now));
+    return m_placements > 0 || isBesideAttempt() ? now : m_arrival + maxQueueTime(requestTiming(now));
 }
 
 bool RoutedExchange::mayRetry(const AttemptResult& result)
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -119,6 +119,10 @@
     Task<void> awaitConfiguration();
     /** Waits for the lease until `end` at most, while it can be expected soon. */
     Task<void> awaitLease(TimePoint end);
+    /** True if the request was relayed beside an attempt that still runs, so that nothing is waited for. */
+    bool isBesideAttempt() const { return m_relayed && m_relayed->isBesideAttempt; }
+    /** Longest time from its arrival that the request waits for a configuration and the first server. */
+    Duration startupWait() const;
     /** Latest end of the wait for the lease before an attempt. */
     TimePoint leaseWaitEnd() const;
     bool isConfigurationExpected(TimePoint now) const;
@@ -220,7 +224,7 @@
     RequestTiming requestTiming(TimePoint now) const;
     /** The timing by which a waiting request may be refused; none for a further attempt, which may have run before. */
     RequestTiming queueTiming(TimePoint now) const;
-    /** Time until which the request may be queued; retries are not queued. */
+    /** Time until which the request may be queued; retries, and attempts beside another instance's, are not queued. */
     TimePoint queueUntil(TimePoint now) const;
     HttpRequest makeUpstreamRequest(const Placement&) const;
     /** Logs an answer that was broken off after `sentFor`, with the prompt's parts, which show what such answers have in common. */
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -92,10 +92,10 @@
 
 HttpRequest RoutedExchange::makeRelayRequest(const UpstreamCall& call) const
 {
-    const auto presentRuns = m_presentCall && m_presentCall != &call ? 1U : 0U;
-    const RelayedRequest relayed { .from = m_context.instance, .earlierRuns = m_possibleRuns + presentRuns, .continuesStream = m_lastChunkAt.has_value() };
+    const auto isBesideAttempt = m_presentCall && m_presentCall != &call;
+    const RelayedRequest relayed { .from = m_context.instance, .earlierRuns = m_possibleRuns + (isBesideAttempt ? 1U : 0U), .continuesStream = m_lastChunkAt.has_value(), .isBesideAttempt = isBesideAttempt, .version = m_placementRequest.version };
     HttpRequest request { .method = m_http.method, .target = m_http.target, .fields = m_context.codec.fieldsForRelay(withoutRelayField(m_http.fields), m_deadline - monotonicNow(), lastEventId()), .body = m_http.body };
-    request.fields.add(std::string(relayField), toText(relayed));
+    addTo(request.fields, relayed);
     return request;
 }
 
--- a/test/correctness/relay_peers.cpp
+++ b/test/correctness/relay_peers.cpp
@@ -99,6 +99,44 @@
     CHECK(withoutRelayField(fields).all().size() == 1);
 }
 
+// Instances of two builds run side by side during an upgrade.
+TEST_CASE("a relayed request of a former build is read, and a former build reads the first field of a present one", "[relay]")
+{
+    const auto former = parseRelayedRequest({ { .name = std::string(relayField), .value = "edge-1;2;1" } });
+    REQUIRE(former);
+    CHECK_FALSE(former->isBesideAttempt);
+    CHECK_FALSE(former->version);
+    const RelayedRequest request { .from = InstanceId("edge-1"), .earlierRuns = 2, .continuesStream = true, .isBesideAttempt = GENERATE(false, true), .version = GENERATE(as<std::optional<VersionId>> {}, std::nullopt, VersionId(0), VersionId(~std::uint64_t { 0 })) };
+    HttpFields fields { { .name = "Host", .value = "h" } };
+    addTo(fields, request);
+    CHECK(fields.find(relayField) == "edge-1;2;1");
+    CHECK(withoutRelayField(fields).all().size() == 1);
+    const auto read = parseRelayedRequest(fields);
+    REQUIRE(read);
+    CHECK(read->from == request.from);
+    CHECK(read->earlierRuns == 2);
+    CHECK(read->continuesStream);
+    CHECK(read->isBesideAttempt == request.isBesideAttempt);
+    CHECK(read->version == request.version);
+}
+
+TEST_CASE("of further words with a relayed request unknown ones are skipped and malformed ones refused", "[relay]")
+{
+    const auto parse = [](const std::string& further) { return parseRelayedRequest({ { .name = std::string(relayField), .value = "a;0;0" }, { .name = std::string(relayField), .value = further } }); };
+    for (const auto* it : { "", ";", "later=1", "beside-attempts", "version", ";;later" }) {
+        CAPTURE(it);
+        REQUIRE(parse(it));
+        CHECK_FALSE(parse(it)->isBesideAttempt);
+        CHECK_FALSE(parse(it)->version);
+    }
+    CHECK(parse("later=1;beside-attempt;version=7")->version == VersionId(7));
+    CHECK(parse("later=1;beside-attempt;version=7")->isBesideAttempt);
+    for (const auto* it : { "version=", "version=x", "version=7x", "version=-1", "version=99999999999999999999", "beside-attempt;version= 7" }) {
+        CAPTURE(it);
+        CHECK_FALSE(parse(it));
+    }
+}
+
 TEST_CASE("a malformed header field is no relayed request", "[relay]")
 {
     const auto* text = GENERATE("", ";", ";;", "a", "a;1", "a;1;", "a;;1", "a;x;1", "a;1;2", "a;-1;0", "a b;1;0", "a\"b;1;0", ";1;0", "a;99999999999;0");
--- a/test/fakes/FakeStreamOrigins.h
+++ b/test/fakes/FakeStreamOrigins.h
@@ -20,6 +20,7 @@
     void record(const StreamOrigin& origin) override { known.record(origin, monotonicNow()); }
     Task<std::optional<VersionId>> find(StreamId stream, const ServiceId& service, TimePoint end) override
     {
+        longestWait = std::max(longestWait, end - monotonicNow());
         if (end <= monotonicNow())
             co_return std::nullopt;
         if (const auto version = known.find(stream))
@@ -33,6 +34,7 @@
     }
 
     StreamOrigins known;
+    Duration longestWait {}; ///< That a question left for its answer.
     std::set<VersionId> earlierVersions; ///< That servers of the service have had lately.
 
 private:
