Split what a StateFeed reports off into FeedReports

Ruled out: splitting the links off, which share the polls, the confirmations and the back-off with run().

No change in behaviour: the same reports in the same order.

--- a/src/node/StateFeed.cpp
+++ b/src/node/StateFeed.cpp
@@ -3,6 +3,7 @@
 #include "base/LogEvent.h"
 #include "links/EntryAddressCodec.h"
 #include "links/StateMesh.h"
+#include "node/FeedReports.h"
 #include "node/LinkOnTrial.h"
 #include "node/RoutingDeltaCodec.h"
 #include "node/UsageCodec.h"
@@ -12,7 +13,6 @@
 #include "wire/LimitCodec.h"
 #include "wire/PromptEvidenceCodec.h"
 #include "wire/Signed.h"
-#include "wire/StartReportCodec.h"
 #include "wire/StreamOriginCodec.h"
 #include "wire/gen/hickoryhollow_types.h"
 
@@ -31,7 +31,6 @@
 // delay the state instances' recovery, and stays short enough to be back within a second of it.
 constexpr Duration reconnectDelay = std::chrono::milliseconds(100);
 constexpr Duration maxReconnectDelay = std::chrono::milliseconds(400);
-constexpr Duration completionsInterval = std::chrono::milliseconds(100); // A report for each class takes some 40 bytes.
 // Time between two moves into the own failure domain: a state instance there that is up but does not confirm is not tried all the time.
 constexpr Duration moveInterval = std::chrono::seconds(20);
 // Mean time between two moves in the whole deployment: each new link is sent the records of all servers.
@@ -73,18 +72,13 @@
     void receiveRoutingDelta(const Wire::RoutingDelta&);
     void handleFreshnessReply(const Wire::FreshnessReply&);
     void poll(Link&);
-    void reportUsage(Link&, bool evenIfUnchanged);
-    void reportCachedPrefixes(Link&);
-    void reportPromptEvidence(Link&, bool isNewLink);
-    void reportLimits(Link&, bool isNewLink);
-    void reportForProvider(Link&, bool isNewLink);
-    void reportCompletions(Link&);
     void sendStreams(const std::vector<StreamOrigin>&);
     void answerOrigin(std::uint64_t id, std::optional<VersionId>);
 
     asio::io_context& loop;
     Options options;
     Events events;
+    FeedReports reports { events };
     StateAddresses addresses;
     Timer wake; // Cancelled to end the current pause in serveLink().
     std::shared_ptr<Link> current; // Null while no link is open.
@@ -94,11 +88,9 @@
     std::int64_t entryInstances = 0; // In the deployment, as far as it is known.
     std::map<InstanceId, TimePoint> failedAt; // When a dial attempt failed or a link ended last.
     std::map<std::uint64_t, TimePoint> pollSentAt; // Unanswered polls of the current link, by poll id.
-    UsageReport lastReport; // The usage that was sent last.
     RoutingDocument held; // Newest configuration that was received; differences apply to its text.
     bool needsWhole = false; // A difference did not fit `held`, and no whole configuration came since.
     std::uint64_t lastPoll = 0;
-    TimePoint completionsSentAt {};
     TimePoint attachedAt {}; // When the current link was opened.
     std::optional<TimePoint> moveTriedAt; // When a state instance of the own failure domain was dialled last in order to move there.
     std::optional<Move> move; // Which is made next.
@@ -237,12 +229,7 @@
         }
         if (isPoll)
             poll(*link);
-        reportUsage(*link, isPoll);
-        reportCachedPrefixes(*link);
-        reportPromptEvidence(*link, isFirst);
-        reportForProvider(*link, isFirst);
-        reportLimits(*link, std::exchange(isFirst, false));
-        reportCompletions(*link);
+        reports.send(*link, isPoll, std::exchange(isFirst, false));
         wake.expires_after(nextInterval - monotonicNow());
         co_await wake.async_wait(asTuple);
     }
@@ -298,75 +285,6 @@
     link.send(makePoll(id));
 }
 
-void StateFeed::State::reportUsage(Link& link, bool evenIfUnchanged)
-{
-    auto report = events.localUsage();
-    if (!evenIfUnchanged && report == lastReport)
-        return;
-    Wire::LinkMessage message;
-    message.__set_uses(toWire(report));
-    lastReport = std::move(report);
-    link.send(message);
-}
-
-void StateFeed::State::reportCachedPrefixes(Link& link)
-{
-    const auto prefixes = events.takeLocalPrefixes();
-    if (prefixes.empty())
-        return;
-    Wire::LinkMessage message;
-    message.__set_keptPrompts(toWire(prefixes));
-    link.send(message);
-}
-
-void StateFeed::State::reportPromptEvidence(Link& link, bool isNewLink)
-{
-    const auto evidence = events.takePromptEvidence(isNewLink);
-    if (evidence.isEmpty())
-        return;
-    Wire::LinkMessage message;
-    message.__set_promptEvidence(toWire(evidence));
-    link.send(message);
-}
-
-void StateFeed::State::reportLimits(Link& link, bool isNewLink)
-{
-    const auto report = events.takeLimitReport(isNewLink);
-    if (report.isEmpty())
-        return;
-    Wire::LinkMessage message;
-    message.__set_limitReport(toWire(report));
-    link.send(message);
-}
-
-void StateFeed::State::reportForProvider(Link& link, bool isNewLink)
-{
-    if (auto starts = events.takeStarts(isNewLink)) {
-        Wire::LinkMessage message;
-        message.__set_startReport(toWire(StartReport { .counts = { std::move(*starts) }, .passOnTo = {} }));
-        link.send(message);
-    }
-    if (const auto demand = events.takeDemand(isNewLink)) {
-        Wire::LinkMessage message;
-        message.__set_demandReport(toWire(*demand));
-        link.send(message);
-    }
-}
-
-void StateFeed::State::reportCompletions(Link& link)
-{
-    const auto now = monotonicNow();
-    if (now - completionsSentAt < completionsInterval)
-        return;
-    const auto completions = events.takeCompletions();
-    if (completions.empty())
-        return;
-    completionsSentAt = now;
-    Wire::LinkMessage message;
-    message.__set_admissionReport(toWire(completions));
-    link.send(message);
-}
-
 void StateFeed::State::handleMessage(const Wire::LinkMessage& message)
 {
     if (message.__isset.hello) {
