Don't take a stream up at the only version of a service that may not have begun it

Cause: bindToOrigin() asked where a stream began with the service that this instance drew for the request. Where the origin is not known, the only version of that service counted as certain, though another service of the route may have begun the stream.

Evidence: 'a stream of a route with two services does not go on ...' failed before in both variants (a request was sent); 160 assertions pass now. With several services no only version is asked for. Open: a route that was switched to another single service since the stream began.

--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -237,9 +237,11 @@
         co_return std::nullopt;
     const auto& attempt = m_relayed && m_relayed->continuesStream ? m_metadata.id : m_metadata.resumes;
     const auto stream = streamIdOf(m_workspace ? m_workspace->id : WorkspaceId(), attempt);
+    // Of a route with several services any may have begun the stream, so that the only version of one of them proves nothing.
+    const auto service = m_route->services.size() == 1 ? m_placementRequest.service : ServiceId();
     m_placementRequest.version = m_relayed ? m_relayed->version : std::nullopt;
     if (!m_placementRequest.version)
-        m_placementRequest.version = co_await m_context.streamOrigins.find(stream, m_placementRequest.service, std::min(m_deadline, monotonicNow() + (isBesideAttempt() ? maxOriginWaitBesideAttempt : maxOriginWait)));
+        m_placementRequest.version = co_await m_context.streamOrigins.find(stream, service, std::min(m_deadline, monotonicNow() + (isBesideAttempt() ? maxOriginWaitBesideAttempt : maxOriginWait)));
     if (!m_placementRequest.version)
         co_return NotSent { .code = "stream-version-unknown", .retryAfter = shortRetryAfter };
     // The version belongs to one service of a route that splits its requests.
