Don't take a reset of the watching connection, or a deadline, for the end of a server

Callers would have seen: 502 for a whole unframed answer of a server that resets connections beyond its limit, and its prompt counted as one of a crash. Cause: the connection that watches the server while an unframed answer is read is one of those; its reset was taken for the end of the process. Evidence: 'an unframed answer of a server that resets further connections is complete' failed (502, one crash); a process that ends closes a connection without a request in an orderly way, so a reset is no evidence.

A passed deadline, an oversized event and the like counted as signs that the server had ended, as their outcome is Broken by default: streams of services with two versions were then not sent on. The sign is now recorded in settle(), for breaks and failed connects only.

A second attempt that was given up for its silence was left out for the rest of the request; it may be asked again as a first one. By reading, no test of its own.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -116,6 +116,8 @@
         logBroken(placement, result.cause, now - begunAt);
         m_context.promptGuard.recordCrash(m_parts, placement.backend, placement.incarnation, now - begunAt, now);
     }
+    if (result.hasBrokenOff || result.outcome == CallOutcome::Unreachable)
+        m_context.selector.recordEnd(placement.backend, now);
     m_context.selector.endCall(callId, result.outcome, now);
     m_context.admissionQueue.placeWaiting(now);
 }
--- a/src/forwarding/RoutedExchangeSuccessor.cpp
+++ b/src/forwarding/RoutedExchangeSuccessor.cpp
@@ -156,6 +156,8 @@
     }
     if (successor.grant) {
         settle(successor.grant->placement, successor.grant->call, result, successor.begunAt);
+        if (result.outcome == CallOutcome::Silent)
+            m_silentServers.insert(successor.grant->placement.backend);
         if (!result.isHeldBack)
             m_placementRequest.excluded.insert(successor.grant->placement.backend);
     } else {
--- a/src/forwarding/UnframedAnswer.cpp
+++ b/src/forwarding/UnframedAnswer.cpp
@@ -37,8 +37,8 @@
         co_return facts;
     // A connection that was opened behind the start of another process is of that one.
     const auto watchedSince = m_watch ? m_watch->runsSince() : std::nullopt;
-    facts.wasWatched = watchedSince && *watchedSince <= *m_runsSince;
     facts.isReached = !co_await m_upstream.connect(m_address);
+    facts.wasWatched = watchedSince && *watchedSince <= *m_runsSince && !m_watch->wasReset();
     facts.runsSinceNow = m_upstream.serverRunsSince(m_address);
     co_return facts;
 }
--- a/src/http/OpenConnections.cpp
+++ b/src/http/OpenConnections.cpp
@@ -6,13 +6,25 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+/** What poll() says of the ends of an open connection; 0 if there are none. */
+int endsOf(ServerConnection& connection)
+{
+    pollfd polled { .fd = connection.stream.socket().native_handle(), .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&polled, 1, 0) == 0 ? 0 : polled.revents;
+}
+
+} // namespace
+
 bool isOpenAtBothSides(ServerConnection& connection)
 {
-    auto& socket = connection.stream.socket();
-    if (!socket.is_open())
-        return false;
-    pollfd polled { .fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
-    return ::poll(&polled, 1, 0) == 0;
+    return connection.stream.socket().is_open() && endsOf(connection) == 0;
+}
+
+bool isReset(ServerConnection& connection)
+{
+    return connection.stream.socket().is_open() && (endsOf(connection) & POLLERR) != 0;
 }
 
 void OpenConnections::add(const std::string& address, const std::shared_ptr<ServerConnection>& connection, TimePoint now)
--- a/src/http/OpenConnections.h
+++ b/src/http/OpenConnections.h
@@ -18,6 +18,8 @@
 
 /** True unless one of both sides has ended the connection. Bytes that wait to be read may have been sent before an end. */
 bool isOpenAtBothSides(ServerConnection&);
+/** True if the other side has reset the connection, as servers do that have no room for one. The end of a process is orderly, unless a request was unread. */
+bool isReset(ServerConnection&);
 
 class OpenConnections {
 public:
--- a/src/http/PooledWatch.cpp
+++ b/src/http/PooledWatch.cpp
@@ -29,6 +29,11 @@
     return m_hasFailed || (m_isOpen && !isOpenAtBothSides(*m_connection));
 }
 
+bool PooledWatch::wasReset() const
+{
+    return m_isOpen && isReset(*m_connection);
+}
+
 bool PooledWatch::isFresh(TimePoint now) const
 {
     return !m_isOpen || now - m_connection->idleSince < m_connection->serverIdleTimeout;
--- a/src/http/PooledWatch.h
+++ b/src/http/PooledWatch.h
@@ -23,6 +23,7 @@
 
     std::optional<TimePoint> runsSince() const override;
     bool hasEnded() const override;
+    bool wasReset() const override;
     /** False if the server may close the connection soon because it is idle. */
     bool isFresh(TimePoint now) const;
     /** The connection has been opened, or could not be. Call once for a watch that was made with a closed one. */
--- a/src/http/ServerWatch.h
+++ b/src/http/ServerWatch.h
@@ -17,6 +17,8 @@
     virtual std::optional<TimePoint> runsSince() const = 0;
     /** True if the server has ended the connection, or it could not be opened. */
     virtual bool hasEnded() const = 0;
+    /** True if it did so by a reset, which is no sign that its process has ended. */
+    virtual bool wasReset() const = 0;
 };
 
 } // namespace HickoryHollow
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -124,6 +124,12 @@
     return isInDoubt && m_servers.ofService(server->record.service).hadSeveralVersions;
 }
 
+void BackendSelector::recordEnd(const BackendId& id, TimePoint now)
+{
+    if (auto* server = m_servers.find(id))
+        server->evidence.recordEnd(now);
+}
+
 bool BackendSelector::isLeaving(const Placement& placement) const
 {
     const auto* server = m_servers.find(placement.backend);
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -67,6 +67,8 @@
      * was selected for: its record names another one, or it may have started again unannounced and its service has had several versions.
      */
     bool mayBeOtherVersion(const Placement&, TimePoint runsSince, TimePoint now);
+    /** Records a sign that the server has ended: it broke a call off, or took no connection. A start that was announced meanwhile may have. */
+    void recordEnd(const BackendId&, TimePoint now);
     /** Returns the first time at which a server may take the request; nothing if none ever will. */
     std::optional<TimePoint> availableAt(const PlacementRequest&, TimePoint now) const;
     /** Sets the limits of each engine of the service: requests that run at once, and tokens that fit into its memory. */
--- a/src/placement/BackendSelectorCalls.cpp
+++ b/src/placement/BackendSelectorCalls.cpp
@@ -72,10 +72,6 @@
 
 void BackendSelector::endCall(CallId id, CallOutcome outcome, TimePoint now)
 {
-    // A start that was announced during the call may be the one that broke it off.
-    auto* known = m_calls.serverOf(id);
-    if (known && (outcome == CallOutcome::Broken || outcome == CallOutcome::Unreachable))
-        known->evidence.recordEnd(now);
     const auto ended = m_calls.end(id);
     if (!ended)
         return;
--- a/test/error/server_continuity.cpp
+++ b/test/error/server_continuity.cpp
@@ -27,7 +27,12 @@
     {
         auto connection = std::make_shared<ServerConnection>(loop);
         connection->stream.socket().connect(acceptor.local_endpoint());
-        serverSides.push_back(acceptor.accept());
+        // Others dial ports on loopback that nobody listened at before.
+        do {
+            serverSides.erase(serverSides.begin() + static_cast<std::ptrdiff_t>(opened), serverSides.end());
+            serverSides.push_back(acceptor.accept());
+        } while (serverSides.back().remote_endpoint() != connection->stream.socket().local_endpoint());
+        ++opened;
         connections.add(address, connection, now);
         return connection;
     }
@@ -42,6 +47,7 @@
     boost::asio::io_context loop;
     Tcp::acceptor acceptor { loop, { boost::asio::ip::address_v4::loopback(), 0 } };
     std::vector<Tcp::socket> serverSides;
+    std::size_t opened = 0;
     OpenConnections connections;
 };
 
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -106,6 +106,27 @@
     CHECK(server.requests() + other.requests() == 1);
 }
 
+// Servers reset connections beyond their limit; that is no end of their process.
+TEST_CASE("an unframed answer of a server that resets further connections is complete", "[routed][streams][unframed]")
+{
+    SocketBench bench;
+    SECTION("a stream")
+    {
+        bench.addStream(1, lastEvent, End::Full);
+        bench.serve(RoutedBench::request(GENERATE("/draft/7", "/chat/7")));
+        CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
+        CHECK(bench.writer.isFinished);
+    }
+    SECTION("a whole answer")
+    {
+        bench.add("orders", { "{\"half\":", "1}" }, End::Full);
+        bench.serve(RoutedBench::request("/order/7"));
+        REQUIRE(bench.writer.response);
+        CHECK(bench.writer.response->status == 200);
+    }
+    CHECK(bench.promptGuard.takeEvidence(monotonicNow()).crashes.empty());
+}
+
 TEST_CASE("an unframed stream whose server leaves after its last answer is complete", "[routed][streams][unframed]")
 {
     SocketBench bench;
--- a/test/fakes/UnframedServer.h
+++ b/test/fakes/UnframedServer.h
@@ -22,6 +22,7 @@
 public:
     enum class End {
         Orderly, ///< Only the connection of the answer.
+        Full, ///< The same; each connection beside it is reset as soon as it is accepted.
         Crash, ///< All connections, and no new one is accepted.
         Restart, ///< All connections; new ones are accepted at once.
     };
@@ -80,6 +81,13 @@
         m_acceptor.async_accept([this](const boost::system::error_code& ec, asio::ip::tcp::socket socket) {
             if (ec)
                 return;
+            if (m_options.end == End::Full && m_requests > 0) {
+                boost::system::error_code ignored;
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                socket.close(ignored);
+                accept();
+                return;
+            }
             m_peers.push_back(std::make_shared<Peer>(m_loop, std::move(socket)));
             const auto peer = m_peers.back();
             asio::async_read_until(peer->socket, asio::dynamic_buffer(peer->read), "\r\n\r\n", [this, peer](const auto& readEc, std::size_t) {
@@ -119,7 +127,7 @@
         // A process ends at any time; here not before another connection has shown that it runs.
         const auto isLastStep = peer->next + (m_options.endsAtOnce ? 1 : 0) >= m_options.parts.size();
         const auto others = std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it->socket.is_open(); }) - 1;
-        if (m_options.end != End::Orderly && isLastStep && others == 0 && ++peer->steps < maxSteps)
+        if (m_options.end != End::Orderly && m_options.end != End::Full && isLastStep && others == 0 && ++peer->steps < maxSteps)
             wait(peer);
         else if (peer->next < m_options.parts.size())
             write(peer, m_options.parts[peer->next++]);
@@ -129,7 +137,7 @@
 
     void end(Peer& peer)
     {
-        if (m_options.end == End::Orderly) {
+        if (m_options.end == End::Orderly || m_options.end == End::Full) {
             peer.end();
             return;
         }
