Build scripted streams in one place of the test fixture

It is RoutedBench::streamOf() now; no assertion, script or bound changes. events_without_ids keeps its own, which also breaks streams off.

The comment at the check of a replaced server says what it compares, not how that came about.

--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -98,7 +98,7 @@
             // Comments are relayed, but a server that sends nothing else is as silent as one that sends nothing.
             if (isComplete || events.progressCount() > progressBefore) {
                 if (callId && !firstEventAt && m_route->isResumable && !m_context.selector.isSameStart(m_lastPlacement)) {
-                    // Which version wrote the events is not certain, and the stream would go on at the one that was chosen.
+                    // Which version wrote the events is not certain, and the stream would go on at that of the placement.
                     result.cause = "server-replaced";
                     co_return result;
                 }
--- a/test/error/held_events.cpp
+++ b/test/error/held_events.cpp
@@ -11,14 +11,6 @@
 
 namespace {
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 /** Whole answers hold all memory for answers. */
 class FullBench : public RoutedBench {
 public:
@@ -40,7 +32,7 @@
 TEST_CASE("a stream of usual events is not cut because answers of others use the memory", "[routed][memory]")
 {
     FullBench bench;
-    bench.upstream.scripts = { streamOf({ "id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\nid", ": 3\ndata: c\n\n" }) };
+    bench.upstream.scripts = { RoutedBench::streamOf({ "id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\nid", ": 3\ndata: c\n\n" }) };
     bench.run(RoutedBench::request("/chat/7"));
     CHECK(bench.writer.isFinished);
     CHECK(bench.writer.streamed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
@@ -49,7 +41,7 @@
 TEST_CASE("a long event needs room in the memory for answers", "[routed][memory]")
 {
     FullBench bench;
-    bench.upstream.scripts = { streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: " + std::string(2000, 'x'), "\n\n" }) };
+    bench.upstream.scripts = { RoutedBench::streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: " + std::string(2000, 'x'), "\n\n" }) };
     bench.run(RoutedBench::request("/chat/7"));
     CHECK(bench.writer.isAbandoned);
     CHECK(bench.writer.streamed == "id: 1\ndata: a\n\n");
--- a/test/error/late_refusals.cpp
+++ b/test/error/late_refusals.cpp
@@ -13,18 +13,10 @@
 
 const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 /** A stream that is silent behind its first event for longer than two servers may work on it. */
 Script silentStream()
 {
-    auto script = streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    auto script = RoutedBench::streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
     script.silence = 2s;
     script.silentAfter = 1;
     return script;
@@ -62,7 +54,7 @@
 TEST_CASE("a stream whose next server refuses late is asked for again at its silent server", "[routed]")
 {
     TwoServers bench;
-    bench.upstream.scripts = { silentStream(), lateRejection(), streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { silentStream(), lateRejection(), RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.writer.streamed == wholeStream);
     CHECK(bench.writer.isFinished);
@@ -74,7 +66,7 @@
 TEST_CASE("a silent server is not asked again for more than the route's attempts", "[routed]")
 {
     TwoServers bench;
-    auto broken = streamOf({});
+    auto broken = RoutedBench::streamOf({});
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
     broken.silence = 450ms;
     bench.upstream.scripts = { silentStream(), broken };
@@ -86,7 +78,7 @@
 TEST_CASE("a server that broke a stream off is not asked again", "[routed]")
 {
     TwoServers bench(3);
-    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
     bench.upstream.scripts = { broken, RoutedBench::rejection() };
     bench.run(RoutedBench::request("/draft/7"));
--- a/test/error/lease_gaps.cpp
+++ b/test/error/lease_gaps.cpp
@@ -12,18 +12,10 @@
 
 namespace {
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 /** Its server breaks off after the first event. */
 Script brokenStream()
 {
-    auto script = streamOf({ "id: 1\ndata: a\n\n" });
+    auto script = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     script.bodyError = make_error_code(RouterError::UpstreamBroken);
     return script;
 }
@@ -61,7 +53,7 @@
     LeaseBench bench;
     auto broken = brokenStream();
     broken.afterSending = [&bench] { bench.interruptLease(); };
-    bench.upstream.scripts = { broken, streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.addresses.size() == 2);
     CHECK(bench.writer.isFinished);
@@ -72,9 +64,9 @@
 {
     LeaseBench bench;
     bench.selector.recordLeaving(BackendId("10.0.0.3:1"), Incarnation(1));
-    auto held = streamOf({ "" });
+    auto held = RoutedBench::streamOf({ "" });
     held.beforeSending = [&bench] { bench.interruptLease(); };
-    bench.upstream.scripts = { brokenStream(), held, streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { brokenStream(), held, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     REQUIRE(bench.upstream.addresses.size() == 3);
     CHECK(bench.upstream.addresses[2] == bench.upstream.addresses[1]);
@@ -92,7 +84,7 @@
         bench.selector.recordProbe(BackendId(it), false, monotonicNow());
     auto broken = brokenStream();
     broken.afterSending = [&bench] { bench.interruptLease(); };
-    bench.upstream.scripts = { broken, streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     REQUIRE(bench.upstream.addresses.size() == 2);
     CHECK(bench.upstream.addresses[1] == "10.0.9.2:7000");
--- a/test/error/refusals_beside_attempts.cpp
+++ b/test/error/refusals_beside_attempts.cpp
@@ -18,18 +18,10 @@
 const std::string secondPeer = "10.0.9.2:7000";
 const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 /** Silent after its first event. */
 Script silentStream()
 {
-    auto script = streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    auto script = RoutedBench::streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
     script.silence = 1h;
     script.silentAfter = 1;
     return script;
@@ -73,7 +65,7 @@
     AskedBench()
         : m_handler(context, 1)
     {
-        upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+        upstream.otherwise = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     }
 
     static HttpRequest asked(const RelayedRequest& relayed)
@@ -120,7 +112,7 @@
 {
     AskingBench bench;
     bench.addServer("10.0.0.6:1", "models", "v2");
-    bench.upstream.scripts = { silentStream(), streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { silentStream(), RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     std::optional<VersionId> expected;
     SECTION("silent at a server")
     {
@@ -145,9 +137,9 @@
 {
     AskingBench bench;
     bench.cut();
-    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
-    bench.upstream.scripts = { broken, streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     REQUIRE(bench.upstream.requests.size() == 2);
     CHECK_FALSE(bench.told().isBesideAttempt);
--- a/test/error/stream_attempts.cpp
+++ b/test/error/stream_attempts.cpp
@@ -18,14 +18,6 @@
 constexpr TimePoint start { 1000s };
 constexpr int streamAttempts = static_cast<int>(LogEvent::StreamAttempts);
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 bool has(const std::string& line, const std::string& text)
 {
     CAPTURE(line, text);
@@ -71,9 +63,9 @@
 {
     const LogCapture log;
     RoutedBench bench;
-    auto broken = streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" });
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
-    bench.upstream.scripts = { broken, streamOf({ "id: 3\ndata: c\n\n" }) };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 3\ndata: c\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     const auto line = log.lineOf(streamAttempts);
     CHECK(has(line, "outcome=delivered written=3 "));
@@ -85,7 +77,7 @@
 {
     const LogCapture log;
     RoutedBench bench;
-    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
     bench.upstream.scripts = { broken };
     bench.run(RoutedBench::request("/chat/7"));
@@ -100,7 +92,7 @@
 {
     const LogCapture log;
     RoutedBench bench;
-    bench.upstream.scripts = { streamOf({ "id: 1\ndata: a\n\n" }) };
+    bench.upstream.scripts = { RoutedBench::streamOf({ "id: 1\ndata: a\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.writer.isFinished);
     CHECK(log.lineOf(streamAttempts).empty());
--- a/test/error/successors.cpp
+++ b/test/error/successors.cpp
@@ -15,15 +15,7 @@
 
 const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
-Script twoEvents() { return streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" }); }
+Script twoEvents() { return RoutedBench::streamOf({ "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" }); }
 
 Script stalled()
 {
@@ -126,14 +118,14 @@
 {
     ImpatientBench bench(3);
     bench.context.retryOptions.slack = 2; // One retry with one request.
-    auto broken = streamOf({ "id: 1\ndata: a\n\n" });
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     broken.silence = 40ms;
     broken.silentAfter = 1;
     broken.bodyError = make_error_code(RouterError::UpstreamBroken);
-    auto late = streamOf({ "id: 2\ndata: b\n\n" });
+    auto late = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     late.silence = 200ms;
     bench.upstream.scripts = { broken, late };
-    bench.upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+    bench.upstream.otherwise = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.requests.size() == 2);
     CHECK(bench.writer.isFinished);
@@ -166,12 +158,12 @@
 TEST_CASE("a silent second attempt is not given up for a third server that does not take the stream over", "[routed]")
 {
     ImpatientBench bench(3);
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     const auto breaksOff = GENERATE(true, false); // Otherwise it ends with the overlap.
     first.silence = breaksOff ? Duration(40ms) : Duration(1h);
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
-    auto second = streamOf({ "id: 2\ndata: b\n\n" });
+    auto second = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     second.silence = 700ms;
     bench.upstream.scripts = { first, second };
     SECTION("the third refuses")
@@ -204,11 +196,11 @@
     bench.relayPeers.set({ { .address = InstanceId("10.0.9.1:7000"), .isInOwnDomain = true }, { .address = InstanceId("10.0.9.2:7000") }, { .address = InstanceId("10.0.9.3:7000") } });
     for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" })
         bench.selector.recordProbe(BackendId(it), false, monotonicNow());
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     first.silence = GENERATE(Duration(60ms), Duration(1h));
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
-    auto second = streamOf({ "id: 2\ndata: b\n\n" });
+    auto second = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     second.silence = 700ms;
     Script refusal;
     refusal.status = 503;
@@ -225,11 +217,11 @@
 TEST_CASE("a stream whose second attempt is silent goes on at a third server that takes it over", "[routed]")
 {
     ImpatientBench bench(3);
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     first.silence = GENERATE(Duration(40ms), Duration(1h));
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
-    bench.upstream.scripts = { first, stalled(), streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { first, stalled(), RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.requests.size() == 3);
     CHECK(bench.upstream.cancelled.back() == bench.upstream.addresses[1]);
@@ -242,11 +234,11 @@
 TEST_CASE("a silent second attempt ends soon after a third server has begun to read the stream", "[routed]")
 {
     ImpatientBench bench(3);
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     first.silence = 40ms;
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
-    auto third = streamOf({ "id: 2\ndata: b\n\n" });
+    auto third = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     third.silence = 700ms;
     std::vector<std::string> endedInTime;
     Timer latest(bench.loop.get_executor());
@@ -267,11 +259,11 @@
 {
     ImpatientBench bench(3);
     bench.context.minSilence = 600ms;
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     first.silence = 620ms;
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
-    auto second = streamOf({ "id: 2\ndata: b\n\n" });
+    auto second = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     second.silence = 800ms; // The third is asked after 600 ms.
     second.pauseAfterHeader = 500ms;
     auto third = stalled();
@@ -327,7 +319,7 @@
 TEST_CASE("a caller that leaves ends the silent second attempt and the third one", "[routed]")
 {
     ImpatientBench bench(3);
-    auto first = streamOf({ "id: 1\ndata: a\n\n" });
+    auto first = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     first.silentAfter = 1;
     first.silence = 40ms;
     first.bodyError = make_error_code(RouterError::UpstreamBroken);
--- a/test/error/unsent_retries.cpp
+++ b/test/error/unsent_retries.cpp
@@ -11,14 +11,6 @@
 
 namespace {
 
-Script streamOf(const std::vector<std::string>& chunks)
-{
-    auto script = RoutedBench::answer("");
-    script.contentType = "text/event-stream";
-    script.chunks = chunks;
-    return script;
-}
-
 /** The budget has one retry. */
 class FrugalBench : public RoutedBench {
 public:
@@ -29,7 +21,7 @@
     }
     bool hasRetry() { return context.retryWindows.begin()->second.tryRetry(1, monotonicNow()); }
 
-    Script broken = streamOf({ "id: 1\ndata: a\n\n" });
+    Script broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
     Script unreachable = failure(RouterError::UpstreamConnectFailed, Verdict::NotRun);
 };
 
@@ -38,7 +30,7 @@
 TEST_CASE("a stream that goes on needs one retry although a server on the way is unreachable", "[routed]")
 {
     FrugalBench bench;
-    bench.upstream.scripts = { bench.broken, bench.unreachable, streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.upstream.scripts = { bench.broken, bench.unreachable, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.addresses.size() == 3);
     CHECK(bench.writer.isFinished);
@@ -50,7 +42,7 @@
 {
     FrugalBench bench;
     bench.upstream.scripts = { bench.broken, RoutedBench::rejection() };
-    bench.upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+    bench.upstream.otherwise = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.requests.size() == 2);
     CHECK_FALSE(bench.writer.isFinished);
@@ -60,7 +52,7 @@
 {
     FrugalBench bench;
     bench.upstream.scripts = { bench.unreachable, bench.broken, RoutedBench::rejection() };
-    bench.upstream.otherwise = streamOf({ "id: 2\ndata: b\n\n" });
+    bench.upstream.otherwise = RoutedBench::streamOf({ "id: 2\ndata: b\n\n" });
     bench.run(RoutedBench::request("/draft/7"));
     CHECK(bench.upstream.addresses.size() == 3);
     CHECK_FALSE(bench.writer.isFinished);
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -104,6 +104,15 @@
         return script;
     }
 
+    /** A correctly signed stream of events. */
+    static Script streamOf(const std::vector<std::string>& chunks)
+    {
+        auto script = answer("");
+        script.contentType = "text/event-stream";
+        script.chunks = chunks;
+        return script;
+    }
+
     /** A server that refuses the request before it executes any of it. */
     static Script rejection()
     {
