Start late in a stop only what its own time limit ends in time

Cause: from 3 s on, DrainPolicy started what the longest recent request of the route, times a margin, fits. That bounds the next request only if all requests of a route are alike; how long one takes is often known to its server alone.

Change: from 2.5 s after the stop was noticed, a stream or a request that runs once is started only if its own limit ends it before the stop does. Requests that may be repeated and are answered as a whole keep the measured durations: a 504 at the end lets their callers repeat them. 2.5 s instead of 3, so that a request sent over 3 s after a signal that was noticed late is not taken for one that is excused. Idle connections are closed at that moment, and those that fall idle later, so that callers move without a refusal. A stream that its caller has in part goes on at another server when its own breaks off in a stop; the bound alone would have cut it.

Why it works: whatever the server does, the limit ends the request before the process gives it up.

--- a/src/forwarding/DrainPolicy.cpp
+++ b/src/forwarding/DrainPolicy.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Two failed health checks of the load balancer, 1 s apart. Until then a caller that is turned away may be sent back here.
-constexpr Duration balancerDetectionTime = std::chrono::seconds(3);
+// Two failed health checks of the load balancer, 1 s apart, and the time that the process may take to notice the signal. Until then a
+// caller that is turned away may be sent back here.
+constexpr Duration balancerDetectionTime = std::chrono::milliseconds(2500);
 
 // Of routes that were measured too little. Several times the processing time of a request without a prompt; the time in which
 // a busy engine finishes a long stream.
@@ -20,14 +21,8 @@
 constexpr std::uint64_t minRequestsForUsual = 5;
 
 // Of n requests none took longer than the longest. That the next one takes k times that has a probability of about 1/(n k), with
-// the tail of 1/t that answers of busy servers have at worst. These are the products of n and k at which a request is started. The
-// caller may repeat a request that may run again; after any other one that takes longer it is left in doubt.
+// the tail of 1/t that answers of busy servers have at worst. This is the product of n and k at which a request is started.
 constexpr double certaintyIfRepeatable = 20;
-constexpr double certaintyIfOnce = 200;
-constexpr double onceMargin = 2; // A slow moment of a server doubles a duration easily.
-// A server may fall silent during a stream, and its caller waits at least this long for the next event. The durations that were
-// measured may hold no such silence.
-constexpr Duration longestSilence = std::chrono::seconds(2);
 
 } // namespace
 
@@ -37,6 +32,11 @@
     m_answerTime = answerTime;
 }
 
+TimePoint DrainPolicy::callersMovedAt() const
+{
+    return *m_startedAt + balancerDetectionTime;
+}
+
 Duration DrainPolicy::usualTime(const RouteRule& route, const RouteDurations& durations, TimePoint now)
 {
     return durations.quantile(route.id, usualShare, minRequestsForUsual, now).value_or(route.isStream() ? usualStreamTime : usualWholeAnswerTime);
@@ -47,12 +47,8 @@
     const auto longest = durations.quantile(route.id, 1, 1, now);
     if (!longest || *longest == Duration::max())
         return std::nullopt;
-    // A stream that is cut can't be answered with an error any more, so it counts as a request that runs once.
-    const auto isRepeatable = route.kind == RequestKind::Idempotent;
     const auto n = static_cast<double>(durations.count(route.id, now));
-    const auto margin = std::max(isRepeatable ? 1 : onceMargin, (isRepeatable ? certaintyIfRepeatable : certaintyIfOnce) / n);
-    const auto reliable = std::chrono::duration_cast<Duration>(*longest * margin);
-    return route.isStream() ? std::max(reliable, *longest + longestSilence) : reliable;
+    return std::chrono::duration_cast<Duration>(*longest * std::max(1.0, certaintyIfRepeatable / n));
 }
 
 bool DrainPolicy::mayStart(const RouteRule& route, TimePoint deadline, const RouteDurations& durations, TimePoint now) const
@@ -64,8 +60,12 @@
         return false;
     if (deadline <= end())
         return true;
-    if (now - *m_startedAt < balancerDetectionTime)
+    if (now < callersMovedAt())
         return usualTime(route, durations, now) <= left;
+    // How long other requests of the route took says nothing of one that its server works on for longer. Only a caller that may
+    // repeat its request, and gets an error at the end of the drain, loses nothing by that.
+    if (route.kind != RequestKind::Idempotent)
+        return false;
     const auto reliable = reliableTime(route, durations, now);
     return reliable && *reliable <= left;
 }
--- a/src/forwarding/RoutedExchange.cpp
+++ b/src/forwarding/RoutedExchange.cpp
@@ -278,6 +278,13 @@
     return m_context.drain.mayStart(*m_route, m_deadline, m_context.durations, monotonicNow());
 }
 
+// A stream that its caller has in part is cut now if it goes on nowhere, and at the end of the stop at worst if it does.
+bool RoutedExchange::mayStartNext() const
+{
+    const auto& drain = m_context.drain;
+    return mayStart() || (m_streamStarted && !m_relayed && monotonicNow() < drain.end());
+}
+
 void RoutedExchange::setInterruption(std::function<void()> callback)
 {
     m_interruption.set(callback);
@@ -312,7 +319,7 @@
 std::optional<RoutedExchange::NotSent> RoutedExchange::findRefusal(const Placement* placement, RetryWindow& window)
 {
     const auto now = monotonicNow();
-    if (!mayStart())
+    if (!mayStartNext())
         return NotSent { .code = "draining", .retryAfter = drainRetryAfter };
     if (!hasLease())
         return NotSent { .code = "configuration-unconfirmed", .retryAfter = shortRetryAfter };
--- a/src/forwarding/RoutedExchange.h
+++ b/src/forwarding/RoutedExchange.h
@@ -132,8 +132,10 @@
     const ServiceId& pickService() const;
     /** Queueing priority of the request within its service; 0 is the most urgent. */
     std::uint32_t priority() const;
-    /** False if the process stops and the answer would not come before its end. */
+    /** False if the process stops and the answer might not come before its end. */
     bool mayStart() const;
+    /** As mayStart(), for an attempt after the end of the one before. */
+    bool mayStartNext() const;
     /** Sets what ends the present wait if the caller disconnects or the process stops; an empty function unsets it. */
     void setInterruption(std::function<void()>);
 
--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -126,7 +126,7 @@
 // changed or the key revoked, the prompt put in quarantine, the process been told to stop, and the server may have said that it takes no requests.
 std::string_view RoutedExchange::findObstacle(const Placement& placement) const
 {
-    if (!mayStart())
+    if (!mayStartNext())
         return "draining";
     if (!hasLease())
         return "configuration-unconfirmed";
--- a/src/forwarding/RoutedExchangeRelay.cpp
+++ b/src/forwarding/RoutedExchangeRelay.cpp
@@ -42,7 +42,7 @@
 
 std::optional<RoutedExchange::NotSent> RoutedExchange::findRelayRefusal() const
 {
-    if (!mayStart())
+    if (!mayStartNext())
         return NotSent { .code = "draining", .retryAfter = drainRetryAfter };
     if (!hasLease())
         return NotSent { .code = "configuration-unconfirmed", .retryAfter = shortRetryAfter };
@@ -117,7 +117,7 @@
         return later;
     if (m_successor)
         return m_successor->cancelCause.empty() ? overlapEnd(now) : later;
-    if (!mayAddAttempt() || findRelayRefusal() || m_triedPeers.size() >= maxPeersTried || !(m_hasRetry || m_retryWindow->mayRetry(m_context.entryInstances, now)))
+    if (!mayAddAttempt() || !mayStart() || findRelayRefusal() || m_triedPeers.size() >= maxPeersTried || !(m_hasRetry || m_retryWindow->mayRetry(m_context.entryInstances, now)))
         return later;
     m_nextPeer = m_context.relayPeers.select(m_placementRequest.service, m_triedPeers, now);
     if (!m_nextPeer || !takeRetry(now))
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -34,6 +34,7 @@
     HttpHandler& handler;
     HttpServerOptions options;
     std::atomic<bool> isDraining = false;
+    std::atomic<bool> closesIdle = false; // See closeIdleConnections().
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> requests = 0;
     std::atomic<std::size_t> arriving = 0; // Requests that have arrived in part.
@@ -217,6 +218,8 @@
             state->stream.close();
             co_return;
         }
+        if (isOpen && shared->closesIdle && !state->hasFurtherInput())
+            break;
     }
     stopWatchingPeer(*state);
     // On a connection that waited for a request, nothing is read any more: the caller may repeat a request that was not read.
@@ -275,6 +278,7 @@
 
 void HttpServer::closeIdleConnections()
 {
+    m_shared->closesIdle = true;
     const std::lock_guard lock(m_shared->mutex);
     boost::system::error_code ignored;
     for (const auto& it : m_shared->idle)
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -61,8 +61,8 @@
     /** Makes every response that starts from now on close its connection. New connections are still accepted. */
     void startDrain();
     /**
-     * Closes connections on which no byte of a request has arrived; other requests are still served. Only for a server with one
-     * loop; call it on that loop.
+     * Closes connections on which no byte of a request has arrived, and from now on those that have served one and on which no
+     * further one has arrived; other requests are still served. Only for a server with one loop; call it on that loop.
      */
     void closeIdleConnections();
     /** Number of requests that were read completely since the server started. */
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -268,11 +268,15 @@
 {
     auto requestsRead = m_server.requestsRead() + m_relayServer.requestsRead();
     auto idleSince = startedAt;
+    auto hasClosedIdle = false;
     Timer timer(m_loop.get_executor());
     for (;;) {
         timer.expires_after(std::min(drainPollInterval, m_context.drain.end() - monotonicNow()));
         co_await timer.async_wait(asTuple);
         const auto now = monotonicNow();
+        // From here on most requests are refused. A caller whose idle connection is closed asks another instance at once.
+        if (now >= m_context.drain.callersMovedAt() && !std::exchange(hasClosedIdle, true))
+            closeIdleConnections();
         const auto total = m_server.requestsRead() + m_relayServer.requestsRead();
         if (std::exchange(requestsRead, total) != total || hasRequests())
             idleSince = now;
@@ -282,6 +286,12 @@
     }
 }
 
+void EntryInstance::closeIdleConnections()
+{
+    m_server.closeIdleConnections();
+    m_relayServer.closeIdleConnections();
+}
+
 Task<void> EntryInstance::awaitRequests(TimePoint end)
 {
     Timer timer(m_loop.get_executor());
@@ -304,8 +314,7 @@
     m_relayServer.startDrain();
     logEvent(LogEvent::DrainStarted, "in_progress={}", requestsInProgress());
     co_await serveUntilIdle(startedAt);
-    m_server.closeIdleConnections();
-    m_relayServer.closeIdleConnections();
+    closeIdleConnections();
     co_await awaitRequests(m_context.drain.end()); // Requests that crossed the closing of their connections.
     const auto givenUp = requestsInProgress();
     m_context.interrupts.interruptAll();
--- a/src/node/EntryInstance.h
+++ b/src/node/EntryInstance.h
@@ -63,8 +63,9 @@
 
 private:
     Task<void> tickLoop();
-    /** Returns when the callers have been idle for a while, or at the end of the drain. */
+    /** Closes the callers' idle connections once they find other instances. Returns when callers have been idle for a while, or at the end of the drain. */
     Task<void> serveUntilIdle(TimePoint startedAt);
+    void closeIdleConnections();
     /** Returns when no request is in progress or arrives, or at `end`. */
     Task<void> awaitRequests(TimePoint end);
     void applyRouting(const RoutingDocument&);
--- a/test/error/planned_stop.cpp
+++ b/test/error/planned_stop.cpp
@@ -72,6 +72,35 @@
     CHECK(bench.writer.response->body == "served");
 }
 
+// Guards against streams, and requests that run once, that were accepted 3.7 s after SIGTERM because their route had only had short
+// ones before, and cut at the end of the stop while a sound server still worked on them.
+TEST_CASE("late in the stop a long request of a route whose requests are usually short is refused", "[routed][drain]")
+{
+    RoutedBench bench;
+    const auto* path = GENERATE("/chat/7", "/draft/7", "/order/7");
+    const auto makeRequest = [&](const std::string& maxTokens) {
+        auto request = RoutedBench::request(path, "good-key", "");
+        request.fields.add("Token-Counts", "100," + maxTokens);
+        return request;
+    };
+    const auto isStream = std::string_view(path) != "/order/7";
+    bench.upstream.otherwise = isStream ? RoutedBench::streamOf({ "id: 1\ndata: short\n\n" }) : RoutedBench::answer("short");
+    for (int i = 0; i < 180; ++i)
+        bench.runAgain(makeRequest("30"));
+    REQUIRE(bench.upstream.requests.size() == 180);
+    startDrain(bench, 3700ms, 4050ms);
+    bench.writer = RecordingWriter();
+    auto request = makeRequest(GENERATE("600", "30")); // What takes long may be known to the server alone.
+    SECTION("from the start") { }
+    SECTION("taken up after an event")
+    {
+        request.fields.add("Last-Event-Id", "1");
+    }
+    bench.runAgain(request);
+    CHECK(bench.upstream.requests.size() == 180);
+    CHECK(isRefusedAsDraining(bench));
+}
+
 TEST_CASE("a stop that begins while a request waits for a connection is noticed before the request is sent", "[routed][drain]")
 {
     RoutedBench bench;
@@ -106,6 +135,33 @@
     CHECK(bench.upstream.requests.size() == 1);
 }
 
+// Guards against streams that were cut in the middle of a stop, as their server broke off and no other one was asked.
+TEST_CASE("in a stop a stream that its caller has in part goes on at another server", "[routed][drain]")
+{
+    RoutedBench bench;
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    const auto age = GENERATE(as<Duration> {}, 1s, 6s);
+    broken.afterSending = [&] { startDrain(bench, age, 1s); };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 2);
+    CHECK(bench.writer.isFinished);
+    CHECK(bench.writer.streamed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_CASE("after the end of a stop a stream goes on nowhere", "[routed][drain]")
+{
+    RoutedBench bench;
+    auto broken = RoutedBench::streamOf({ "id: 1\ndata: a\n\n" });
+    broken.bodyError = make_error_code(RouterError::UpstreamBroken);
+    broken.afterSending = [&] { startDrain(bench, 8s, -1ms); };
+    bench.upstream.scripts = { broken, RoutedBench::streamOf({ "id: 2\ndata: b\n\n" }) };
+    bench.run(RoutedBench::request("/draft/7"));
+    CHECK(bench.upstream.requests.size() == 1);
+    CHECK(bench.writer.isAbandoned);
+}
+
 TEST_CASE("a request that still runs at the end of the stop is answered as one that may have run", "[routed][drain]")
 {
     RoutedBench bench;
