--- a/src/agreement/AgreementTypes.h
+++ b/src/agreement/AgreementTypes.h
@@ -79,6 +79,7 @@
     Term term; ///< Term of the election; in a pre-vote, the term that the election would have.
     LogIndex lastIndex; ///< Index of the last entry in the candidate's log.
     Term lastTerm; ///< Term of that entry.
+    std::optional<Term> handedOver = std::nullopt; ///< Term whose leader has given up its lease for this election; empty for any other election.
 };
 
 struct VoteReply {
@@ -119,11 +120,26 @@
     bool isLogEmpty = false; ///< The sender's log has never had an entry.
 };
 
+/** A voter that is about to stop asks the leader for a learner that takes its vote. Repeated until the vote is taken. */
+struct LeaveRequest {
+};
+
+/** The leader's answer to a LeaveRequest. */
+struct LeaveReply {
+    bool isAwaited = false; ///< The vote is on its way to a learner, or one may catch up. Otherwise the receiver need not wait.
+    bool isVoter = false; ///< The receiver is a voter.
+};
+
+/** The leader has given up its lease and asks the receiver, a voter with its whole log, to start an election at once. */
+struct HandOver {
+    Term term; ///< Term of that leader.
+};
+
 /** The leader informs a replica that its data folder lacks entries which the replica has acknowledged. */
 struct StaleDiskNotice {
 };
 
-using AgreementPayload = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, JoinRequest, StaleDiskNotice>;
+using AgreementPayload = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, JoinRequest, StaleDiskNotice, LeaveRequest, LeaveReply, HandOver>;
 
 struct AgreementMessage {
     Member from;
--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -18,8 +18,6 @@
 constexpr std::size_t maxTrackedRounds = 1024;
 constexpr Duration joinRequestInterval = std::chrono::milliseconds(500);
 constexpr Duration snapshotResendTimeout = std::chrono::seconds(5);
-constexpr Duration learnerExpiry = std::chrono::seconds(10);
-constexpr std::uint64_t maxLearnerLagEntries = 64; // A learner may lack this many entries when it becomes a voter.
 
 LogIndex successor(LogIndex index)
 {
@@ -67,6 +65,8 @@
 
 void Replica::tick(TimePoint now, ReplicaOutput& out)
 {
+    if (m_leavingSince && m_role != Role::Leader)
+        requestToLeave(now, out);
     if (!isMember(m_options.self)) {
         if (now - m_joinRequestedAt >= joinRequestInterval)
             requestToJoin(now, out);
@@ -76,7 +76,7 @@
     }
     if (m_role != Role::Leader) {
         if (now >= m_electionDeadline)
-            startElection(true, now, out);
+            startElection(true, std::nullopt, now, out);
         return;
     }
     const auto hasLostQuorum = now - quorumRoundStart() > m_options.timings.electionTimeout && now - m_leaderSince > m_options.timings.electionTimeout;
@@ -84,19 +84,14 @@
         becomeFollower(m_vote.term, now, out);
         return;
     }
+    if (m_leavingSince && handOver(now, out))
+        return;
     updateMembership(now, out);
     const auto lastRound = m_roundStarts.empty() ? TimePoint {} : m_roundStarts.rbegin()->second;
     if (now - lastRound >= m_options.timings.heartbeatInterval)
         startHeartbeatRound(now, out);
 }
 
-void Replica::requestToJoin(TimePoint now, ReplicaOutput& out)
-{
-    m_joinRequestedAt = now;
-    for (const auto& it : m_options.peers)
-        out.messages.push_back({ .from = m_options.self, .fromIncarnation = m_options.incarnation, .to = it, .toReplica = std::nullopt, .payload = JoinRequest { .isLogEmpty = m_log.last().value() == 0 } });
-}
-
 void Replica::becomeFollower(Term term, TimePoint now, ReplicaOutput& out)
 {
     if (term > m_vote.term) {
@@ -129,6 +124,12 @@
         handleJoinRequest(message, now);
     else if (std::holds_alternative<StaleDiskNotice>(message.payload))
         out.isDiskStale = true;
+    else if (std::holds_alternative<LeaveRequest>(message.payload))
+        handleLeaveRequest(message, now, out);
+    else if (const auto* leaveReply = std::get_if<LeaveReply>(&message.payload))
+        handleLeaveReply(*leaveReply, now);
+    else if (const auto* handOver = std::get_if<HandOver>(&message.payload))
+        handleHandOver(message, *handOver, now, out);
 }
 
 bool Replica::followLeader(const AgreementMessage& message, Term term, TimePoint now, ReplicaOutput& out)
@@ -233,6 +234,7 @@
     if (message.fromIncarnation > peer.incarnation) {
         resetProgress(peer);
         peer.isSnapshotInFlight = false;
+        peer.isLeaving = false;
     }
     peer.incarnation = message.fromIncarnation;
     peer.lastContactAt = now;
@@ -256,21 +258,6 @@
         replicate(peer, false, now, out);
 }
 
-void Replica::handleJoinRequest(const AgreementMessage& message, TimePoint now)
-{
-    if (m_role != Role::Leader || isMember(message.from) || !m_options.peers.contains(message.from.instance))
-        return;
-    auto& peer = m_progress[message.from.replica];
-    if (peer.member == message.from) {
-        peer.lastContactAt = now;
-        return;
-    }
-    peer.member = message.from;
-    peer.nextIndex = successor(m_log.last());
-    peer.incarnation = message.fromIncarnation;
-    peer.lastContactAt = now;
-}
-
 std::optional<LogIndex> Replica::propose(std::string command, TimePoint now, ReplicaOutput& out)
 {
     if (m_role != Role::Leader)
@@ -416,62 +403,4 @@
     return start + Duration(static_cast<Duration::rep>(timeout * (1 - 2 * m_options.timings.maxClockRateError)));
 }
 
-void Replica::trackVoters(TimePoint now)
-{
-    for (const auto& it : m_log.members()) {
-        if (it == m_options.self || m_progress.contains(it.replica))
-            continue;
-        Progress peer;
-        peer.member = it;
-        peer.nextIndex = successor(m_log.last());
-        peer.lastContactAt = now;
-        m_progress.emplace(it.replica, peer);
-    }
-}
-
-std::optional<Member> Replica::unresponsiveVoter(TimePoint now) const
-{
-    for (const auto& it : m_log.members()) {
-        const auto peer = m_progress.find(it.replica);
-        if (peer != m_progress.end() && now - peer->second.lastContactAt > m_options.voterReplacementTimeout)
-            return it;
-    }
-    return std::nullopt;
-}
-
-// A replica with a new data folder replaces the old replica of the same instance in two membership changes: the old one is
-// removed first, then the new one is added. Each change is committed before the next one is proposed.
-void Replica::updateMembership(TimePoint now, ReplicaOutput& out)
-{
-    std::erase_if(m_progress, [&](const auto& it) { return !isMember(it.second.member) && now - it.second.lastContactAt > learnerExpiry; });
-    const auto isPreviousChangeCommitted = m_log.membersIndex() <= m_commitIndex && m_commitIndex >= m_termStartIndex;
-    if (!isPreviousChangeCommitted)
-        return;
-    for (const auto& [id, peer] : m_progress) {
-        if (isMember(peer.member) || peer.matchIndex.value() + maxLearnerLagEntries < m_log.last().value())
-            continue;
-        // A replica that was replaced as silent is no replacement for the next one.
-        if (now - peer.lastContactAt > m_options.voterReplacementTimeout)
-            continue;
-        auto members = m_log.members();
-        const auto joining = peer.member;
-        const auto replaced = std::find_if(members.begin(), members.end(), [&joining](const auto& it) { return it.instance == joining.instance; });
-        const auto isAtMaxVoters = m_options.maxVoters > 0 && members.size() >= m_options.maxVoters;
-        if (replaced != members.end()) {
-            members.erase(replaced);
-        } else if (isAtMaxVoters) {
-            const auto unresponsive = unresponsiveVoter(now);
-            if (!unresponsive)
-                continue;
-            std::erase(members, *unresponsive);
-        } else {
-            members.push_back(joining);
-        }
-        std::sort(members.begin(), members.end());
-        appendLocally({ .term = m_vote.term, .kind = LogEntry::Kind::Membership, .command = {}, .members = members }, out);
-        startHeartbeatRound(now, out);
-        return;
-    }
-}
-
 } // namespace HickoryHollow
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -44,7 +44,8 @@
     Incarnation incarnation;
     std::set<InstanceId> peers; ///< Other state instances. Only their replicas may become voters.
     ReplicaTimings timings;
-    std::size_t maxVoters = 0; ///< Maximum number of voters; further replicas stay learners until one fails. 0: no maximum.
+    /** Number of voters beyond which further replicas stay learners, until one fails or leaves; one more while a learner takes over. 0: no maximum. */
+    std::size_t maxVoters = 0;
     /** A voter that sends nothing for this long may be replaced by a learner, and a learner that does becomes no voter. */
     Duration voterReplacementTimeout = std::chrono::seconds(3);
 };
@@ -72,6 +73,15 @@
     bool isDiskStale = false; ///< The data folder lacks acknowledged entries. The driver restarts with an empty one.
 };
 
+/** What has become of a replica that is about to stop; see Replica::leave(). */
+enum class LeaveState {
+    Staying, ///< It is not about to stop.
+    Waiting, ///< The leader is asked, or gives its vote to a learner.
+    NoVoter, ///< It is no voter, or no voter any more.
+    NotReplaced, ///< It is a voter, and no learner can take its vote.
+    Unanswered, ///< It is a voter, and no leader answers.
+};
+
 class Replica {
 public:
     enum class Role {
@@ -93,6 +103,15 @@
     void onRecordsSynced(TimePoint now, ReplicaOutput&);
     /** Bootstraps the cluster with these voters. Returns false and does nothing if the log is not empty. */
     bool form(const Members&, ReplicaOutput&);
+    /**
+     * Prepares for the end of the process. A leader hands its lead over first, and a voter asks the leader for a learner that takes its
+     * vote. Meanwhile the replica takes part as before.
+     */
+    void leave(TimePoint now);
+    /** Until it is neither `Staying` nor `Waiting`, the end of the process costs more than that of a learner. */
+    LeaveState leaveState(TimePoint now) const;
+    /** Number of learners that could take the vote of a voter now. Only a leader knows of any. */
+    std::size_t successors(TimePoint now) const;
     /** Replaces ReplicaOptions::peers. Voters that are not in `peers` stay voters. */
     void setPeers(std::set<InstanceId> peers) { m_options.peers = std::move(peers); }
     /** Stores a snapshot to send to lagging replicas, and discards the log entries up to `discardUpTo`, which is at most the
@@ -144,10 +163,12 @@
         TimePoint lastSentAt {}; // When the last AppendRequest or SnapshotRequest was sent.
         TimePoint lastContactAt {}; // When the last reply or join request arrived.
         bool isSnapshotInFlight = false; // A SnapshotRequest was sent and no request was accepted since.
+        bool isLeaving = false; // Its present process is about to stop, so it becomes no voter.
     };
 
     void becomeFollower(Term, TimePoint now, ReplicaOutput&);
-    void startElection(bool isPreVote, TimePoint now, ReplicaOutput&);
+    /** `handedOver` is the term whose leader has asked for the election; nothing for a pre-vote. */
+    void startElection(bool isPreVote, std::optional<Term> handedOver, TimePoint now, ReplicaOutput&);
     /** Asks all peers for a place as a learner; only a leader that does not know this replica as a voter grants it. */
     void requestToJoin(TimePoint now, ReplicaOutput&);
     void becomeLeader(TimePoint now, ReplicaOutput&);
@@ -157,6 +178,9 @@
     void handleSnapshotRequest(const AgreementMessage&, const SnapshotRequest&, TimePoint now, ReplicaOutput&);
     void handleAppendReply(const AgreementMessage&, const AppendReply&, TimePoint now, ReplicaOutput&);
     void handleJoinRequest(const AgreementMessage&, TimePoint now);
+    void handleLeaveRequest(const AgreementMessage&, TimePoint now, ReplicaOutput&);
+    void handleLeaveReply(const LeaveReply&, TimePoint now);
+    void handleHandOver(const AgreementMessage&, const HandOver&, TimePoint now, ReplicaOutput&);
     /** Becomes a follower of the sender. Returns false, and does nothing, if its term is older than the current one. */
     bool followLeader(const AgreementMessage&, Term, TimePoint now, ReplicaOutput&);
 
@@ -175,10 +199,27 @@
     /** Commits up to the last entry that is durable on a quorum, if that entry is of the current term. */
     void advanceCommitIndex(ReplicaOutput&);
     void commitTo(LogIndex, ReplicaOutput&);
-    /** Starts the next membership change if the previous one is committed and a caught-up learner is waiting. */
+    /** Starts the next membership change if the previous one is committed and one is due. */
     void updateMembership(TimePoint now, ReplicaOutput&);
     /** A voter that a learner may replace because it has sent nothing for voterReplacementTimeout; empty if all respond. */
     std::optional<Member> unresponsiveVoter(TimePoint now) const;
+    /** The voter to remove while there are more than maxVoters; empty if the lead is to be handed over first. */
+    std::optional<Member> surplusVoter(TimePoint now) const;
+    /** True if this replica or another voter is about to stop. */
+    bool isVoterLeaving() const;
+    /** True for a learner that may become a voter once it has caught up. */
+    bool mayBecomeVoter(const Progress&, TimePoint now) const;
+    /** True for one that has. */
+    bool isSuccessor(const Progress&, TimePoint now) const;
+    /** True if a voter that is about to stop has a successor, or may get one as far as is known. */
+    bool mayReplaceVoter(TimePoint now) const;
+    /** Proposes these voters, which differ from the present ones by one. */
+    void changeMembers(Members, TimePoint now, ReplicaOutput&);
+    bool isMembershipCommitted() const { return m_log.membersIndex() <= m_commitIndex && m_commitIndex >= m_termStartIndex; }
+    /** Asks the other voters, one of which is the leader, for a learner that takes this replica's vote. */
+    void requestToLeave(TimePoint now, ReplicaOutput&);
+    /** Gives up the lease and asks a voter that stays to lead. Returns false, and does nothing, if none can do so now. */
+    bool handOver(TimePoint now, ReplicaOutput&);
     /** Adds an entry to m_progress for each other voter that has none. */
     void trackVoters(TimePoint now);
     bool isMember(const Member&) const;
@@ -207,6 +248,10 @@
     TimePoint m_leaderContactAt; // Last message from a leader. No vote is granted for electionTimeout after it.
     TimePoint m_electionDeadline; // When to start an election unless a leader makes contact before.
     TimePoint m_joinRequestedAt {}; // When the last join requests were sent.
+    std::optional<TimePoint> m_leavingSince; // Set by leave().
+    TimePoint m_leaveRequestedAt {}; // When the last leave requests were sent.
+    TimePoint m_leaveAnsweredAt {}; // Last answer to one, or when there was no leader to ask yet.
+    LeaveReply m_leaveReply { .isAwaited = true, .isVoter = true }; // The last answer.
 
     // Used by the leader only.
     std::map<ReplicaId, Progress> m_progress; // One for each other voter and each learner.
--- a/src/agreement/ReplicaElection.cpp
+++ b/src/agreement/ReplicaElection.cpp
@@ -15,7 +15,7 @@
     return lastTerm > m_log.lastTerm() || (lastTerm == m_log.lastTerm() && lastIndex >= m_log.last());
 }
 
-void Replica::startElection(bool isPreVote, TimePoint now, ReplicaOutput& out)
+void Replica::startElection(bool isPreVote, std::optional<Term> handedOver, TimePoint now, ReplicaOutput& out)
 {
     m_role = Role::Candidate;
     m_isPreVote = isPreVote;
@@ -29,7 +29,7 @@
     }
     for (const auto& it : m_log.members()) {
         if (it != m_options.self)
-            send(it, VoteRequest { .isPreVote = isPreVote, .term = term, .lastIndex = m_log.last(), .lastTerm = m_log.lastTerm() }, out);
+            send(it, VoteRequest { .isPreVote = isPreVote, .term = term, .lastIndex = m_log.last(), .lastTerm = m_log.lastTerm(), .handedOver = handedOver }, out);
     }
     // If this replica was replaced as a voter while it was away, the leader may be one that became a voter since: it is not
     // among the voters known here, and sends nothing by itself.
@@ -38,7 +38,7 @@
     if (!isQuorum(m_votesReceived.size()))
         return;
     if (isPreVote)
-        startElection(false, now, out);
+        startElection(false, std::nullopt, now, out);
     else
         becomeLeader(now, out);
 }
@@ -62,8 +62,10 @@
     if (m_role == Role::Leader && !isMember(message.from))
         return handleJoinRequest(message, now);
     const auto refuse = [&] { send(message.from, VoteReply { .isPreVote = request.isPreVote, .term = m_vote.term, .isGranted = false }, out); };
-    // The leader lease requires that no vote is granted within an election timeout after contact with the leader.
-    if (now - m_leaderContactAt < m_options.timings.electionTimeout || (m_role == Role::Leader && mayServeReads(now)))
+    // The leader lease requires that no vote is granted within an election timeout after contact with the leader, unless that leader has
+    // given up its lease. A term has one leader, so the contact was with that one, or with one whose lease ended before its election.
+    const auto isLeaseGivenUp = request.handedOver && *request.handedOver == m_vote.term;
+    if ((now - m_leaderContactAt < m_options.timings.electionTimeout && !isLeaseGivenUp) || (m_role == Role::Leader && mayServeReads(now)))
         return refuse();
     if (request.term < m_vote.term || !isLogUpToDate(request.lastIndex, request.lastTerm))
         return refuse();
@@ -95,7 +97,7 @@
     if (!isQuorum(m_votesReceived.size()))
         return;
     if (m_isPreVote)
-        startElection(false, now, out);
+        startElection(false, std::nullopt, now, out);
     else
         becomeLeader(now, out);
 }
--- a/src/base/LogEvent.h
+++ b/src/base/LogEvent.h
@@ -57,6 +57,7 @@
     SettingsLeaseGained = 4005,
     ReplicaRejected = 4006,
     MembersChanged = 4007,
+    VoterLeft = 4008,
     RoutingCommitted = 4101,
     RoutingAcknowledged = 4102,
     RoutingUnconfirmed = 4103,
--- a/src/node/NodeProcess.cpp
+++ b/src/node/NodeProcess.cpp
@@ -29,6 +29,7 @@
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 constexpr Duration controlDrainTimeout = std::chrono::milliseconds(1000); // Longer than operatorRequestTimeout, 900 ms.
+constexpr Duration exitMargin = std::chrono::milliseconds(250); // Part of the drain time that is left for the process to exit.
 constexpr Duration controlDrainPollInterval = std::chrono::milliseconds(20);
 constexpr int ticksPerSettingsCheck = 4;
 constexpr std::size_t maxControlBodyBytes = 8U << 20U;
@@ -211,9 +212,10 @@
 {
     if (entry)
         aborted = co_await entry->drain();
-    if (controlServer) {
-        // Lets changes in progress finish, so that their operators receive an answer.
+    if (state) {
         controlServer->startDrain();
+        co_await state->leave(monotonicNow() + options.settings.bounds.drainTime - controlDrainTimeout - exitMargin);
+        // Lets changes in progress finish, so that their operators receive an answer.
         const auto end = monotonicNow() + controlDrainTimeout;
         Timer timer(loops.at(0).get_executor());
         while (controlServer->requestsInProgress() > 0 && monotonicNow() < end) {
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -147,6 +147,7 @@
     options.onFlushed = [this, alive = m_isAlive, lastPosted = RoutingVersion(0)](const StateCore& core) mutable {
         if (m_duties)
             m_duties->onFlushed(core);
+        publishReplica(core);
         const auto& routing = core.state().routing();
         if (routing.version <= lastPosted)
             return;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -21,6 +21,7 @@
 #include "state/StateNode.h"
 #include "usage/UsageCollector.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,11 @@
     /** Ends the node's thread, which posts to the loop. Call it when the loop runs no more; only the destructor may follow. */
     void stop();
     void setSeeds(const std::vector<InstanceId>&);
+    /**
+     * Prepares for the end of the process while the instance serves as before: hands the lead over, and waits until a learner has taken
+     * its vote, until none can, or until `end`.
+     */
+    Task<void> leave(TimePoint end);
 
     Task<RoutingSubmission> submitRouting(std::string text) override;
     Task<std::optional<RoutingDocument>> newestRouting() override;
@@ -57,7 +63,7 @@
     std::uint64_t linksClosed() const { return m_mesh.linksClosed(); }
     std::size_t entryLinks() const { return m_mesh.entryLinks(); }
     std::size_t reachableStates() const { return m_mesh.reachable().size(); }
-    /** Further metrics in Prometheus text format; empty unless servers are ordered. */
+    /** Further metrics in Prometheus text format. */
     std::string metricsText() const;
     /** Metrics of what is collected for the provider in Prometheus text format; empty without usage reports. */
     std::string providerMetricsText() const;
@@ -76,6 +82,8 @@
     StateNode::Options nodeOptions();
     Task<void> tickLoop();
     void formOnFirstStart();
+    /** Takes over what is asked of the replica on other threads. Called on the node's thread. */
+    void publishReplica(const StateCore&);
     void handleStateMessage(const InstanceId&, const Wire::LinkMessage&);
     void handleEntryMessage(EntryLinkId, const Wire::LinkMessage&);
     void sendInitialStateToEntry(EntryLinkId);
@@ -211,6 +219,10 @@
     std::uint64_t m_lastProposal = 0;
     std::unique_ptr<ProviderDuties> m_duties; // Null without a provider.
     std::unique_ptr<ServerScaling> m_scaling; // Created with the first tick; null if the instance orders no servers.
+    // Of the replica as of the last flush; set on the node's thread.
+    std::atomic<LeaveState> m_leaveState = LeaveState::Staying;
+    std::atomic<std::size_t> m_voters = 0;
+    std::atomic<std::size_t> m_successors = 0;
     std::unique_ptr<StateNode> m_node; // Declared last: its thread ends before the other members are destroyed.
 };
 
--- a/src/node/StateInstanceScaling.cpp
+++ b/src/node/StateInstanceScaling.cpp
@@ -3,6 +3,8 @@
 #include "node/ServerScaling.h"
 #include "node/StateInstance.h"
 
+#include <fmt/format.h>
+
 namespace HickoryHollow {
 
 void StateInstance::tickScaling(TimePoint now)
@@ -23,7 +25,7 @@
 
 std::string StateInstance::metricsText() const
 {
-    return (m_duties ? m_duties->metricsText() : std::string()) + (m_scaling ? m_scaling->metricsText() : std::string());
+    return fmt::format("hickoryhollow_voters {}\nhickoryhollow_successors {}\n", m_voters.load(), m_successors.load()) + (m_duties ? m_duties->metricsText() : std::string()) + (m_scaling ? m_scaling->metricsText() : std::string());
 }
 
 } // namespace HickoryHollow
--- a/src/state/StateCore.cpp
+++ b/src/state/StateCore.cpp
@@ -15,6 +15,14 @@
 constexpr Duration joinRequestValidity = std::chrono::seconds(3);
 constexpr Duration reopenDelay = std::chrono::milliseconds(500); // A storage failure such as a full disk may be temporary.
 
+std::vector<std::string> instancesOf(const Members& members)
+{
+    std::vector<std::string> names;
+    for (const auto& it : members)
+        names.push_back(it.instance.value());
+    return names;
+}
+
 } // namespace
 
 StateCore::StateCore(Options options, FileSystem& files, RandomSource& random)
@@ -97,6 +105,8 @@
         return make_error_code(JournalError::Damaged);
     m_applied = recovered.snapshot.index;
     m_replica = std::make_unique<Replica>(ReplicaOptions { .self = m_identity.self, .incarnation = m_identity.incarnation, .peers = m_options.peers, .timings = m_options.timings, .maxVoters = m_options.maxVoters }, recovered, m_random, now);
+    if (m_isLeaving)
+        m_replica->leave(now);
     return {};
 }
 
@@ -191,6 +201,20 @@
     m_options.peers = std::move(peers);
 }
 
+void StateCore::leave(TimePoint now)
+{
+    m_isLeaving = true;
+    if (m_replica)
+        m_replica->leave(now);
+}
+
+LeaveState StateCore::leaveState(TimePoint now) const
+{
+    if (!m_replica)
+        return m_isLeaving ? LeaveState::Unanswered : LeaveState::Staying;
+    return m_replica->leaveState(now);
+}
+
 std::optional<InstanceId> StateCore::leader() const
 {
     if (!m_replica || !m_replica->leader())
@@ -264,7 +288,7 @@
             internalAssert(command.has_value(), "a committed command can be decoded");
             outcome = m_state.apply(*command, it.index.value());
         } else if (it.entry.kind == LogEntry::Kind::Membership) {
-            logEvent(LogEvent::MembersChanged, "instance={} members={} index={}", m_options.self.value(), it.entry.members.size(), it.index.value());
+            logEvent(LogEvent::MembersChanged, "instance={} members={} index={} voters={}", m_options.self.value(), it.entry.members.size(), it.index.value(), fmt::join(instancesOf(it.entry.members), ","));
         }
         const auto proposal = m_pendingProposals.find(it.index);
         if (proposal == m_pendingProposals.end())
--- a/src/state/StateCore.h
+++ b/src/state/StateCore.h
@@ -80,6 +80,10 @@
     std::string form(TimePoint now);
     /** Replaces Options::peers. */
     void setPeers(std::set<InstanceId>);
+    /** See Replica::leave(). */
+    void leave(TimePoint now);
+    /** See Replica::leaveState(); `Unanswered` while the data folder is unusable. */
+    LeaveState leaveState(TimePoint now) const;
     /** Makes the inputs since the previous flush durable and applies what is committed. After a storage failure the effects
      *  hold no messages, and all pending proposals are answered as Unknown. */
     StateEffects flush(TimePoint now);
@@ -145,6 +149,7 @@
     std::map<InstanceId, JoiningReplica> m_joiningReplicas; // The latest join request of each instance.
     std::error_code m_failure;
     TimePoint m_reopenAt {}; // After a failure: when to try to open the data folder again.
+    bool m_isLeaving = false; // Set by leave().
     bool m_wasLeader = false; // Whether this instance was the leader after the previous successful flush.
     std::size_t m_truncatedBytes = 0;
     std::uint64_t m_staleDiskCount = 0;
--- a/src/wire/AgreementCodec.cpp
+++ b/src/wire/AgreementCodec.cpp
@@ -115,6 +115,8 @@
         encoded.term = toSigned(it.term.value());
         encoded.lastIndex = toSigned(it.lastIndex.value());
         encoded.lastTerm = toSigned(it.lastTerm.value());
+        if (it.handedOver)
+            encoded.__set_handedOver(toSigned(it.handedOver->value()));
         wire.__set_voteRequest(encoded);
     }
 
@@ -166,6 +168,23 @@
     }
 
     void operator()(const StaleDiskNotice&) const { wire.__set_staleDiskNotice({}); }
+
+    void operator()(const LeaveRequest&) const { wire.__set_leaveRequest({}); }
+
+    void operator()(const LeaveReply& it) const
+    {
+        Wire::LeaveReply encoded;
+        encoded.isAwaited = it.isAwaited;
+        encoded.isVoter = it.isVoter;
+        wire.__set_leaveReply(encoded);
+    }
+
+    void operator()(const HandOver& it) const
+    {
+        Wire::HandOver encoded;
+        encoded.term = toSigned(it.term.value());
+        wire.__set_handOver(encoded);
+    }
 };
 
 std::optional<AgreementPayload> payloadFromWire(const Wire::AgreementPayload& wire)
@@ -173,7 +192,7 @@
     const auto& isset = wire.__isset;
     if (isset.voteRequest) {
         const auto& it = wire.voteRequest;
-        return VoteRequest { .isPreVote = it.isPreVote, .term = Term(toUnsigned(it.term)), .lastIndex = LogIndex(toUnsigned(it.lastIndex)), .lastTerm = Term(toUnsigned(it.lastTerm)) };
+        return VoteRequest { .isPreVote = it.isPreVote, .term = Term(toUnsigned(it.term)), .lastIndex = LogIndex(toUnsigned(it.lastIndex)), .lastTerm = Term(toUnsigned(it.lastTerm)), .handedOver = it.__isset.handedOver ? std::optional(Term(toUnsigned(it.handedOver))) : std::nullopt };
     }
     if (isset.voteReply)
         return VoteReply { .isPreVote = wire.voteReply.isPreVote, .term = Term(toUnsigned(wire.voteReply.term)), .isGranted = wire.voteReply.isGranted };
@@ -193,6 +212,12 @@
         return JoinRequest { .isLogEmpty = wire.joinRequest.isEmpty };
     if (isset.staleDiskNotice)
         return StaleDiskNotice {};
+    if (isset.leaveRequest)
+        return LeaveRequest {};
+    if (isset.leaveReply)
+        return LeaveReply { .isAwaited = wire.leaveReply.isAwaited, .isVoter = wire.leaveReply.isVoter };
+    if (isset.handOver)
+        return HandOver { .term = Term(toUnsigned(wire.handOver.term)) };
     return std::nullopt;
 }
 
--- a/src/wire/gen/hickoryhollow_types.cpp
+++ b/src/wire/gen/hickoryhollow_types.cpp
@@ -1269,6 +1269,11 @@
 void VoteRequest::__set_lastTerm(const int64_t val) {
   this->lastTerm = val;
 }
+
+void VoteRequest::__set_handedOver(const int64_t val) {
+  this->handedOver = val;
+__isset.handedOver = true;
+}
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
@@ -1329,6 +1334,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->handedOver);
+          this->__isset.handedOver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1362,6 +1375,11 @@
   xfer += oprot->writeI64(this->lastTerm);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.handedOver) {
+    xfer += oprot->writeFieldBegin("handedOver", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->handedOver);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1373,6 +1391,7 @@
   swap(a.term, b.term);
   swap(a.lastIndex, b.lastIndex);
   swap(a.lastTerm, b.lastTerm);
+  swap(a.handedOver, b.handedOver);
   swap(a.__isset, b.__isset);
 }
 
@@ -1381,6 +1400,7 @@
   term = other48.term;
   lastIndex = other48.lastIndex;
   lastTerm = other48.lastTerm;
+  handedOver = other48.handedOver;
   __isset = other48.__isset;
 }
 VoteRequest& VoteRequest::operator=(const VoteRequest& other49) noexcept {
@@ -1388,6 +1408,7 @@
   term = other49.term;
   lastIndex = other49.lastIndex;
   lastTerm = other49.lastTerm;
+  handedOver = other49.handedOver;
   __isset = other49.__isset;
   return *this;
 }
@@ -1398,6 +1419,7 @@
   out << ", " << "term=" << to_string(term);
   out << ", " << "lastIndex=" << to_string(lastIndex);
   out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "handedOver="; (__isset.handedOver ? (out << to_string(handedOver)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2190,6 +2212,278 @@
 }
 
 
+LeaveRequest::~LeaveRequest() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const LeaveRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaveRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaveRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaveRequest");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaveRequest &a, LeaveRequest &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+LeaveRequest::LeaveRequest(const LeaveRequest& other68) noexcept {
+  (void) other68;
+}
+LeaveRequest& LeaveRequest::operator=(const LeaveRequest& other69) noexcept {
+  (void) other69;
+  return *this;
+}
+void LeaveRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaveRequest(";
+  out << ")";
+}
+
+
+LeaveReply::~LeaveReply() noexcept {
+}
+
+
+void LeaveReply::__set_isAwaited(const bool val) {
+  this->isAwaited = val;
+}
+
+void LeaveReply::__set_isVoter(const bool val) {
+  this->isVoter = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaveReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaveReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isAwaited);
+          this->__isset.isAwaited = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isVoter);
+          this->__isset.isVoter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaveReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaveReply");
+
+  xfer += oprot->writeFieldBegin("isAwaited", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->isAwaited);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isVoter", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isVoter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaveReply &a, LeaveReply &b) {
+  using ::std::swap;
+  swap(a.isAwaited, b.isAwaited);
+  swap(a.isVoter, b.isVoter);
+  swap(a.__isset, b.__isset);
+}
+
+LeaveReply::LeaveReply(const LeaveReply& other70) noexcept {
+  isAwaited = other70.isAwaited;
+  isVoter = other70.isVoter;
+  __isset = other70.__isset;
+}
+LeaveReply& LeaveReply::operator=(const LeaveReply& other71) noexcept {
+  isAwaited = other71.isAwaited;
+  isVoter = other71.isVoter;
+  __isset = other71.__isset;
+  return *this;
+}
+void LeaveReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaveReply(";
+  out << "isAwaited=" << to_string(isAwaited);
+  out << ", " << "isVoter=" << to_string(isVoter);
+  out << ")";
+}
+
+
+HandOver::~HandOver() noexcept {
+}
+
+
+void HandOver::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const HandOver& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HandOver::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HandOver::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HandOver");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HandOver &a, HandOver &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+HandOver::HandOver(const HandOver& other72) noexcept {
+  term = other72.term;
+  __isset = other72.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other73) noexcept {
+  term = other73.term;
+  __isset = other73.__isset;
+  return *this;
+}
+void HandOver::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HandOver(";
+  out << "term=" << to_string(term);
+  out << ")";
+}
+
+
 AgreementPayload::~AgreementPayload() noexcept {
 }
 
@@ -2228,6 +2522,21 @@
   this->staleDiskNotice = val;
 __isset.staleDiskNotice = true;
 }
+
+void AgreementPayload::__set_leaveRequest(const LeaveRequest& val) {
+  this->leaveRequest = val;
+__isset.leaveRequest = true;
+}
+
+void AgreementPayload::__set_leaveReply(const LeaveReply& val) {
+  this->leaveReply = val;
+__isset.leaveReply = true;
+}
+
+void AgreementPayload::__set_handOver(const HandOver& val) {
+  this->handOver = val;
+__isset.handOver = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgreementPayload& obj)
 {
   obj.printTo(out);
@@ -2312,6 +2621,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaveRequest.read(iprot);
+          this->__isset.leaveRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaveReply.read(iprot);
+          this->__isset.leaveReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->handOver.read(iprot);
+          this->__isset.handOver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2364,6 +2697,21 @@
     xfer += this->staleDiskNotice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaveRequest) {
+    xfer += oprot->writeFieldBegin("leaveRequest", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->leaveRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leaveReply) {
+    xfer += oprot->writeFieldBegin("leaveReply", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->leaveReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.handOver) {
+    xfer += oprot->writeFieldBegin("handOver", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->handOver.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2378,28 +2726,37 @@
   swap(a.snapshotRequest, b.snapshotRequest);
   swap(a.joinRequest, b.joinRequest);
   swap(a.staleDiskNotice, b.staleDiskNotice);
+  swap(a.leaveRequest, b.leaveRequest);
+  swap(a.leaveReply, b.leaveReply);
+  swap(a.handOver, b.handOver);
   swap(a.__isset, b.__isset);
 }
 
-AgreementPayload::AgreementPayload(const AgreementPayload& other68) {
-  voteRequest = other68.voteRequest;
-  voteReply = other68.voteReply;
-  appendRequest = other68.appendRequest;
-  appendReply = other68.appendReply;
-  snapshotRequest = other68.snapshotRequest;
-  joinRequest = other68.joinRequest;
-  staleDiskNotice = other68.staleDiskNotice;
-  __isset = other68.__isset;
-}
-AgreementPayload& AgreementPayload::operator=(const AgreementPayload& other69) {
-  voteRequest = other69.voteRequest;
-  voteReply = other69.voteReply;
-  appendRequest = other69.appendRequest;
-  appendReply = other69.appendReply;
-  snapshotRequest = other69.snapshotRequest;
-  joinRequest = other69.joinRequest;
-  staleDiskNotice = other69.staleDiskNotice;
-  __isset = other69.__isset;
+AgreementPayload::AgreementPayload(const AgreementPayload& other74) {
+  voteRequest = other74.voteRequest;
+  voteReply = other74.voteReply;
+  appendRequest = other74.appendRequest;
+  appendReply = other74.appendReply;
+  snapshotRequest = other74.snapshotRequest;
+  joinRequest = other74.joinRequest;
+  staleDiskNotice = other74.staleDiskNotice;
+  leaveRequest = other74.leaveRequest;
+  leaveReply = other74.leaveReply;
+  handOver = other74.handOver;
+  __isset = other74.__isset;
+}
+AgreementPayload& AgreementPayload::operator=(const AgreementPayload& other75) {
+  voteRequest = other75.voteRequest;
+  voteReply = other75.voteReply;
+  appendRequest = other75.appendRequest;
+  appendReply = other75.appendReply;
+  snapshotRequest = other75.snapshotRequest;
+  joinRequest = other75.joinRequest;
+  staleDiskNotice = other75.staleDiskNotice;
+  leaveRequest = other75.leaveRequest;
+  leaveReply = other75.leaveReply;
+  handOver = other75.handOver;
+  __isset = other75.__isset;
   return *this;
 }
 void AgreementPayload::printTo(std::ostream& out) const {
@@ -2412,6 +2769,9 @@
   out << ", " << "snapshotRequest="; (__isset.snapshotRequest ? (out << to_string(snapshotRequest)) : (out << "<null>"));
   out << ", " << "joinRequest="; (__isset.joinRequest ? (out << to_string(joinRequest)) : (out << "<null>"));
   out << ", " << "staleDiskNotice="; (__isset.staleDiskNotice ? (out << to_string(staleDiskNotice)) : (out << "<null>"));
+  out << ", " << "leaveRequest="; (__isset.leaveRequest ? (out << to_string(leaveRequest)) : (out << "<null>"));
+  out << ", " << "leaveReply="; (__isset.leaveReply ? (out << to_string(leaveReply)) : (out << "<null>"));
+  out << ", " << "handOver="; (__isset.handOver ? (out << to_string(handOver)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2561,21 +2921,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AgreementMessage::AgreementMessage(const AgreementMessage& other70) {
-  from_ = other70.from_;
-  fromIncarnation = other70.fromIncarnation;
-  to = other70.to;
-  toReplica = other70.toReplica;
-  payload = other70.payload;
-  __isset = other70.__isset;
+AgreementMessage::AgreementMessage(const AgreementMessage& other76) {
+  from_ = other76.from_;
+  fromIncarnation = other76.fromIncarnation;
+  to = other76.to;
+  toReplica = other76.toReplica;
+  payload = other76.payload;
+  __isset = other76.__isset;
 }
-AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other71) {
-  from_ = other71.from_;
-  fromIncarnation = other71.fromIncarnation;
-  to = other71.to;
-  toReplica = other71.toReplica;
-  payload = other71.payload;
-  __isset = other71.__isset;
+AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other77) {
+  from_ = other77.from_;
+  fromIncarnation = other77.fromIncarnation;
+  to = other77.to;
+  toReplica = other77.toReplica;
+  payload = other77.payload;
+  __isset = other77.__isset;
   return *this;
 }
 void AgreementMessage::printTo(std::ostream& out) const {
@@ -2699,17 +3059,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Claimant::Claimant(const Claimant& other72) {
-  instance = other72.instance;
-  incarnation = other72.incarnation;
-  sequence = other72.sequence;
-  __isset = other72.__isset;
+Claimant::Claimant(const Claimant& other78) {
+  instance = other78.instance;
+  incarnation = other78.incarnation;
+  sequence = other78.sequence;
+  __isset = other78.__isset;
 }
-Claimant& Claimant::operator=(const Claimant& other73) {
-  instance = other73.instance;
-  incarnation = other73.incarnation;
-  sequence = other73.sequence;
-  __isset = other73.__isset;
+Claimant& Claimant::operator=(const Claimant& other79) {
+  instance = other79.instance;
+  incarnation = other79.incarnation;
+  sequence = other79.sequence;
+  __isset = other79.__isset;
   return *this;
 }
 void Claimant::printTo(std::ostream& out) const {
@@ -2831,17 +3191,17 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkId::WorkId(const WorkId& other74) {
-  workspace = other74.workspace;
-  serviceName = other74.serviceName;
-  key = other74.key;
-  __isset = other74.__isset;
+WorkId::WorkId(const WorkId& other80) {
+  workspace = other80.workspace;
+  serviceName = other80.serviceName;
+  key = other80.key;
+  __isset = other80.__isset;
 }
-WorkId& WorkId::operator=(const WorkId& other75) {
-  workspace = other75.workspace;
-  serviceName = other75.serviceName;
-  key = other75.key;
-  __isset = other75.__isset;
+WorkId& WorkId::operator=(const WorkId& other81) {
+  workspace = other81.workspace;
+  serviceName = other81.serviceName;
+  key = other81.key;
+  __isset = other81.__isset;
   return *this;
 }
 void WorkId::printTo(std::ostream& out) const {
@@ -2980,19 +3340,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordedAnswer::RecordedAnswer(const RecordedAnswer& other76) {
-  status = other76.status;
-  contentType = other76.contentType;
-  body = other76.body;
-  isKept = other76.isKept;
-  __isset = other76.__isset;
+RecordedAnswer::RecordedAnswer(const RecordedAnswer& other82) {
+  status = other82.status;
+  contentType = other82.contentType;
+  body = other82.body;
+  isKept = other82.isKept;
+  __isset = other82.__isset;
 }
-RecordedAnswer& RecordedAnswer::operator=(const RecordedAnswer& other77) {
-  status = other77.status;
-  contentType = other77.contentType;
-  body = other77.body;
-  isKept = other77.isKept;
-  __isset = other77.__isset;
+RecordedAnswer& RecordedAnswer::operator=(const RecordedAnswer& other83) {
+  status = other83.status;
+  contentType = other83.contentType;
+  body = other83.body;
+  isKept = other83.isKept;
+  __isset = other83.__isset;
   return *this;
 }
 void RecordedAnswer::printTo(std::ostream& out) const {
@@ -3149,21 +3509,21 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitSettings::SubmitSettings(const SubmitSettings& other78) {
-  change = other78.change;
-  author = other78.author;
-  expected = other78.expected;
-  inventory = other78.inventory;
-  rules = other78.rules;
-  __isset = other78.__isset;
+SubmitSettings::SubmitSettings(const SubmitSettings& other84) {
+  change = other84.change;
+  author = other84.author;
+  expected = other84.expected;
+  inventory = other84.inventory;
+  rules = other84.rules;
+  __isset = other84.__isset;
 }
-SubmitSettings& SubmitSettings::operator=(const SubmitSettings& other79) {
-  change = other79.change;
-  author = other79.author;
-  expected = other79.expected;
-  inventory = other79.inventory;
-  rules = other79.rules;
-  __isset = other79.__isset;
+SubmitSettings& SubmitSettings::operator=(const SubmitSettings& other85) {
+  change = other85.change;
+  author = other85.author;
+  expected = other85.expected;
+  inventory = other85.inventory;
+  rules = other85.rules;
+  __isset = other85.__isset;
   return *this;
 }
 void SubmitSettings::printTo(std::ostream& out) const {
@@ -3287,17 +3647,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimWork::ClaimWork(const ClaimWork& other80) {
-  work = other80.work;
-  requestDigest = other80.requestDigest;
-  claimant = other80.claimant;
-  __isset = other80.__isset;
+ClaimWork::ClaimWork(const ClaimWork& other86) {
+  work = other86.work;
+  requestDigest = other86.requestDigest;
+  claimant = other86.claimant;
+  __isset = other86.__isset;
 }
-ClaimWork& ClaimWork::operator=(const ClaimWork& other81) {
-  work = other81.work;
-  requestDigest = other81.requestDigest;
-  claimant = other81.claimant;
-  __isset = other81.__isset;
+ClaimWork& ClaimWork::operator=(const ClaimWork& other87) {
+  work = other87.work;
+  requestDigest = other87.requestDigest;
+  claimant = other87.claimant;
+  __isset = other87.__isset;
   return *this;
 }
 void ClaimWork::printTo(std::ostream& out) const {
@@ -3436,19 +3796,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CompleteWork::CompleteWork(const CompleteWork& other82) {
-  work = other82.work;
-  claimant = other82.claimant;
-  verdict = other82.verdict;
-  answer = other82.answer;
-  __isset = other82.__isset;
+CompleteWork::CompleteWork(const CompleteWork& other88) {
+  work = other88.work;
+  claimant = other88.claimant;
+  verdict = other88.verdict;
+  answer = other88.answer;
+  __isset = other88.__isset;
 }
-CompleteWork& CompleteWork::operator=(const CompleteWork& other83) {
-  work = other83.work;
-  claimant = other83.claimant;
-  verdict = other83.verdict;
-  answer = other83.answer;
-  __isset = other83.__isset;
+CompleteWork& CompleteWork::operator=(const CompleteWork& other89) {
+  work = other89.work;
+  claimant = other89.claimant;
+  verdict = other89.verdict;
+  answer = other89.answer;
+  __isset = other89.__isset;
   return *this;
 }
 void CompleteWork::printTo(std::ostream& out) const {
@@ -3554,15 +3914,15 @@
   swap(a.__isset, b.__isset);
 }
 
-AbandonOwner::AbandonOwner(const AbandonOwner& other84) {
-  instance = other84.instance;
-  before = other84.before;
-  __isset = other84.__isset;
+AbandonOwner::AbandonOwner(const AbandonOwner& other90) {
+  instance = other90.instance;
+  before = other90.before;
+  __isset = other90.__isset;
 }
-AbandonOwner& AbandonOwner::operator=(const AbandonOwner& other85) {
-  instance = other85.instance;
-  before = other85.before;
-  __isset = other85.__isset;
+AbandonOwner& AbandonOwner::operator=(const AbandonOwner& other91) {
+  instance = other91.instance;
+  before = other91.before;
+  __isset = other91.__isset;
   return *this;
 }
 void AbandonOwner::printTo(std::ostream& out) const {
@@ -3628,11 +3988,11 @@
   (void) b;
 }
 
-AdvanceTime::AdvanceTime(const AdvanceTime& other86) noexcept {
-  (void) other86;
+AdvanceTime::AdvanceTime(const AdvanceTime& other92) noexcept {
+  (void) other92;
 }
-AdvanceTime& AdvanceTime::operator=(const AdvanceTime& other87) noexcept {
-  (void) other87;
+AdvanceTime& AdvanceTime::operator=(const AdvanceTime& other93) noexcept {
+  (void) other93;
   return *this;
 }
 void AdvanceTime::printTo(std::ostream& out) const {
@@ -3734,15 +4094,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingDocument::RoutingDocument(const RoutingDocument& other88) {
-  version = other88.version;
-  text = other88.text;
-  __isset = other88.__isset;
+RoutingDocument::RoutingDocument(const RoutingDocument& other94) {
+  version = other94.version;
+  text = other94.text;
+  __isset = other94.__isset;
 }
-RoutingDocument& RoutingDocument::operator=(const RoutingDocument& other89) {
-  version = other89.version;
-  text = other89.text;
-  __isset = other89.__isset;
+RoutingDocument& RoutingDocument::operator=(const RoutingDocument& other95) {
+  version = other95.version;
+  text = other95.text;
+  __isset = other95.__isset;
   return *this;
 }
 void RoutingDocument::printTo(std::ostream& out) const {
@@ -3846,15 +4206,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TakeDuties::TakeDuties(const TakeDuties& other90) {
-  holder = other90.holder;
-  incarnation = other90.incarnation;
-  __isset = other90.__isset;
+TakeDuties::TakeDuties(const TakeDuties& other96) {
+  holder = other96.holder;
+  incarnation = other96.incarnation;
+  __isset = other96.__isset;
 }
-TakeDuties& TakeDuties::operator=(const TakeDuties& other91) {
-  holder = other91.holder;
-  incarnation = other91.incarnation;
-  __isset = other91.__isset;
+TakeDuties& TakeDuties::operator=(const TakeDuties& other97) {
+  holder = other97.holder;
+  incarnation = other97.incarnation;
+  __isset = other97.__isset;
   return *this;
 }
 void TakeDuties::printTo(std::ostream& out) const {
@@ -3917,17 +4277,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->starts.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _ktype93;
-            ::apache::thrift::protocol::TType _vtype94;
-            xfer += iprot->readMapBegin(_ktype93, _vtype94, _size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _ktype99;
+            ::apache::thrift::protocol::TType _vtype100;
+            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              std::string _key97;
-              xfer += iprot->readString(_key97);
-              int64_t& _val98 = this->starts[_key97];
-              xfer += iprot->readI64(_val98);
+              std::string _key103;
+              xfer += iprot->readString(_key103);
+              int64_t& _val104 = this->starts[_key103];
+              xfer += iprot->readI64(_val104);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3960,11 +4320,11 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->starts.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter99;
-    for (_iter99 = this->starts.begin(); _iter99 != this->starts.end(); ++_iter99)
+    std::map<std::string, int64_t> ::const_iterator _iter105;
+    for (_iter105 = this->starts.begin(); _iter105 != this->starts.end(); ++_iter105)
     {
-      xfer += oprot->writeString(_iter99->first);
-      xfer += oprot->writeI64(_iter99->second);
+      xfer += oprot->writeString(_iter105->first);
+      xfer += oprot->writeI64(_iter105->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3982,15 +4342,15 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageCounts::UsageCounts(const UsageCounts& other100) {
-  window = other100.window;
-  starts = other100.starts;
-  __isset = other100.__isset;
+UsageCounts::UsageCounts(const UsageCounts& other106) {
+  window = other106.window;
+  starts = other106.starts;
+  __isset = other106.__isset;
 }
-UsageCounts& UsageCounts::operator=(const UsageCounts& other101) {
-  window = other101.window;
-  starts = other101.starts;
-  __isset = other101.__isset;
+UsageCounts& UsageCounts::operator=(const UsageCounts& other107) {
+  window = other107.window;
+  starts = other107.starts;
+  __isset = other107.__isset;
   return *this;
 }
 void UsageCounts::printTo(std::ostream& out) const {
@@ -4113,17 +4473,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FixUsage::FixUsage(const FixUsage& other102) {
-  counts = other102.counts;
-  token = other102.token;
-  isStart = other102.isStart;
-  __isset = other102.__isset;
+FixUsage::FixUsage(const FixUsage& other108) {
+  counts = other108.counts;
+  token = other108.token;
+  isStart = other108.isStart;
+  __isset = other108.__isset;
 }
-FixUsage& FixUsage::operator=(const FixUsage& other103) {
-  counts = other103.counts;
-  token = other103.token;
-  isStart = other103.isStart;
-  __isset = other103.__isset;
+FixUsage& FixUsage::operator=(const FixUsage& other109) {
+  counts = other109.counts;
+  token = other109.token;
+  isStart = other109.isStart;
+  __isset = other109.__isset;
   return *this;
 }
 void FixUsage::printTo(std::ostream& out) const {
@@ -4211,13 +4571,13 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageSent::UsageSent(const UsageSent& other104) noexcept {
-  window = other104.window;
-  __isset = other104.__isset;
+UsageSent::UsageSent(const UsageSent& other110) noexcept {
+  window = other110.window;
+  __isset = other110.__isset;
 }
-UsageSent& UsageSent::operator=(const UsageSent& other105) noexcept {
-  window = other105.window;
-  __isset = other105.__isset;
+UsageSent& UsageSent::operator=(const UsageSent& other111) noexcept {
+  window = other111.window;
+  __isset = other111.__isset;
   return *this;
 }
 void UsageSent::printTo(std::ostream& out) const {
@@ -4457,29 +4817,29 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandBody::CommandBody(const CommandBody& other106) {
-  submitSettings = other106.submitSettings;
-  claimWork = other106.claimWork;
-  completeWork = other106.completeWork;
-  abandonOwner = other106.abandonOwner;
-  advanceTime = other106.advanceTime;
-  submitRouting = other106.submitRouting;
-  takeDuties = other106.takeDuties;
-  fixUsage = other106.fixUsage;
-  usageSent = other106.usageSent;
-  __isset = other106.__isset;
+CommandBody::CommandBody(const CommandBody& other112) {
+  submitSettings = other112.submitSettings;
+  claimWork = other112.claimWork;
+  completeWork = other112.completeWork;
+  abandonOwner = other112.abandonOwner;
+  advanceTime = other112.advanceTime;
+  submitRouting = other112.submitRouting;
+  takeDuties = other112.takeDuties;
+  fixUsage = other112.fixUsage;
+  usageSent = other112.usageSent;
+  __isset = other112.__isset;
 }
-CommandBody& CommandBody::operator=(const CommandBody& other107) {
-  submitSettings = other107.submitSettings;
-  claimWork = other107.claimWork;
-  completeWork = other107.completeWork;
-  abandonOwner = other107.abandonOwner;
-  advanceTime = other107.advanceTime;
-  submitRouting = other107.submitRouting;
-  takeDuties = other107.takeDuties;
-  fixUsage = other107.fixUsage;
-  usageSent = other107.usageSent;
-  __isset = other107.__isset;
+CommandBody& CommandBody::operator=(const CommandBody& other113) {
+  submitSettings = other113.submitSettings;
+  claimWork = other113.claimWork;
+  completeWork = other113.completeWork;
+  abandonOwner = other113.abandonOwner;
+  advanceTime = other113.advanceTime;
+  submitRouting = other113.submitRouting;
+  takeDuties = other113.takeDuties;
+  fixUsage = other113.fixUsage;
+  usageSent = other113.usageSent;
+  __isset = other113.__isset;
   return *this;
 }
 void CommandBody::printTo(std::ostream& out) const {
@@ -4590,15 +4950,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other108) {
-  time = other108.time;
-  body = other108.body;
-  __isset = other108.__isset;
+Command::Command(const Command& other114) {
+  time = other114.time;
+  body = other114.body;
+  __isset = other114.__isset;
 }
-Command& Command::operator=(const Command& other109) {
-  time = other109.time;
-  body = other109.body;
-  __isset = other109.__isset;
+Command& Command::operator=(const Command& other115) {
+  time = other115.time;
+  body = other115.body;
+  __isset = other115.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -4719,17 +5079,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitOutcome::SubmitOutcome(const SubmitOutcome& other110) {
-  isAccepted = other110.isAccepted;
-  version = other110.version;
-  author = other110.author;
-  __isset = other110.__isset;
+SubmitOutcome::SubmitOutcome(const SubmitOutcome& other116) {
+  isAccepted = other116.isAccepted;
+  version = other116.version;
+  author = other116.author;
+  __isset = other116.__isset;
 }
-SubmitOutcome& SubmitOutcome::operator=(const SubmitOutcome& other111) {
-  isAccepted = other111.isAccepted;
-  version = other111.version;
-  author = other111.author;
-  __isset = other111.__isset;
+SubmitOutcome& SubmitOutcome::operator=(const SubmitOutcome& other117) {
+  isAccepted = other117.isAccepted;
+  version = other117.version;
+  author = other117.author;
+  __isset = other117.__isset;
   return *this;
 }
 void SubmitOutcome::printTo(std::ostream& out) const {
@@ -4834,15 +5194,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other112) {
-  kind = other112.kind;
-  answer = other112.answer;
-  __isset = other112.__isset;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other118) {
+  kind = other118.kind;
+  answer = other118.answer;
+  __isset = other118.__isset;
 }
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other113) {
-  kind = other113.kind;
-  answer = other113.answer;
-  __isset = other113.__isset;
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other119) {
+  kind = other119.kind;
+  answer = other119.answer;
+  __isset = other119.__isset;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -4929,13 +5289,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingOutcome::RoutingOutcome(const RoutingOutcome& other114) noexcept {
-  version = other114.version;
-  __isset = other114.__isset;
+RoutingOutcome::RoutingOutcome(const RoutingOutcome& other120) noexcept {
+  version = other120.version;
+  __isset = other120.__isset;
 }
-RoutingOutcome& RoutingOutcome::operator=(const RoutingOutcome& other115) noexcept {
-  version = other115.version;
-  __isset = other115.__isset;
+RoutingOutcome& RoutingOutcome::operator=(const RoutingOutcome& other121) noexcept {
+  version = other121.version;
+  __isset = other121.__isset;
   return *this;
 }
 void RoutingOutcome::printTo(std::ostream& out) const {
@@ -5061,17 +5421,17 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandOutcome::CommandOutcome(const CommandOutcome& other116) {
-  submit = other116.submit;
-  claim = other116.claim;
-  routing = other116.routing;
-  __isset = other116.__isset;
+CommandOutcome::CommandOutcome(const CommandOutcome& other122) {
+  submit = other122.submit;
+  claim = other122.claim;
+  routing = other122.routing;
+  __isset = other122.__isset;
 }
-CommandOutcome& CommandOutcome::operator=(const CommandOutcome& other117) {
-  submit = other117.submit;
-  claim = other117.claim;
-  routing = other117.routing;
-  __isset = other117.__isset;
+CommandOutcome& CommandOutcome::operator=(const CommandOutcome& other123) {
+  submit = other123.submit;
+  claim = other123.claim;
+  routing = other123.routing;
+  __isset = other123.__isset;
   return *this;
 }
 void CommandOutcome::printTo(std::ostream& out) const {
@@ -5210,19 +5570,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Settings::Settings(const Settings& other118) {
-  version = other118.version;
-  author = other118.author;
-  inventory = other118.inventory;
-  rules = other118.rules;
-  __isset = other118.__isset;
+Settings::Settings(const Settings& other124) {
+  version = other124.version;
+  author = other124.author;
+  inventory = other124.inventory;
+  rules = other124.rules;
+  __isset = other124.__isset;
 }
-Settings& Settings::operator=(const Settings& other119) {
-  version = other119.version;
-  author = other119.author;
-  inventory = other119.inventory;
-  rules = other119.rules;
-  __isset = other119.__isset;
+Settings& Settings::operator=(const Settings& other125) {
+  version = other125.version;
+  author = other125.author;
+  inventory = other125.inventory;
+  rules = other125.rules;
+  __isset = other125.__isset;
   return *this;
 }
 void Settings::printTo(std::ostream& out) const {
@@ -5396,23 +5756,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other120) {
-  work = other120.work;
-  requestDigest = other120.requestDigest;
-  claimant = other120.claimant;
-  state = other120.state;
-  answer = other120.answer;
-  since = other120.since;
-  __isset = other120.__isset;
-}
-Claim& Claim::operator=(const Claim& other121) {
-  work = other121.work;
-  requestDigest = other121.requestDigest;
-  claimant = other121.claimant;
-  state = other121.state;
-  answer = other121.answer;
-  since = other121.since;
-  __isset = other121.__isset;
+Claim::Claim(const Claim& other126) {
+  work = other126.work;
+  requestDigest = other126.requestDigest;
+  claimant = other126.claimant;
+  state = other126.state;
+  answer = other126.answer;
+  since = other126.since;
+  __isset = other126.__isset;
+}
+Claim& Claim::operator=(const Claim& other127) {
+  work = other127.work;
+  requestDigest = other127.requestDigest;
+  claimant = other127.claimant;
+  state = other127.state;
+  answer = other127.answer;
+  since = other127.since;
+  __isset = other127.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -5520,15 +5880,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedChange::RememberedChange(const RememberedChange& other122) {
-  change = other122.change;
-  outcome = other122.outcome;
-  __isset = other122.__isset;
+RememberedChange::RememberedChange(const RememberedChange& other128) {
+  change = other128.change;
+  outcome = other128.outcome;
+  __isset = other128.__isset;
 }
-RememberedChange& RememberedChange::operator=(const RememberedChange& other123) {
-  change = other123.change;
-  outcome = other123.outcome;
-  __isset = other123.__isset;
+RememberedChange& RememberedChange::operator=(const RememberedChange& other129) {
+  change = other129.change;
+  outcome = other129.outcome;
+  __isset = other129.__isset;
   return *this;
 }
 void RememberedChange::printTo(std::ostream& out) const {
@@ -5666,19 +6026,19 @@
   swap(a.__isset, b.__isset);
 }
 
-DutyGrant::DutyGrant(const DutyGrant& other124) {
-  holder = other124.holder;
-  incarnation = other124.incarnation;
-  token = other124.token;
-  since = other124.since;
-  __isset = other124.__isset;
+DutyGrant::DutyGrant(const DutyGrant& other130) {
+  holder = other130.holder;
+  incarnation = other130.incarnation;
+  token = other130.token;
+  since = other130.since;
+  __isset = other130.__isset;
 }
-DutyGrant& DutyGrant::operator=(const DutyGrant& other125) {
-  holder = other125.holder;
-  incarnation = other125.incarnation;
-  token = other125.token;
-  since = other125.since;
-  __isset = other125.__isset;
+DutyGrant& DutyGrant::operator=(const DutyGrant& other131) {
+  holder = other131.holder;
+  incarnation = other131.incarnation;
+  token = other131.token;
+  since = other131.since;
+  __isset = other131.__isset;
   return *this;
 }
 void DutyGrant::printTo(std::ostream& out) const {
@@ -5743,14 +6103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unsent.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->unsent.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->unsent.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->unsent[_i130].read(iprot);
+              xfer += this->unsent[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5783,10 +6143,10 @@
   xfer += oprot->writeFieldBegin("unsent", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unsent.size()));
-    std::vector<UsageCounts> ::const_iterator _iter131;
-    for (_iter131 = this->unsent.begin(); _iter131 != this->unsent.end(); ++_iter131)
+    std::vector<UsageCounts> ::const_iterator _iter137;
+    for (_iter137 = this->unsent.begin(); _iter137 != this->unsent.end(); ++_iter137)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5804,15 +6164,15 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageLedger::UsageLedger(const UsageLedger& other132) {
-  newestFixed = other132.newestFixed;
-  unsent = other132.unsent;
-  __isset = other132.__isset;
+UsageLedger::UsageLedger(const UsageLedger& other138) {
+  newestFixed = other138.newestFixed;
+  unsent = other138.unsent;
+  __isset = other138.__isset;
 }
-UsageLedger& UsageLedger::operator=(const UsageLedger& other133) {
-  newestFixed = other133.newestFixed;
-  unsent = other133.unsent;
-  __isset = other133.__isset;
+UsageLedger& UsageLedger::operator=(const UsageLedger& other139) {
+  newestFixed = other139.newestFixed;
+  unsent = other139.unsent;
+  __isset = other139.__isset;
   return *this;
 }
 void UsageLedger::printTo(std::ostream& out) const {
@@ -5898,14 +6258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->claims.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->claims.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->claims[_i138].read(iprot);
+              xfer += this->claims[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5918,14 +6278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->changes.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->changes.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->changes[_i143].read(iprot);
+              xfer += this->changes[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5990,10 +6350,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter144;
-    for (_iter144 = this->claims.begin(); _iter144 != this->claims.end(); ++_iter144)
+    std::vector<Claim> ::const_iterator _iter150;
+    for (_iter150 = this->claims.begin(); _iter150 != this->claims.end(); ++_iter150)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6002,10 +6362,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<RememberedChange> ::const_iterator _iter145;
-    for (_iter145 = this->changes.begin(); _iter145 != this->changes.end(); ++_iter145)
+    std::vector<RememberedChange> ::const_iterator _iter151;
+    for (_iter151 = this->changes.begin(); _iter151 != this->changes.end(); ++_iter151)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6047,25 +6407,25 @@
   swap(a.__isset, b.__isset);
 }
 
-SharedState::SharedState(const SharedState& other146) {
-  settings = other146.settings;
-  claims = other146.claims;
-  changes = other146.changes;
-  time = other146.time;
-  routing = other146.routing;
-  duties = other146.duties;
-  usage = other146.usage;
-  __isset = other146.__isset;
-}
-SharedState& SharedState::operator=(const SharedState& other147) {
-  settings = other147.settings;
-  claims = other147.claims;
-  changes = other147.changes;
-  time = other147.time;
-  routing = other147.routing;
-  duties = other147.duties;
-  usage = other147.usage;
-  __isset = other147.__isset;
+SharedState::SharedState(const SharedState& other152) {
+  settings = other152.settings;
+  claims = other152.claims;
+  changes = other152.changes;
+  time = other152.time;
+  routing = other152.routing;
+  duties = other152.duties;
+  usage = other152.usage;
+  __isset = other152.__isset;
+}
+SharedState& SharedState::operator=(const SharedState& other153) {
+  settings = other153.settings;
+  claims = other153.claims;
+  changes = other153.changes;
+  time = other153.time;
+  routing = other153.routing;
+  duties = other153.duties;
+  usage = other153.usage;
+  __isset = other153.__isset;
   return *this;
 }
 void SharedState::printTo(std::ostream& out) const {
@@ -6157,13 +6517,13 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsPoll::SettingsPoll(const SettingsPoll& other148) noexcept {
-  known = other148.known;
-  __isset = other148.__isset;
+SettingsPoll::SettingsPoll(const SettingsPoll& other154) noexcept {
+  known = other154.known;
+  __isset = other154.__isset;
 }
-SettingsPoll& SettingsPoll::operator=(const SettingsPoll& other149) noexcept {
-  known = other149.known;
-  __isset = other149.__isset;
+SettingsPoll& SettingsPoll::operator=(const SettingsPoll& other155) noexcept {
+  known = other155.known;
+  __isset = other155.__isset;
   return *this;
 }
 void SettingsPoll::printTo(std::ostream& out) const {
@@ -6268,15 +6628,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsPollReply::SettingsPollReply(const SettingsPollReply& other150) {
-  version = other150.version;
-  settings = other150.settings;
-  __isset = other150.__isset;
+SettingsPollReply::SettingsPollReply(const SettingsPollReply& other156) {
+  version = other156.version;
+  settings = other156.settings;
+  __isset = other156.__isset;
 }
-SettingsPollReply& SettingsPollReply::operator=(const SettingsPollReply& other151) {
-  version = other151.version;
-  settings = other151.settings;
-  __isset = other151.__isset;
+SettingsPollReply& SettingsPollReply::operator=(const SettingsPollReply& other157) {
+  version = other157.version;
+  settings = other157.settings;
+  __isset = other157.__isset;
   return *this;
 }
 void SettingsPollReply::printTo(std::ostream& out) const {
@@ -6363,13 +6723,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other152) {
-  body = other152.body;
-  __isset = other152.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other158) {
+  body = other158.body;
+  __isset = other158.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other153) {
-  body = other153.body;
-  __isset = other153.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other159) {
+  body = other159.body;
+  __isset = other159.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -6457,13 +6817,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other154) {
-  outcome = other154.outcome;
-  __isset = other154.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other160) {
+  outcome = other160.outcome;
+  __isset = other160.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other155) {
-  outcome = other155.outcome;
-  __isset = other155.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other161) {
+  outcome = other161.outcome;
+  __isset = other161.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -6551,13 +6911,13 @@
   swap(a.__isset, b.__isset);
 }
 
-NotLeader::NotLeader(const NotLeader& other156) {
-  leader = other156.leader;
-  __isset = other156.__isset;
+NotLeader::NotLeader(const NotLeader& other162) {
+  leader = other162.leader;
+  __isset = other162.__isset;
 }
-NotLeader& NotLeader::operator=(const NotLeader& other157) {
-  leader = other157.leader;
-  __isset = other157.__isset;
+NotLeader& NotLeader::operator=(const NotLeader& other163) {
+  leader = other163.leader;
+  __isset = other163.__isset;
   return *this;
 }
 void NotLeader::printTo(std::ostream& out) const {
@@ -6681,17 +7041,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Request::Request(const Request& other158) {
-  id = other158.id;
-  poll = other158.poll;
-  propose = other158.propose;
-  __isset = other158.__isset;
+Request::Request(const Request& other164) {
+  id = other164.id;
+  poll = other164.poll;
+  propose = other164.propose;
+  __isset = other164.__isset;
 }
-Request& Request::operator=(const Request& other159) {
-  id = other159.id;
-  poll = other159.poll;
-  propose = other159.propose;
-  __isset = other159.__isset;
+Request& Request::operator=(const Request& other165) {
+  id = other165.id;
+  poll = other165.poll;
+  propose = other165.propose;
+  __isset = other165.__isset;
   return *this;
 }
 void Request::printTo(std::ostream& out) const {
@@ -6836,19 +7196,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other160) {
-  id = other160.id;
-  poll = other160.poll;
-  propose = other160.propose;
-  notLeader = other160.notLeader;
-  __isset = other160.__isset;
+Reply::Reply(const Reply& other166) {
+  id = other166.id;
+  poll = other166.poll;
+  propose = other166.propose;
+  notLeader = other166.notLeader;
+  __isset = other166.__isset;
 }
-Reply& Reply::operator=(const Reply& other161) {
-  id = other161.id;
-  poll = other161.poll;
-  propose = other161.propose;
-  notLeader = other161.notLeader;
-  __isset = other161.__isset;
+Reply& Reply::operator=(const Reply& other167) {
+  id = other167.id;
+  poll = other167.poll;
+  propose = other167.propose;
+  notLeader = other167.notLeader;
+  __isset = other167.__isset;
   return *this;
 }
 void Reply::printTo(std::ostream& out) const {
@@ -6988,19 +7348,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Capabilities::Capabilities(const Capabilities& other162) noexcept {
-  priorities = other162.priorities;
-  resume = other162.resume;
-  cancel = other162.cancel;
-  checksFencing = other162.checksFencing;
-  __isset = other162.__isset;
+Capabilities::Capabilities(const Capabilities& other168) noexcept {
+  priorities = other168.priorities;
+  resume = other168.resume;
+  cancel = other168.cancel;
+  checksFencing = other168.checksFencing;
+  __isset = other168.__isset;
 }
-Capabilities& Capabilities::operator=(const Capabilities& other163) noexcept {
-  priorities = other163.priorities;
-  resume = other163.resume;
-  cancel = other163.cancel;
-  checksFencing = other163.checksFencing;
-  __isset = other163.__isset;
+Capabilities& Capabilities::operator=(const Capabilities& other169) noexcept {
+  priorities = other169.priorities;
+  resume = other169.resume;
+  cancel = other169.cancel;
+  checksFencing = other169.checksFencing;
+  __isset = other169.__isset;
   return *this;
 }
 void Capabilities::printTo(std::ostream& out) const {
@@ -7145,14 +7505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->models.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->models.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += iprot->readString(this->models[_i168]);
+              xfer += iprot->readString(this->models[_i174]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7257,10 +7617,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter169;
-    for (_iter169 = this->models.begin(); _iter169 != this->models.end(); ++_iter169)
+    std::vector<std::string> ::const_iterator _iter175;
+    for (_iter175 = this->models.begin(); _iter175 != this->models.end(); ++_iter175)
     {
-      xfer += oprot->writeString((*_iter169));
+      xfer += oprot->writeString((*_iter175));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7321,37 +7681,37 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendRecord::BackendRecord(const BackendRecord& other170) {
-  id = other170.id;
-  incarnation = other170.incarnation;
-  sequence = other170.sequence;
-  state = other170.state;
-  serviceName = other170.serviceName;
-  models = other170.models;
-  failureDomain = other170.failureDomain;
-  slots = other170.slots;
-  capabilities = other170.capabilities;
-  serverName = other170.serverName;
-  softwareVersion = other170.softwareVersion;
-  isReclaimable = other170.isReclaimable;
-  leavesInMs = other170.leavesInMs;
-  __isset = other170.__isset;
-}
-BackendRecord& BackendRecord::operator=(const BackendRecord& other171) {
-  id = other171.id;
-  incarnation = other171.incarnation;
-  sequence = other171.sequence;
-  state = other171.state;
-  serviceName = other171.serviceName;
-  models = other171.models;
-  failureDomain = other171.failureDomain;
-  slots = other171.slots;
-  capabilities = other171.capabilities;
-  serverName = other171.serverName;
-  softwareVersion = other171.softwareVersion;
-  isReclaimable = other171.isReclaimable;
-  leavesInMs = other171.leavesInMs;
-  __isset = other171.__isset;
+BackendRecord::BackendRecord(const BackendRecord& other176) {
+  id = other176.id;
+  incarnation = other176.incarnation;
+  sequence = other176.sequence;
+  state = other176.state;
+  serviceName = other176.serviceName;
+  models = other176.models;
+  failureDomain = other176.failureDomain;
+  slots = other176.slots;
+  capabilities = other176.capabilities;
+  serverName = other176.serverName;
+  softwareVersion = other176.softwareVersion;
+  isReclaimable = other176.isReclaimable;
+  leavesInMs = other176.leavesInMs;
+  __isset = other176.__isset;
+}
+BackendRecord& BackendRecord::operator=(const BackendRecord& other177) {
+  id = other177.id;
+  incarnation = other177.incarnation;
+  sequence = other177.sequence;
+  state = other177.state;
+  serviceName = other177.serviceName;
+  models = other177.models;
+  failureDomain = other177.failureDomain;
+  slots = other177.slots;
+  capabilities = other177.capabilities;
+  serverName = other177.serverName;
+  softwareVersion = other177.softwareVersion;
+  isReclaimable = other177.isReclaimable;
+  leavesInMs = other177.leavesInMs;
+  __isset = other177.__isset;
   return *this;
 }
 void BackendRecord::printTo(std::ostream& out) const {
@@ -7483,17 +7843,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Renewal::Renewal(const Renewal& other172) {
-  id = other172.id;
-  incarnation = other172.incarnation;
-  sequence = other172.sequence;
-  __isset = other172.__isset;
+Renewal::Renewal(const Renewal& other178) {
+  id = other178.id;
+  incarnation = other178.incarnation;
+  sequence = other178.sequence;
+  __isset = other178.__isset;
 }
-Renewal& Renewal::operator=(const Renewal& other173) {
-  id = other173.id;
-  incarnation = other173.incarnation;
-  sequence = other173.sequence;
-  __isset = other173.__isset;
+Renewal& Renewal::operator=(const Renewal& other179) {
+  id = other179.id;
+  incarnation = other179.incarnation;
+  sequence = other179.sequence;
+  __isset = other179.__isset;
   return *this;
 }
 void Renewal::printTo(std::ostream& out) const {
@@ -7632,19 +7992,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other174) {
-  id = other174.id;
-  incarnation = other174.incarnation;
-  running = other174.running;
-  ageMicroseconds = other174.ageMicroseconds;
-  __isset = other174.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other180) {
+  id = other180.id;
+  incarnation = other180.incarnation;
+  running = other180.running;
+  ageMicroseconds = other180.ageMicroseconds;
+  __isset = other180.__isset;
 }
-LoadNotice& LoadNotice::operator=(const LoadNotice& other175) {
-  id = other175.id;
-  incarnation = other175.incarnation;
-  running = other175.running;
-  ageMicroseconds = other175.ageMicroseconds;
-  __isset = other175.__isset;
+LoadNotice& LoadNotice::operator=(const LoadNotice& other181) {
+  id = other181.id;
+  incarnation = other181.incarnation;
+  running = other181.running;
+  ageMicroseconds = other181.ageMicroseconds;
+  __isset = other181.__isset;
   return *this;
 }
 void LoadNotice::printTo(std::ostream& out) const {
@@ -7705,14 +8065,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->records.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->records.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->records[_i180].read(iprot);
+              xfer += this->records[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7725,14 +8085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->renewals.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->renewals.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->renewals.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->renewals[_i185].read(iprot);
+              xfer += this->renewals[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7745,14 +8105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->loads.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->loads.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->loads[_i190].read(iprot);
+              xfer += this->loads[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7781,10 +8141,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<BackendRecord> ::const_iterator _iter191;
-    for (_iter191 = this->records.begin(); _iter191 != this->records.end(); ++_iter191)
+    std::vector<BackendRecord> ::const_iterator _iter197;
+    for (_iter197 = this->records.begin(); _iter197 != this->records.end(); ++_iter197)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7793,10 +8153,10 @@
   xfer += oprot->writeFieldBegin("renewals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->renewals.size()));
-    std::vector<Renewal> ::const_iterator _iter192;
-    for (_iter192 = this->renewals.begin(); _iter192 != this->renewals.end(); ++_iter192)
+    std::vector<Renewal> ::const_iterator _iter198;
+    for (_iter198 = this->renewals.begin(); _iter198 != this->renewals.end(); ++_iter198)
     {
-      xfer += (*_iter192).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7805,10 +8165,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNotice> ::const_iterator _iter193;
-    for (_iter193 = this->loads.begin(); _iter193 != this->loads.end(); ++_iter193)
+    std::vector<LoadNotice> ::const_iterator _iter199;
+    for (_iter199 = this->loads.begin(); _iter199 != this->loads.end(); ++_iter199)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7827,17 +8187,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other194) {
-  records = other194.records;
-  renewals = other194.renewals;
-  loads = other194.loads;
-  __isset = other194.__isset;
+FleetNews::FleetNews(const FleetNews& other200) {
+  records = other200.records;
+  renewals = other200.renewals;
+  loads = other200.loads;
+  __isset = other200.__isset;
 }
-FleetNews& FleetNews::operator=(const FleetNews& other195) {
-  records = other195.records;
-  renewals = other195.renewals;
-  loads = other195.loads;
-  __isset = other195.__isset;
+FleetNews& FleetNews::operator=(const FleetNews& other201) {
+  records = other201.records;
+  renewals = other201.renewals;
+  loads = other201.loads;
+  __isset = other201.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -7959,17 +8319,17 @@
   swap(a.__isset, b.__isset);
 }
 
-InFlight::InFlight(const InFlight& other196) noexcept {
-  backend = other196.backend;
-  running = other196.running;
-  longRunning = other196.longRunning;
-  __isset = other196.__isset;
+InFlight::InFlight(const InFlight& other202) noexcept {
+  backend = other202.backend;
+  running = other202.running;
+  longRunning = other202.longRunning;
+  __isset = other202.__isset;
 }
-InFlight& InFlight::operator=(const InFlight& other197) noexcept {
-  backend = other197.backend;
-  running = other197.running;
-  longRunning = other197.longRunning;
-  __isset = other197.__isset;
+InFlight& InFlight::operator=(const InFlight& other203) noexcept {
+  backend = other203.backend;
+  running = other203.running;
+  longRunning = other203.longRunning;
+  __isset = other203.__isset;
   return *this;
 }
 void InFlight::printTo(std::ostream& out) const {
@@ -8074,15 +8434,15 @@
   swap(a.__isset, b.__isset);
 }
 
-WaitingTier::WaitingTier(const WaitingTier& other198) {
-  pool = other198.pool;
-  tier = other198.tier;
-  __isset = other198.__isset;
+WaitingTier::WaitingTier(const WaitingTier& other204) {
+  pool = other204.pool;
+  tier = other204.tier;
+  __isset = other204.__isset;
 }
-WaitingTier& WaitingTier::operator=(const WaitingTier& other199) {
-  pool = other199.pool;
-  tier = other199.tier;
-  __isset = other199.__isset;
+WaitingTier& WaitingTier::operator=(const WaitingTier& other205) {
+  pool = other205.pool;
+  tier = other205.tier;
+  __isset = other205.__isset;
   return *this;
 }
 void WaitingTier::printTo(std::ostream& out) const {
@@ -8137,14 +8497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->inFlight.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->inFlight.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->inFlight.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->inFlight[_i204].read(iprot);
+              xfer += this->inFlight[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8157,14 +8517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->waiting.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->waiting.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += this->waiting[_i209].read(iprot);
+              xfer += this->waiting[_i215].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8193,10 +8553,10 @@
   xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->inFlight.size()));
-    std::vector<InFlight> ::const_iterator _iter210;
-    for (_iter210 = this->inFlight.begin(); _iter210 != this->inFlight.end(); ++_iter210)
+    std::vector<InFlight> ::const_iterator _iter216;
+    for (_iter216 = this->inFlight.begin(); _iter216 != this->inFlight.end(); ++_iter216)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8205,10 +8565,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<WaitingTier> ::const_iterator _iter211;
-    for (_iter211 = this->waiting.begin(); _iter211 != this->waiting.end(); ++_iter211)
+    std::vector<WaitingTier> ::const_iterator _iter217;
+    for (_iter217 = this->waiting.begin(); _iter217 != this->waiting.end(); ++_iter217)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter217).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8226,15 +8586,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerLoad::PeerLoad(const PeerLoad& other212) {
-  inFlight = other212.inFlight;
-  waiting = other212.waiting;
-  __isset = other212.__isset;
+PeerLoad::PeerLoad(const PeerLoad& other218) {
+  inFlight = other218.inFlight;
+  waiting = other218.waiting;
+  __isset = other218.__isset;
 }
-PeerLoad& PeerLoad::operator=(const PeerLoad& other213) {
-  inFlight = other213.inFlight;
-  waiting = other213.waiting;
-  __isset = other213.__isset;
+PeerLoad& PeerLoad::operator=(const PeerLoad& other219) {
+  inFlight = other219.inFlight;
+  waiting = other219.waiting;
+  __isset = other219.__isset;
   return *this;
 }
 void PeerLoad::printTo(std::ostream& out) const {
@@ -8338,15 +8698,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Challenge::Challenge(const Challenge& other214) {
-  instance = other214.instance;
-  nonce = other214.nonce;
-  __isset = other214.__isset;
+Challenge::Challenge(const Challenge& other220) {
+  instance = other220.instance;
+  nonce = other220.nonce;
+  __isset = other220.__isset;
 }
-Challenge& Challenge::operator=(const Challenge& other215) {
-  instance = other215.instance;
-  nonce = other215.nonce;
-  __isset = other215.__isset;
+Challenge& Challenge::operator=(const Challenge& other221) {
+  instance = other221.instance;
+  nonce = other221.nonce;
+  __isset = other221.__isset;
   return *this;
 }
 void Challenge::printTo(std::ostream& out) const {
@@ -8467,17 +8827,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other216) {
-  instance = other216.instance;
-  incarnation = other216.incarnation;
-  proof = other216.proof;
-  __isset = other216.__isset;
+Hello::Hello(const Hello& other222) {
+  instance = other222.instance;
+  incarnation = other222.incarnation;
+  proof = other222.proof;
+  __isset = other222.__isset;
 }
-Hello& Hello::operator=(const Hello& other217) {
-  instance = other217.instance;
-  incarnation = other217.incarnation;
-  proof = other217.proof;
-  __isset = other217.__isset;
+Hello& Hello::operator=(const Hello& other223) {
+  instance = other223.instance;
+  incarnation = other223.incarnation;
+  proof = other223.proof;
+  __isset = other223.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8565,14 +8925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->parts.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->parts.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += iprot->readI64(this->parts[_i222]);
+              xfer += iprot->readI64(this->parts[_i228]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8613,10 +8973,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter223;
-    for (_iter223 = this->parts.begin(); _iter223 != this->parts.end(); ++_iter223)
+    std::vector<int64_t> ::const_iterator _iter229;
+    for (_iter229 = this->parts.begin(); _iter229 != this->parts.end(); ++_iter229)
     {
-      xfer += oprot->writeI64((*_iter223));
+      xfer += oprot->writeI64((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8636,19 +8996,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptCrash::PromptCrash(const PromptCrash& other224) {
-  server = other224.server;
-  sentForMs = other224.sentForMs;
-  ageMs = other224.ageMs;
-  parts = other224.parts;
-  __isset = other224.__isset;
+PromptCrash::PromptCrash(const PromptCrash& other230) {
+  server = other230.server;
+  sentForMs = other230.sentForMs;
+  ageMs = other230.ageMs;
+  parts = other230.parts;
+  __isset = other230.__isset;
 }
-PromptCrash& PromptCrash::operator=(const PromptCrash& other225) {
-  server = other225.server;
-  sentForMs = other225.sentForMs;
-  ageMs = other225.ageMs;
-  parts = other225.parts;
-  __isset = other225.__isset;
+PromptCrash& PromptCrash::operator=(const PromptCrash& other231) {
+  server = other231.server;
+  sentForMs = other231.sentForMs;
+  ageMs = other231.ageMs;
+  parts = other231.parts;
+  __isset = other231.__isset;
   return *this;
 }
 void PromptCrash::printTo(std::ostream& out) const {
@@ -8754,15 +9114,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartAnswered::PartAnswered(const PartAnswered& other226) noexcept {
-  part = other226.part;
-  ageMs = other226.ageMs;
-  __isset = other226.__isset;
+PartAnswered::PartAnswered(const PartAnswered& other232) noexcept {
+  part = other232.part;
+  ageMs = other232.ageMs;
+  __isset = other232.__isset;
 }
-PartAnswered& PartAnswered::operator=(const PartAnswered& other227) noexcept {
-  part = other227.part;
-  ageMs = other227.ageMs;
-  __isset = other227.__isset;
+PartAnswered& PartAnswered::operator=(const PartAnswered& other233) noexcept {
+  part = other233.part;
+  ageMs = other233.ageMs;
+  __isset = other233.__isset;
   return *this;
 }
 void PartAnswered::printTo(std::ostream& out) const {
@@ -8821,14 +9181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->crashes.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->crashes.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += this->crashes[_i232].read(iprot);
+              xfer += this->crashes[_i238].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8841,14 +9201,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->answered.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->answered.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->answered[_i237].read(iprot);
+              xfer += this->answered[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8861,14 +9221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->quarantined.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->quarantined.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += iprot->readI64(this->quarantined[_i242]);
+              xfer += iprot->readI64(this->quarantined[_i248]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8897,10 +9257,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<PromptCrash> ::const_iterator _iter243;
-    for (_iter243 = this->crashes.begin(); _iter243 != this->crashes.end(); ++_iter243)
+    std::vector<PromptCrash> ::const_iterator _iter249;
+    for (_iter249 = this->crashes.begin(); _iter249 != this->crashes.end(); ++_iter249)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8909,10 +9269,10 @@
   xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answered.size()));
-    std::vector<PartAnswered> ::const_iterator _iter244;
-    for (_iter244 = this->answered.begin(); _iter244 != this->answered.end(); ++_iter244)
+    std::vector<PartAnswered> ::const_iterator _iter250;
+    for (_iter250 = this->answered.begin(); _iter250 != this->answered.end(); ++_iter250)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8921,10 +9281,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter245;
-    for (_iter245 = this->quarantined.begin(); _iter245 != this->quarantined.end(); ++_iter245)
+    std::vector<int64_t> ::const_iterator _iter251;
+    for (_iter251 = this->quarantined.begin(); _iter251 != this->quarantined.end(); ++_iter251)
     {
-      xfer += oprot->writeI64((*_iter245));
+      xfer += oprot->writeI64((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8943,17 +9303,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptEvidence::PromptEvidence(const PromptEvidence& other246) {
-  crashes = other246.crashes;
-  answered = other246.answered;
-  quarantined = other246.quarantined;
-  __isset = other246.__isset;
+PromptEvidence::PromptEvidence(const PromptEvidence& other252) {
+  crashes = other252.crashes;
+  answered = other252.answered;
+  quarantined = other252.quarantined;
+  __isset = other252.__isset;
 }
-PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other247) {
-  crashes = other247.crashes;
-  answered = other247.answered;
-  quarantined = other247.quarantined;
-  __isset = other247.__isset;
+PromptEvidence& PromptEvidence::operator=(const PromptEvidence& other253) {
+  crashes = other253.crashes;
+  answered = other253.answered;
+  quarantined = other253.quarantined;
+  __isset = other253.__isset;
   return *this;
 }
 void PromptEvidence::printTo(std::ostream& out) const {
@@ -9138,23 +9498,23 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other248) {
-  agreement = other248.agreement;
-  request = other248.request;
-  reply = other248.reply;
-  fleetNews = other248.fleetNews;
-  peerLoad = other248.peerLoad;
-  promptEvidence = other248.promptEvidence;
-  __isset = other248.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other249) {
-  agreement = other249.agreement;
-  request = other249.request;
-  reply = other249.reply;
-  fleetNews = other249.fleetNews;
-  peerLoad = other249.peerLoad;
-  promptEvidence = other249.promptEvidence;
-  __isset = other249.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other254) {
+  agreement = other254.agreement;
+  request = other254.request;
+  reply = other254.reply;
+  fleetNews = other254.fleetNews;
+  peerLoad = other254.peerLoad;
+  promptEvidence = other254.promptEvidence;
+  __isset = other254.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other255) {
+  agreement = other255.agreement;
+  request = other255.request;
+  reply = other255.reply;
+  fleetNews = other255.fleetNews;
+  peerLoad = other255.peerLoad;
+  promptEvidence = other255.promptEvidence;
+  __isset = other255.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -9262,15 +9622,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StateAddress::StateAddress(const StateAddress& other250) {
-  listen = other250.listen;
-  failureDomain = other250.failureDomain;
-  __isset = other250.__isset;
+StateAddress::StateAddress(const StateAddress& other256) {
+  listen = other256.listen;
+  failureDomain = other256.failureDomain;
+  __isset = other256.__isset;
 }
-StateAddress& StateAddress::operator=(const StateAddress& other251) {
-  listen = other251.listen;
-  failureDomain = other251.failureDomain;
-  __isset = other251.__isset;
+StateAddress& StateAddress::operator=(const StateAddress& other257) {
+  listen = other257.listen;
+  failureDomain = other257.failureDomain;
+  __isset = other257.__isset;
   return *this;
 }
 void StateAddress::printTo(std::ostream& out) const {
@@ -9374,14 +9734,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->states.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->states.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->states[_i256].read(iprot);
+              xfer += this->states[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9434,10 +9794,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<StateAddress> ::const_iterator _iter257;
-    for (_iter257 = this->states.begin(); _iter257 != this->states.end(); ++_iter257)
+    std::vector<StateAddress> ::const_iterator _iter263;
+    for (_iter263 = this->states.begin(); _iter263 != this->states.end(); ++_iter263)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9464,23 +9824,23 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkHello::LinkHello(const LinkHello& other258) {
-  instance = other258.instance;
-  listen = other258.listen;
-  failureDomain = other258.failureDomain;
-  incarnation = other258.incarnation;
-  states = other258.states;
-  relayListen = other258.relayListen;
-  __isset = other258.__isset;
-}
-LinkHello& LinkHello::operator=(const LinkHello& other259) {
-  instance = other259.instance;
-  listen = other259.listen;
-  failureDomain = other259.failureDomain;
-  incarnation = other259.incarnation;
-  states = other259.states;
-  relayListen = other259.relayListen;
-  __isset = other259.__isset;
+LinkHello::LinkHello(const LinkHello& other264) {
+  instance = other264.instance;
+  listen = other264.listen;
+  failureDomain = other264.failureDomain;
+  incarnation = other264.incarnation;
+  states = other264.states;
+  relayListen = other264.relayListen;
+  __isset = other264.__isset;
+}
+LinkHello& LinkHello::operator=(const LinkHello& other265) {
+  instance = other265.instance;
+  listen = other265.listen;
+  failureDomain = other265.failureDomain;
+  incarnation = other265.incarnation;
+  states = other265.states;
+  relayListen = other265.relayListen;
+  __isset = other265.__isset;
   return *this;
 }
 void LinkHello::printTo(std::ostream& out) const {
@@ -9607,17 +9967,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessPoll::FreshnessPoll(const FreshnessPoll& other260) noexcept {
-  id = other260.id;
-  held = other260.held;
-  needsWhole = other260.needsWhole;
-  __isset = other260.__isset;
+FreshnessPoll::FreshnessPoll(const FreshnessPoll& other266) noexcept {
+  id = other266.id;
+  held = other266.held;
+  needsWhole = other266.needsWhole;
+  __isset = other266.__isset;
 }
-FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other261) noexcept {
-  id = other261.id;
-  held = other261.held;
-  needsWhole = other261.needsWhole;
-  __isset = other261.__isset;
+FreshnessPoll& FreshnessPoll::operator=(const FreshnessPoll& other267) noexcept {
+  id = other267.id;
+  held = other267.held;
+  needsWhole = other267.needsWhole;
+  __isset = other267.__isset;
   return *this;
 }
 void FreshnessPoll::printTo(std::ostream& out) const {
@@ -9735,14 +10095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->states.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->states.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->states.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->states[_i266].read(iprot);
+              xfer += this->states[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9800,10 +10160,10 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->states.size()));
-    std::vector<StateAddress> ::const_iterator _iter267;
-    for (_iter267 = this->states.begin(); _iter267 != this->states.end(); ++_iter267)
+    std::vector<StateAddress> ::const_iterator _iter273;
+    for (_iter273 = this->states.begin(); _iter273 != this->states.end(); ++_iter273)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9831,25 +10191,25 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessReply::FreshnessReply(const FreshnessReply& other268) {
-  id = other268.id;
-  confirmed = other268.confirmed;
-  version = other268.version;
-  document = other268.document;
-  entryInstances = other268.entryInstances;
-  states = other268.states;
-  trueTimeMs = other268.trueTimeMs;
-  __isset = other268.__isset;
-}
-FreshnessReply& FreshnessReply::operator=(const FreshnessReply& other269) {
-  id = other269.id;
-  confirmed = other269.confirmed;
-  version = other269.version;
-  document = other269.document;
-  entryInstances = other269.entryInstances;
-  states = other269.states;
-  trueTimeMs = other269.trueTimeMs;
-  __isset = other269.__isset;
+FreshnessReply::FreshnessReply(const FreshnessReply& other274) {
+  id = other274.id;
+  confirmed = other274.confirmed;
+  version = other274.version;
+  document = other274.document;
+  entryInstances = other274.entryInstances;
+  states = other274.states;
+  trueTimeMs = other274.trueTimeMs;
+  __isset = other274.__isset;
+}
+FreshnessReply& FreshnessReply::operator=(const FreshnessReply& other275) {
+  id = other275.id;
+  confirmed = other275.confirmed;
+  version = other275.version;
+  document = other275.document;
+  entryInstances = other275.entryInstances;
+  states = other275.states;
+  trueTimeMs = other275.trueTimeMs;
+  __isset = other275.__isset;
   return *this;
 }
 void FreshnessReply::printTo(std::ostream& out) const {
@@ -9958,15 +10318,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingSubmit::RoutingSubmit(const RoutingSubmit& other270) {
-  id = other270.id;
-  document = other270.document;
-  __isset = other270.__isset;
+RoutingSubmit::RoutingSubmit(const RoutingSubmit& other276) {
+  id = other276.id;
+  document = other276.document;
+  __isset = other276.__isset;
 }
-RoutingSubmit& RoutingSubmit::operator=(const RoutingSubmit& other271) {
-  id = other271.id;
-  document = other271.document;
-  __isset = other271.__isset;
+RoutingSubmit& RoutingSubmit::operator=(const RoutingSubmit& other277) {
+  id = other277.id;
+  document = other277.document;
+  __isset = other277.__isset;
   return *this;
 }
 void RoutingSubmit::printTo(std::ostream& out) const {
@@ -10087,17 +10447,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingSubmitReply::RoutingSubmitReply(const RoutingSubmitReply& other272) noexcept {
-  id = other272.id;
-  result = other272.result;
-  version = other272.version;
-  __isset = other272.__isset;
+RoutingSubmitReply::RoutingSubmitReply(const RoutingSubmitReply& other278) noexcept {
+  id = other278.id;
+  result = other278.result;
+  version = other278.version;
+  __isset = other278.__isset;
 }
-RoutingSubmitReply& RoutingSubmitReply::operator=(const RoutingSubmitReply& other273) noexcept {
-  id = other273.id;
-  result = other273.result;
-  version = other273.version;
-  __isset = other273.__isset;
+RoutingSubmitReply& RoutingSubmitReply::operator=(const RoutingSubmitReply& other279) noexcept {
+  id = other279.id;
+  result = other279.result;
+  version = other279.version;
+  __isset = other279.__isset;
   return *this;
 }
 void RoutingSubmitReply::printTo(std::ostream& out) const {
@@ -10219,17 +10579,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DeltaPart::DeltaPart(const DeltaPart& other274) {
-  start = other274.start;
-  length = other274.length;
-  text = other274.text;
-  __isset = other274.__isset;
+DeltaPart::DeltaPart(const DeltaPart& other280) {
+  start = other280.start;
+  length = other280.length;
+  text = other280.text;
+  __isset = other280.__isset;
 }
-DeltaPart& DeltaPart::operator=(const DeltaPart& other275) {
-  start = other275.start;
-  length = other275.length;
-  text = other275.text;
-  __isset = other275.__isset;
+DeltaPart& DeltaPart::operator=(const DeltaPart& other281) {
+  start = other281.start;
+  length = other281.length;
+  text = other281.text;
+  __isset = other281.__isset;
   return *this;
 }
 void DeltaPart::printTo(std::ostream& out) const {
@@ -10317,14 +10677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->parts.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->parts.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->parts[_i280].read(iprot);
+              xfer += this->parts[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10365,10 +10725,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<DeltaPart> ::const_iterator _iter281;
-    for (_iter281 = this->parts.begin(); _iter281 != this->parts.end(); ++_iter281)
+    std::vector<DeltaPart> ::const_iterator _iter287;
+    for (_iter287 = this->parts.begin(); _iter287 != this->parts.end(); ++_iter287)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10388,19 +10748,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingDelta::RoutingDelta(const RoutingDelta& other282) {
-  base = other282.base;
-  version = other282.version;
-  digest = other282.digest;
-  parts = other282.parts;
-  __isset = other282.__isset;
+RoutingDelta::RoutingDelta(const RoutingDelta& other288) {
+  base = other288.base;
+  version = other288.version;
+  digest = other288.digest;
+  parts = other288.parts;
+  __isset = other288.__isset;
 }
-RoutingDelta& RoutingDelta::operator=(const RoutingDelta& other283) {
-  base = other283.base;
-  version = other283.version;
-  digest = other283.digest;
-  parts = other283.parts;
-  __isset = other283.__isset;
+RoutingDelta& RoutingDelta::operator=(const RoutingDelta& other289) {
+  base = other289.base;
+  version = other289.version;
+  digest = other289.digest;
+  parts = other289.parts;
+  __isset = other289.__isset;
   return *this;
 }
 void RoutingDelta::printTo(std::ostream& out) const {
@@ -10523,17 +10883,17 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendCalls::BackendCalls(const BackendCalls& other284) noexcept {
-  answers = other284.answers;
-  failures = other284.failures;
-  witnesses = other284.witnesses;
-  __isset = other284.__isset;
+BackendCalls::BackendCalls(const BackendCalls& other290) noexcept {
+  answers = other290.answers;
+  failures = other290.failures;
+  witnesses = other290.witnesses;
+  __isset = other290.__isset;
 }
-BackendCalls& BackendCalls::operator=(const BackendCalls& other285) noexcept {
-  answers = other285.answers;
-  failures = other285.failures;
-  witnesses = other285.witnesses;
-  __isset = other285.__isset;
+BackendCalls& BackendCalls::operator=(const BackendCalls& other291) noexcept {
+  answers = other291.answers;
+  failures = other291.failures;
+  witnesses = other291.witnesses;
+  __isset = other291.__isset;
   return *this;
 }
 void BackendCalls::printTo(std::ostream& out) const {
@@ -10691,21 +11051,21 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendUse::BackendUse(const BackendUse& other286) noexcept {
-  backend = other286.backend;
-  requests = other286.requests;
-  promptTokens = other286.promptTokens;
-  interactive = other286.interactive;
-  calls = other286.calls;
-  __isset = other286.__isset;
-}
-BackendUse& BackendUse::operator=(const BackendUse& other287) noexcept {
-  backend = other287.backend;
-  requests = other287.requests;
-  promptTokens = other287.promptTokens;
-  interactive = other287.interactive;
-  calls = other287.calls;
-  __isset = other287.__isset;
+BackendUse::BackendUse(const BackendUse& other292) noexcept {
+  backend = other292.backend;
+  requests = other292.requests;
+  promptTokens = other292.promptTokens;
+  interactive = other292.interactive;
+  calls = other292.calls;
+  __isset = other292.__isset;
+}
+BackendUse& BackendUse::operator=(const BackendUse& other293) noexcept {
+  backend = other293.backend;
+  requests = other293.requests;
+  promptTokens = other293.promptTokens;
+  interactive = other293.interactive;
+  calls = other293.calls;
+  __isset = other293.__isset;
   return *this;
 }
 void BackendUse::printTo(std::ostream& out) const {
@@ -10763,14 +11123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->uses.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size294;
+            ::apache::thrift::protocol::TType _etype297;
+            xfer += iprot->readListBegin(_etype297, _size294);
+            this->uses.resize(_size294);
+            uint32_t _i298;
+            for (_i298 = 0; _i298 < _size294; ++_i298)
             {
-              xfer += this->uses[_i292].read(iprot);
+              xfer += this->uses[_i298].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10807,10 +11167,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<BackendUse> ::const_iterator _iter293;
-    for (_iter293 = this->uses.begin(); _iter293 != this->uses.end(); ++_iter293)
+    std::vector<BackendUse> ::const_iterator _iter299;
+    for (_iter299 = this->uses.begin(); _iter299 != this->uses.end(); ++_iter299)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10832,15 +11192,15 @@
   swap(a.__isset, b.__isset);
 }
 
-UseReport::UseReport(const UseReport& other294) {
-  uses = other294.uses;
-  entryInstances = other294.entryInstances;
-  __isset = other294.__isset;
+UseReport::UseReport(const UseReport& other300) {
+  uses = other300.uses;
+  entryInstances = other300.entryInstances;
+  __isset = other300.__isset;
 }
-UseReport& UseReport::operator=(const UseReport& other295) {
-  uses = other295.uses;
-  entryInstances = other295.entryInstances;
-  __isset = other295.__isset;
+UseReport& UseReport::operator=(const UseReport& other301) {
+  uses = other301.uses;
+  entryInstances = other301.entryInstances;
+  __isset = other301.__isset;
   return *this;
 }
 void UseReport::printTo(std::ostream& out) const {
@@ -10961,17 +11321,17 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompt::KeptPrompt(const KeptPrompt& other296) noexcept {
-  parts = other296.parts;
-  backend = other296.backend;
-  tokens = other296.tokens;
-  __isset = other296.__isset;
+KeptPrompt::KeptPrompt(const KeptPrompt& other302) noexcept {
+  parts = other302.parts;
+  backend = other302.backend;
+  tokens = other302.tokens;
+  __isset = other302.__isset;
 }
-KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other297) noexcept {
-  parts = other297.parts;
-  backend = other297.backend;
-  tokens = other297.tokens;
-  __isset = other297.__isset;
+KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other303) noexcept {
+  parts = other303.parts;
+  backend = other303.backend;
+  tokens = other303.tokens;
+  __isset = other303.__isset;
   return *this;
 }
 void KeptPrompt::printTo(std::ostream& out) const {
@@ -11023,14 +11383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->prompts.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size304;
+            ::apache::thrift::protocol::TType _etype307;
+            xfer += iprot->readListBegin(_etype307, _size304);
+            this->prompts.resize(_size304);
+            uint32_t _i308;
+            for (_i308 = 0; _i308 < _size304; ++_i308)
             {
-              xfer += this->prompts[_i302].read(iprot);
+              xfer += this->prompts[_i308].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11059,10 +11419,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter303;
-    for (_iter303 = this->prompts.begin(); _iter303 != this->prompts.end(); ++_iter303)
+    std::vector<KeptPrompt> ::const_iterator _iter309;
+    for (_iter309 = this->prompts.begin(); _iter309 != this->prompts.end(); ++_iter309)
     {
-      xfer += (*_iter303).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11079,13 +11439,13 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptPrompts::KeptPrompts(const KeptPrompts& other304) {
-  prompts = other304.prompts;
-  __isset = other304.__isset;
+KeptPrompts::KeptPrompts(const KeptPrompts& other310) {
+  prompts = other310.prompts;
+  __isset = other310.__isset;
 }
-KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other305) {
-  prompts = other305.prompts;
-  __isset = other305.__isset;
+KeptPrompts& KeptPrompts::operator=(const KeptPrompts& other311) {
+  prompts = other311.prompts;
+  __isset = other311.__isset;
   return *this;
 }
 void KeptPrompts::printTo(std::ostream& out) const {
@@ -11139,14 +11499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->suspects.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->suspects.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += iprot->readI64(this->suspects[_i310]);
+              xfer += iprot->readI64(this->suspects[_i316]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11159,14 +11519,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->quarantined.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size317;
+            ::apache::thrift::protocol::TType _etype320;
+            xfer += iprot->readListBegin(_etype320, _size317);
+            this->quarantined.resize(_size317);
+            uint32_t _i321;
+            for (_i321 = 0; _i321 < _size317; ++_i321)
             {
-              xfer += iprot->readI64(this->quarantined[_i315]);
+              xfer += iprot->readI64(this->quarantined[_i321]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11195,10 +11555,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter316;
-    for (_iter316 = this->suspects.begin(); _iter316 != this->suspects.end(); ++_iter316)
+    std::vector<int64_t> ::const_iterator _iter322;
+    for (_iter322 = this->suspects.begin(); _iter322 != this->suspects.end(); ++_iter322)
     {
-      xfer += oprot->writeI64((*_iter316));
+      xfer += oprot->writeI64((*_iter322));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11207,10 +11567,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter317;
-    for (_iter317 = this->quarantined.begin(); _iter317 != this->quarantined.end(); ++_iter317)
+    std::vector<int64_t> ::const_iterator _iter323;
+    for (_iter323 = this->quarantined.begin(); _iter323 != this->quarantined.end(); ++_iter323)
     {
-      xfer += oprot->writeI64((*_iter317));
+      xfer += oprot->writeI64((*_iter323));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11228,15 +11588,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptFindings::PromptFindings(const PromptFindings& other318) {
-  suspects = other318.suspects;
-  quarantined = other318.quarantined;
-  __isset = other318.__isset;
+PromptFindings::PromptFindings(const PromptFindings& other324) {
+  suspects = other324.suspects;
+  quarantined = other324.quarantined;
+  __isset = other324.__isset;
 }
-PromptFindings& PromptFindings::operator=(const PromptFindings& other319) {
-  suspects = other319.suspects;
-  quarantined = other319.quarantined;
-  __isset = other319.__isset;
+PromptFindings& PromptFindings::operator=(const PromptFindings& other325) {
+  suspects = other325.suspects;
+  quarantined = other325.quarantined;
+  __isset = other325.__isset;
   return *this;
 }
 void PromptFindings::printTo(std::ostream& out) const {
@@ -11359,17 +11719,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimit::ServerLimit(const ServerLimit& other320) noexcept {
-  server = other320.server;
-  rate = other320.rate;
-  ageMs = other320.ageMs;
-  __isset = other320.__isset;
+ServerLimit::ServerLimit(const ServerLimit& other326) noexcept {
+  server = other326.server;
+  rate = other326.rate;
+  ageMs = other326.ageMs;
+  __isset = other326.__isset;
 }
-ServerLimit& ServerLimit::operator=(const ServerLimit& other321) noexcept {
-  server = other321.server;
-  rate = other321.rate;
-  ageMs = other321.ageMs;
-  __isset = other321.__isset;
+ServerLimit& ServerLimit::operator=(const ServerLimit& other327) noexcept {
+  server = other327.server;
+  rate = other327.rate;
+  ageMs = other327.ageMs;
+  __isset = other327.__isset;
   return *this;
 }
 void ServerLimit::printTo(std::ostream& out) const {
@@ -11437,14 +11797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size322;
-            ::apache::thrift::protocol::TType _etype325;
-            xfer += iprot->readListBegin(_etype325, _size322);
-            this->wanted.resize(_size322);
-            uint32_t _i326;
-            for (_i326 = 0; _i326 < _size322; ++_i326)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->wanted.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += iprot->readI32(this->wanted[_i326]);
+              xfer += iprot->readI32(this->wanted[_i332]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11485,10 +11845,10 @@
   xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
-    std::vector<int32_t> ::const_iterator _iter327;
-    for (_iter327 = this->wanted.begin(); _iter327 != this->wanted.end(); ++_iter327)
+    std::vector<int32_t> ::const_iterator _iter333;
+    for (_iter333 = this->wanted.begin(); _iter333 != this->wanted.end(); ++_iter333)
     {
-      xfer += oprot->writeI32((*_iter327));
+      xfer += oprot->writeI32((*_iter333));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11511,17 +11871,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitDemand::LimitDemand(const LimitDemand& other328) {
-  limit = other328.limit;
-  wanted = other328.wanted;
-  unused = other328.unused;
-  __isset = other328.__isset;
+LimitDemand::LimitDemand(const LimitDemand& other334) {
+  limit = other334.limit;
+  wanted = other334.wanted;
+  unused = other334.unused;
+  __isset = other334.__isset;
 }
-LimitDemand& LimitDemand::operator=(const LimitDemand& other329) {
-  limit = other329.limit;
-  wanted = other329.wanted;
-  unused = other329.unused;
-  __isset = other329.__isset;
+LimitDemand& LimitDemand::operator=(const LimitDemand& other335) {
+  limit = other335.limit;
+  wanted = other335.wanted;
+  unused = other335.unused;
+  __isset = other335.__isset;
   return *this;
 }
 void LimitDemand::printTo(std::ostream& out) const {
@@ -11736,27 +12096,27 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotDemand::SlotDemand(const SlotDemand& other330) noexcept {
-  limit = other330.limit;
-  slots = other330.slots;
-  running = other330.running;
-  wanted = other330.wanted;
-  grant = other330.grant;
-  rejected = other330.rejected;
-  starvedMs = other330.starvedMs;
-  isNewStart = other330.isNewStart;
-  __isset = other330.__isset;
-}
-SlotDemand& SlotDemand::operator=(const SlotDemand& other331) noexcept {
-  limit = other331.limit;
-  slots = other331.slots;
-  running = other331.running;
-  wanted = other331.wanted;
-  grant = other331.grant;
-  rejected = other331.rejected;
-  starvedMs = other331.starvedMs;
-  isNewStart = other331.isNewStart;
-  __isset = other331.__isset;
+SlotDemand::SlotDemand(const SlotDemand& other336) noexcept {
+  limit = other336.limit;
+  slots = other336.slots;
+  running = other336.running;
+  wanted = other336.wanted;
+  grant = other336.grant;
+  rejected = other336.rejected;
+  starvedMs = other336.starvedMs;
+  isNewStart = other336.isNewStart;
+  __isset = other336.__isset;
+}
+SlotDemand& SlotDemand::operator=(const SlotDemand& other337) noexcept {
+  limit = other337.limit;
+  slots = other337.slots;
+  running = other337.running;
+  wanted = other337.wanted;
+  grant = other337.grant;
+  rejected = other337.rejected;
+  starvedMs = other337.starvedMs;
+  isNewStart = other337.isNewStart;
+  __isset = other337.__isset;
   return *this;
 }
 void SlotDemand::printTo(std::ostream& out) const {
@@ -11818,14 +12178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->demands.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->demands.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->demands[_i336].read(iprot);
+              xfer += this->demands[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11838,14 +12198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slots.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->slots.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->slots.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += this->slots[_i341].read(iprot);
+              xfer += this->slots[_i347].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11874,10 +12234,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<LimitDemand> ::const_iterator _iter342;
-    for (_iter342 = this->demands.begin(); _iter342 != this->demands.end(); ++_iter342)
+    std::vector<LimitDemand> ::const_iterator _iter348;
+    for (_iter348 = this->demands.begin(); _iter348 != this->demands.end(); ++_iter348)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter348).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11887,10 +12247,10 @@
     xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
-      std::vector<SlotDemand> ::const_iterator _iter343;
-      for (_iter343 = this->slots.begin(); _iter343 != this->slots.end(); ++_iter343)
+      std::vector<SlotDemand> ::const_iterator _iter349;
+      for (_iter349 = this->slots.begin(); _iter349 != this->slots.end(); ++_iter349)
       {
-        xfer += (*_iter343).write(oprot);
+        xfer += (*_iter349).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -11908,15 +12268,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitReport::LimitReport(const LimitReport& other344) {
-  demands = other344.demands;
-  slots = other344.slots;
-  __isset = other344.__isset;
+LimitReport::LimitReport(const LimitReport& other350) {
+  demands = other350.demands;
+  slots = other350.slots;
+  __isset = other350.__isset;
 }
-LimitReport& LimitReport::operator=(const LimitReport& other345) {
-  demands = other345.demands;
-  slots = other345.slots;
-  __isset = other345.__isset;
+LimitReport& LimitReport::operator=(const LimitReport& other351) {
+  demands = other351.demands;
+  slots = other351.slots;
+  __isset = other351.__isset;
   return *this;
 }
 void LimitReport::printTo(std::ostream& out) const {
@@ -11983,14 +12343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permits.clear();
-            uint32_t _size346;
-            ::apache::thrift::protocol::TType _etype349;
-            xfer += iprot->readListBegin(_etype349, _size346);
-            this->permits.resize(_size346);
-            uint32_t _i350;
-            for (_i350 = 0; _i350 < _size346; ++_i350)
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->permits.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
             {
-              xfer += iprot->readI32(this->permits[_i350]);
+              xfer += iprot->readI32(this->permits[_i356]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12031,10 +12391,10 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->permits.size()));
-    std::vector<int32_t> ::const_iterator _iter351;
-    for (_iter351 = this->permits.begin(); _iter351 != this->permits.end(); ++_iter351)
+    std::vector<int32_t> ::const_iterator _iter357;
+    for (_iter357 = this->permits.begin(); _iter357 != this->permits.end(); ++_iter357)
     {
-      xfer += oprot->writeI32((*_iter351));
+      xfer += oprot->writeI32((*_iter357));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12057,17 +12417,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitGrant::LimitGrant(const LimitGrant& other352) {
-  limit = other352.limit;
-  permits = other352.permits;
-  wantedByAll = other352.wantedByAll;
-  __isset = other352.__isset;
+LimitGrant::LimitGrant(const LimitGrant& other358) {
+  limit = other358.limit;
+  permits = other358.permits;
+  wantedByAll = other358.wantedByAll;
+  __isset = other358.__isset;
 }
-LimitGrant& LimitGrant::operator=(const LimitGrant& other353) {
-  limit = other353.limit;
-  permits = other353.permits;
-  wantedByAll = other353.wantedByAll;
-  __isset = other353.__isset;
+LimitGrant& LimitGrant::operator=(const LimitGrant& other359) {
+  limit = other359.limit;
+  permits = other359.permits;
+  wantedByAll = other359.wantedByAll;
+  __isset = other359.__isset;
   return *this;
 }
 void LimitGrant::printTo(std::ostream& out) const {
@@ -12208,19 +12568,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other354) noexcept {
-  limit = other354.limit;
-  slots = other354.slots;
-  leased = other354.leased;
-  number = other354.number;
-  __isset = other354.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other360) noexcept {
+  limit = other360.limit;
+  slots = other360.slots;
+  leased = other360.leased;
+  number = other360.number;
+  __isset = other360.__isset;
 }
-SlotGrant& SlotGrant::operator=(const SlotGrant& other355) noexcept {
-  limit = other355.limit;
-  slots = other355.slots;
-  leased = other355.leased;
-  number = other355.number;
-  __isset = other355.__isset;
+SlotGrant& SlotGrant::operator=(const SlotGrant& other361) noexcept {
+  limit = other361.limit;
+  slots = other361.slots;
+  leased = other361.leased;
+  number = other361.number;
+  __isset = other361.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -12278,14 +12638,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size356;
-            ::apache::thrift::protocol::TType _etype359;
-            xfer += iprot->readListBegin(_etype359, _size356);
-            this->grants.resize(_size356);
-            uint32_t _i360;
-            for (_i360 = 0; _i360 < _size356; ++_i360)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->grants.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->grants[_i360].read(iprot);
+              xfer += this->grants[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12298,14 +12658,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slots.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->slots.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->slots.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += this->slots[_i365].read(iprot);
+              xfer += this->slots[_i371].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12334,10 +12694,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<LimitGrant> ::const_iterator _iter366;
-    for (_iter366 = this->grants.begin(); _iter366 != this->grants.end(); ++_iter366)
+    std::vector<LimitGrant> ::const_iterator _iter372;
+    for (_iter372 = this->grants.begin(); _iter372 != this->grants.end(); ++_iter372)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter372).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12347,10 +12707,10 @@
     xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
-      std::vector<SlotGrant> ::const_iterator _iter367;
-      for (_iter367 = this->slots.begin(); _iter367 != this->slots.end(); ++_iter367)
+      std::vector<SlotGrant> ::const_iterator _iter373;
+      for (_iter373 = this->slots.begin(); _iter373 != this->slots.end(); ++_iter373)
       {
-        xfer += (*_iter367).write(oprot);
+        xfer += (*_iter373).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -12368,15 +12728,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitUpdate::LimitUpdate(const LimitUpdate& other368) {
-  grants = other368.grants;
-  slots = other368.slots;
-  __isset = other368.__isset;
+LimitUpdate::LimitUpdate(const LimitUpdate& other374) {
+  grants = other374.grants;
+  slots = other374.slots;
+  __isset = other374.__isset;
 }
-LimitUpdate& LimitUpdate::operator=(const LimitUpdate& other369) {
-  grants = other369.grants;
-  slots = other369.slots;
-  __isset = other369.__isset;
+LimitUpdate& LimitUpdate::operator=(const LimitUpdate& other375) {
+  grants = other375.grants;
+  slots = other375.slots;
+  __isset = other375.__isset;
   return *this;
 }
 void LimitUpdate::printTo(std::ostream& out) const {
@@ -12480,15 +12840,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOrigin::StreamOrigin(const StreamOrigin& other370) noexcept {
-  stream = other370.stream;
-  version = other370.version;
-  __isset = other370.__isset;
+StreamOrigin::StreamOrigin(const StreamOrigin& other376) noexcept {
+  stream = other376.stream;
+  version = other376.version;
+  __isset = other376.__isset;
 }
-StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other371) noexcept {
-  stream = other371.stream;
-  version = other371.version;
-  __isset = other371.__isset;
+StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other377) noexcept {
+  stream = other377.stream;
+  version = other377.version;
+  __isset = other377.__isset;
   return *this;
 }
 void StreamOrigin::printTo(std::ostream& out) const {
@@ -12539,14 +12899,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size372;
-            ::apache::thrift::protocol::TType _etype375;
-            xfer += iprot->readListBegin(_etype375, _size372);
-            this->streams.resize(_size372);
-            uint32_t _i376;
-            for (_i376 = 0; _i376 < _size372; ++_i376)
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _etype381;
+            xfer += iprot->readListBegin(_etype381, _size378);
+            this->streams.resize(_size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
             {
-              xfer += this->streams[_i376].read(iprot);
+              xfer += this->streams[_i382].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12575,10 +12935,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->streams.size()));
-    std::vector<StreamOrigin> ::const_iterator _iter377;
-    for (_iter377 = this->streams.begin(); _iter377 != this->streams.end(); ++_iter377)
+    std::vector<StreamOrigin> ::const_iterator _iter383;
+    for (_iter383 = this->streams.begin(); _iter383 != this->streams.end(); ++_iter383)
     {
-      xfer += (*_iter377).write(oprot);
+      xfer += (*_iter383).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12595,13 +12955,13 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOrigins::StreamOrigins(const StreamOrigins& other378) {
-  streams = other378.streams;
-  __isset = other378.__isset;
+StreamOrigins::StreamOrigins(const StreamOrigins& other384) {
+  streams = other384.streams;
+  __isset = other384.__isset;
 }
-StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other379) {
-  streams = other379.streams;
-  __isset = other379.__isset;
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other385) {
+  streams = other385.streams;
+  __isset = other385.__isset;
   return *this;
 }
 void StreamOrigins::printTo(std::ostream& out) const {
@@ -12721,17 +13081,17 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOriginQuery::StreamOriginQuery(const StreamOriginQuery& other380) {
-  id = other380.id;
-  stream = other380.stream;
-  serviceName = other380.serviceName;
-  __isset = other380.__isset;
+StreamOriginQuery::StreamOriginQuery(const StreamOriginQuery& other386) {
+  id = other386.id;
+  stream = other386.stream;
+  serviceName = other386.serviceName;
+  __isset = other386.__isset;
 }
-StreamOriginQuery& StreamOriginQuery::operator=(const StreamOriginQuery& other381) {
-  id = other381.id;
-  stream = other381.stream;
-  serviceName = other381.serviceName;
-  __isset = other381.__isset;
+StreamOriginQuery& StreamOriginQuery::operator=(const StreamOriginQuery& other387) {
+  id = other387.id;
+  stream = other387.stream;
+  serviceName = other387.serviceName;
+  __isset = other387.__isset;
   return *this;
 }
 void StreamOriginQuery::printTo(std::ostream& out) const {
@@ -12838,15 +13198,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOriginReply::StreamOriginReply(const StreamOriginReply& other382) noexcept {
-  id = other382.id;
-  version = other382.version;
-  __isset = other382.__isset;
+StreamOriginReply::StreamOriginReply(const StreamOriginReply& other388) noexcept {
+  id = other388.id;
+  version = other388.version;
+  __isset = other388.__isset;
 }
-StreamOriginReply& StreamOriginReply::operator=(const StreamOriginReply& other383) noexcept {
-  id = other383.id;
-  version = other383.version;
-  __isset = other383.__isset;
+StreamOriginReply& StreamOriginReply::operator=(const StreamOriginReply& other389) noexcept {
+  id = other389.id;
+  version = other389.version;
+  __isset = other389.__isset;
   return *this;
 }
 void StreamOriginReply::printTo(std::ostream& out) const {
@@ -12950,15 +13310,15 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryAddress::EntryAddress(const EntryAddress& other384) {
-  listen = other384.listen;
-  failureDomain = other384.failureDomain;
-  __isset = other384.__isset;
+EntryAddress::EntryAddress(const EntryAddress& other390) {
+  listen = other390.listen;
+  failureDomain = other390.failureDomain;
+  __isset = other390.__isset;
 }
-EntryAddress& EntryAddress::operator=(const EntryAddress& other385) {
-  listen = other385.listen;
-  failureDomain = other385.failureDomain;
-  __isset = other385.__isset;
+EntryAddress& EntryAddress::operator=(const EntryAddress& other391) {
+  listen = other391.listen;
+  failureDomain = other391.failureDomain;
+  __isset = other391.__isset;
   return *this;
 }
 void EntryAddress::printTo(std::ostream& out) const {
@@ -13009,14 +13369,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size386;
-            ::apache::thrift::protocol::TType _etype389;
-            xfer += iprot->readListBegin(_etype389, _size386);
-            this->entries.resize(_size386);
-            uint32_t _i390;
-            for (_i390 = 0; _i390 < _size386; ++_i390)
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->entries.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
             {
-              xfer += this->entries[_i390].read(iprot);
+              xfer += this->entries[_i396].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13045,10 +13405,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<EntryAddress> ::const_iterator _iter391;
-    for (_iter391 = this->entries.begin(); _iter391 != this->entries.end(); ++_iter391)
+    std::vector<EntryAddress> ::const_iterator _iter397;
+    for (_iter397 = this->entries.begin(); _iter397 != this->entries.end(); ++_iter397)
     {
-      xfer += (*_iter391).write(oprot);
+      xfer += (*_iter397).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13065,13 +13425,13 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryAddresses::EntryAddresses(const EntryAddresses& other392) {
-  entries = other392.entries;
-  __isset = other392.__isset;
+EntryAddresses::EntryAddresses(const EntryAddresses& other398) {
+  entries = other398.entries;
+  __isset = other398.__isset;
 }
-EntryAddresses& EntryAddresses::operator=(const EntryAddresses& other393) {
-  entries = other393.entries;
-  __isset = other393.__isset;
+EntryAddresses& EntryAddresses::operator=(const EntryAddresses& other399) {
+  entries = other399.entries;
+  __isset = other399.__isset;
   return *this;
 }
 void EntryAddresses::printTo(std::ostream& out) const {
@@ -13191,17 +13551,17 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkspaceStarts::WorkspaceStarts(const WorkspaceStarts& other394) {
-  window = other394.window;
-  workspace = other394.workspace;
-  starts = other394.starts;
-  __isset = other394.__isset;
+WorkspaceStarts::WorkspaceStarts(const WorkspaceStarts& other400) {
+  window = other400.window;
+  workspace = other400.workspace;
+  starts = other400.starts;
+  __isset = other400.__isset;
 }
-WorkspaceStarts& WorkspaceStarts::operator=(const WorkspaceStarts& other395) {
-  window = other395.window;
-  workspace = other395.workspace;
-  starts = other395.starts;
-  __isset = other395.__isset;
+WorkspaceStarts& WorkspaceStarts::operator=(const WorkspaceStarts& other401) {
+  window = other401.window;
+  workspace = other401.workspace;
+  starts = other401.starts;
+  __isset = other401.__isset;
   return *this;
 }
 void WorkspaceStarts::printTo(std::ostream& out) const {
@@ -13277,14 +13637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->starts.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size402;
+            ::apache::thrift::protocol::TType _etype405;
+            xfer += iprot->readListBegin(_etype405, _size402);
+            this->starts.resize(_size402);
+            uint32_t _i406;
+            for (_i406 = 0; _i406 < _size402; ++_i406)
             {
-              xfer += this->starts[_i400].read(iprot);
+              xfer += this->starts[_i406].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13321,10 +13681,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<WorkspaceStarts> ::const_iterator _iter401;
-    for (_iter401 = this->starts.begin(); _iter401 != this->starts.end(); ++_iter401)
+    std::vector<WorkspaceStarts> ::const_iterator _iter407;
+    for (_iter407 = this->starts.begin(); _iter407 != this->starts.end(); ++_iter407)
     {
-      xfer += (*_iter401).write(oprot);
+      xfer += (*_iter407).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13343,17 +13703,17 @@
   swap(a.__isset, b.__isset);
 }
 
-StartCounts::StartCounts(const StartCounts& other402) {
-  instance = other402.instance;
-  incarnation = other402.incarnation;
-  starts = other402.starts;
-  __isset = other402.__isset;
+StartCounts::StartCounts(const StartCounts& other408) {
+  instance = other408.instance;
+  incarnation = other408.incarnation;
+  starts = other408.starts;
+  __isset = other408.__isset;
 }
-StartCounts& StartCounts::operator=(const StartCounts& other403) {
-  instance = other403.instance;
-  incarnation = other403.incarnation;
-  starts = other403.starts;
-  __isset = other403.__isset;
+StartCounts& StartCounts::operator=(const StartCounts& other409) {
+  instance = other409.instance;
+  incarnation = other409.incarnation;
+  starts = other409.starts;
+  __isset = other409.__isset;
   return *this;
 }
 void StartCounts::printTo(std::ostream& out) const {
@@ -13410,14 +13770,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->counts.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->counts.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->counts[_i408].read(iprot);
+              xfer += this->counts[_i414].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13430,14 +13790,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->passOnTo.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->passOnTo.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->passOnTo.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += iprot->readString(this->passOnTo[_i413]);
+              xfer += iprot->readString(this->passOnTo[_i419]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13466,10 +13826,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<StartCounts> ::const_iterator _iter414;
-    for (_iter414 = this->counts.begin(); _iter414 != this->counts.end(); ++_iter414)
+    std::vector<StartCounts> ::const_iterator _iter420;
+    for (_iter420 = this->counts.begin(); _iter420 != this->counts.end(); ++_iter420)
     {
-      xfer += (*_iter414).write(oprot);
+      xfer += (*_iter420).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13479,10 +13839,10 @@
     xfer += oprot->writeFieldBegin("passOnTo", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->passOnTo.size()));
-      std::vector<std::string> ::const_iterator _iter415;
-      for (_iter415 = this->passOnTo.begin(); _iter415 != this->passOnTo.end(); ++_iter415)
+      std::vector<std::string> ::const_iterator _iter421;
+      for (_iter421 = this->passOnTo.begin(); _iter421 != this->passOnTo.end(); ++_iter421)
       {
-        xfer += oprot->writeString((*_iter415));
+        xfer += oprot->writeString((*_iter421));
       }
       xfer += oprot->writeListEnd();
     }
@@ -13500,15 +13860,15 @@
   swap(a.__isset, b.__isset);
 }
 
-StartReport::StartReport(const StartReport& other416) {
-  counts = other416.counts;
-  passOnTo = other416.passOnTo;
-  __isset = other416.__isset;
+StartReport::StartReport(const StartReport& other422) {
+  counts = other422.counts;
+  passOnTo = other422.passOnTo;
+  __isset = other422.__isset;
 }
-StartReport& StartReport::operator=(const StartReport& other417) {
-  counts = other417.counts;
-  passOnTo = other417.passOnTo;
-  __isset = other417.__isset;
+StartReport& StartReport::operator=(const StartReport& other423) {
+  counts = other423.counts;
+  passOnTo = other423.passOnTo;
+  __isset = other423.__isset;
   return *this;
 }
 void StartReport::printTo(std::ostream& out) const {
@@ -13595,13 +13955,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClockReading::ClockReading(const ClockReading& other418) noexcept {
-  wallClockMs = other418.wallClockMs;
-  __isset = other418.__isset;
+ClockReading::ClockReading(const ClockReading& other424) noexcept {
+  wallClockMs = other424.wallClockMs;
+  __isset = other424.__isset;
 }
-ClockReading& ClockReading::operator=(const ClockReading& other419) noexcept {
-  wallClockMs = other419.wallClockMs;
-  __isset = other419.__isset;
+ClockReading& ClockReading::operator=(const ClockReading& other425) noexcept {
+  wallClockMs = other425.wallClockMs;
+  __isset = other425.__isset;
   return *this;
 }
 void ClockReading::printTo(std::ostream& out) const {
@@ -13755,21 +14115,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceDemand::ServiceDemand(const ServiceDemand& other420) {
-  serviceName = other420.serviceName;
-  arrivals = other420.arrivals;
-  promptTokens = other420.promptTokens;
-  refused = other420.refused;
-  waiting = other420.waiting;
-  __isset = other420.__isset;
-}
-ServiceDemand& ServiceDemand::operator=(const ServiceDemand& other421) {
-  serviceName = other421.serviceName;
-  arrivals = other421.arrivals;
-  promptTokens = other421.promptTokens;
-  refused = other421.refused;
-  waiting = other421.waiting;
-  __isset = other421.__isset;
+ServiceDemand::ServiceDemand(const ServiceDemand& other426) {
+  serviceName = other426.serviceName;
+  arrivals = other426.arrivals;
+  promptTokens = other426.promptTokens;
+  refused = other426.refused;
+  waiting = other426.waiting;
+  __isset = other426.__isset;
+}
+ServiceDemand& ServiceDemand::operator=(const ServiceDemand& other427) {
+  serviceName = other427.serviceName;
+  arrivals = other427.arrivals;
+  promptTokens = other427.promptTokens;
+  refused = other427.refused;
+  waiting = other427.waiting;
+  __isset = other427.__isset;
   return *this;
 }
 void ServiceDemand::printTo(std::ostream& out) const {
@@ -13823,14 +14183,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->demands.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->demands.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += this->demands[_i426].read(iprot);
+              xfer += this->demands[_i432].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13859,10 +14219,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<ServiceDemand> ::const_iterator _iter427;
-    for (_iter427 = this->demands.begin(); _iter427 != this->demands.end(); ++_iter427)
+    std::vector<ServiceDemand> ::const_iterator _iter433;
+    for (_iter433 = this->demands.begin(); _iter433 != this->demands.end(); ++_iter433)
     {
-      xfer += (*_iter427).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13879,13 +14239,13 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandReport::DemandReport(const DemandReport& other428) {
-  demands = other428.demands;
-  __isset = other428.__isset;
+DemandReport::DemandReport(const DemandReport& other434) {
+  demands = other434.demands;
+  __isset = other434.__isset;
 }
-DemandReport& DemandReport::operator=(const DemandReport& other429) {
-  demands = other429.demands;
-  __isset = other429.__isset;
+DemandReport& DemandReport::operator=(const DemandReport& other435) {
+  demands = other435.demands;
+  __isset = other435.__isset;
   return *this;
 }
 void DemandReport::printTo(std::ostream& out) const {
@@ -14022,19 +14382,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerWork::ServerWork(const ServerWork& other430) noexcept {
-  backend = other430.backend;
-  work = other430.work;
-  milliseconds = other430.milliseconds;
-  calls = other430.calls;
-  __isset = other430.__isset;
+ServerWork::ServerWork(const ServerWork& other436) noexcept {
+  backend = other436.backend;
+  work = other436.work;
+  milliseconds = other436.milliseconds;
+  calls = other436.calls;
+  __isset = other436.__isset;
 }
-ServerWork& ServerWork::operator=(const ServerWork& other431) noexcept {
-  backend = other431.backend;
-  work = other431.work;
-  milliseconds = other431.milliseconds;
-  calls = other431.calls;
-  __isset = other431.__isset;
+ServerWork& ServerWork::operator=(const ServerWork& other437) noexcept {
+  backend = other437.backend;
+  work = other437.work;
+  milliseconds = other437.milliseconds;
+  calls = other437.calls;
+  __isset = other437.__isset;
   return *this;
 }
 void ServerWork::printTo(std::ostream& out) const {
@@ -14087,14 +14447,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->servers.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->servers.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += this->servers[_i436].read(iprot);
+              xfer += this->servers[_i442].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14123,10 +14483,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerWork> ::const_iterator _iter437;
-    for (_iter437 = this->servers.begin(); _iter437 != this->servers.end(); ++_iter437)
+    std::vector<ServerWork> ::const_iterator _iter443;
+    for (_iter443 = this->servers.begin(); _iter443 != this->servers.end(); ++_iter443)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter443).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14143,13 +14503,13 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkReport::WorkReport(const WorkReport& other438) {
-  servers = other438.servers;
-  __isset = other438.__isset;
+WorkReport::WorkReport(const WorkReport& other444) {
+  servers = other444.servers;
+  __isset = other444.__isset;
 }
-WorkReport& WorkReport::operator=(const WorkReport& other439) {
-  servers = other439.servers;
-  __isset = other439.__isset;
+WorkReport& WorkReport::operator=(const WorkReport& other445) {
+  servers = other445.servers;
+  __isset = other445.__isset;
   return *this;
 }
 void WorkReport::printTo(std::ostream& out) const {
@@ -14320,23 +14680,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ClassCompletions::ClassCompletions(const ClassCompletions& other440) {
-  serviceName = other440.serviceName;
-  priority = other440.priority;
-  ended = other440.ended;
-  tookMs = other440.tookMs;
-  requests = other440.requests;
-  leastMs = other440.leastMs;
-  __isset = other440.__isset;
-}
-ClassCompletions& ClassCompletions::operator=(const ClassCompletions& other441) {
-  serviceName = other441.serviceName;
-  priority = other441.priority;
-  ended = other441.ended;
-  tookMs = other441.tookMs;
-  requests = other441.requests;
-  leastMs = other441.leastMs;
-  __isset = other441.__isset;
+ClassCompletions::ClassCompletions(const ClassCompletions& other446) {
+  serviceName = other446.serviceName;
+  priority = other446.priority;
+  ended = other446.ended;
+  tookMs = other446.tookMs;
+  requests = other446.requests;
+  leastMs = other446.leastMs;
+  __isset = other446.__isset;
+}
+ClassCompletions& ClassCompletions::operator=(const ClassCompletions& other447) {
+  serviceName = other447.serviceName;
+  priority = other447.priority;
+  ended = other447.ended;
+  tookMs = other447.tookMs;
+  requests = other447.requests;
+  leastMs = other447.leastMs;
+  __isset = other447.__isset;
   return *this;
 }
 void ClassCompletions::printTo(std::ostream& out) const {
@@ -14495,21 +14855,21 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkspaceWork::WorkspaceWork(const WorkspaceWork& other442) {
-  serviceName = other442.serviceName;
-  priority = other442.priority;
-  workspace = other442.workspace;
-  work = other442.work;
-  waiting = other442.waiting;
-  __isset = other442.__isset;
-}
-WorkspaceWork& WorkspaceWork::operator=(const WorkspaceWork& other443) {
-  serviceName = other443.serviceName;
-  priority = other443.priority;
-  workspace = other443.workspace;
-  work = other443.work;
-  waiting = other443.waiting;
-  __isset = other443.__isset;
+WorkspaceWork::WorkspaceWork(const WorkspaceWork& other448) {
+  serviceName = other448.serviceName;
+  priority = other448.priority;
+  workspace = other448.workspace;
+  work = other448.work;
+  waiting = other448.waiting;
+  __isset = other448.__isset;
+}
+WorkspaceWork& WorkspaceWork::operator=(const WorkspaceWork& other449) {
+  serviceName = other449.serviceName;
+  priority = other449.priority;
+  workspace = other449.workspace;
+  work = other449.work;
+  waiting = other449.waiting;
+  __isset = other449.__isset;
   return *this;
 }
 void WorkspaceWork::printTo(std::ostream& out) const {
@@ -14569,14 +14929,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completions.clear();
-            uint32_t _size444;
-            ::apache::thrift::protocol::TType _etype447;
-            xfer += iprot->readListBegin(_etype447, _size444);
-            this->completions.resize(_size444);
-            uint32_t _i448;
-            for (_i448 = 0; _i448 < _size444; ++_i448)
+            uint32_t _size450;
+            ::apache::thrift::protocol::TType _etype453;
+            xfer += iprot->readListBegin(_etype453, _size450);
+            this->completions.resize(_size450);
+            uint32_t _i454;
+            for (_i454 = 0; _i454 < _size450; ++_i454)
             {
-              xfer += this->completions[_i448].read(iprot);
+              xfer += this->completions[_i454].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14589,14 +14949,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workspaces.clear();
-            uint32_t _size449;
-            ::apache::thrift::protocol::TType _etype452;
-            xfer += iprot->readListBegin(_etype452, _size449);
-            this->workspaces.resize(_size449);
-            uint32_t _i453;
-            for (_i453 = 0; _i453 < _size449; ++_i453)
+            uint32_t _size455;
+            ::apache::thrift::protocol::TType _etype458;
+            xfer += iprot->readListBegin(_etype458, _size455);
+            this->workspaces.resize(_size455);
+            uint32_t _i459;
+            for (_i459 = 0; _i459 < _size455; ++_i459)
             {
-              xfer += this->workspaces[_i453].read(iprot);
+              xfer += this->workspaces[_i459].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14626,10 +14986,10 @@
     xfer += oprot->writeFieldBegin("completions", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completions.size()));
-      std::vector<ClassCompletions> ::const_iterator _iter454;
-      for (_iter454 = this->completions.begin(); _iter454 != this->completions.end(); ++_iter454)
+      std::vector<ClassCompletions> ::const_iterator _iter460;
+      for (_iter460 = this->completions.begin(); _iter460 != this->completions.end(); ++_iter460)
       {
-        xfer += (*_iter454).write(oprot);
+        xfer += (*_iter460).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -14639,10 +14999,10 @@
     xfer += oprot->writeFieldBegin("workspaces", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workspaces.size()));
-      std::vector<WorkspaceWork> ::const_iterator _iter455;
-      for (_iter455 = this->workspaces.begin(); _iter455 != this->workspaces.end(); ++_iter455)
+      std::vector<WorkspaceWork> ::const_iterator _iter461;
+      for (_iter461 = this->workspaces.begin(); _iter461 != this->workspaces.end(); ++_iter461)
       {
-        xfer += (*_iter455).write(oprot);
+        xfer += (*_iter461).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -14660,15 +15020,15 @@
   swap(a.__isset, b.__isset);
 }
 
-AdmissionReport::AdmissionReport(const AdmissionReport& other456) {
-  completions = other456.completions;
-  workspaces = other456.workspaces;
-  __isset = other456.__isset;
+AdmissionReport::AdmissionReport(const AdmissionReport& other462) {
+  completions = other462.completions;
+  workspaces = other462.workspaces;
+  __isset = other462.__isset;
 }
-AdmissionReport& AdmissionReport::operator=(const AdmissionReport& other457) {
-  completions = other457.completions;
-  workspaces = other457.workspaces;
-  __isset = other457.__isset;
+AdmissionReport& AdmissionReport::operator=(const AdmissionReport& other463) {
+  completions = other463.completions;
+  workspaces = other463.workspaces;
+  __isset = other463.__isset;
   return *this;
 }
 void AdmissionReport::printTo(std::ostream& out) const {
@@ -15232,63 +15592,63 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other458) {
-  hello = other458.hello;
-  agreement = other458.agreement;
-  fleetNews = other458.fleetNews;
-  freshnessPoll = other458.freshnessPoll;
-  freshnessReply = other458.freshnessReply;
-  routingSubmit = other458.routingSubmit;
-  routingSubmitReply = other458.routingSubmitReply;
-  routing = other458.routing;
-  uses = other458.uses;
-  keptPrompts = other458.keptPrompts;
-  routingDelta = other458.routingDelta;
-  promptEvidence = other458.promptEvidence;
-  promptFindings = other458.promptFindings;
-  limitReport = other458.limitReport;
-  limitUpdate = other458.limitUpdate;
-  streamOrigins = other458.streamOrigins;
-  streamOriginQuery = other458.streamOriginQuery;
-  streamOriginReply = other458.streamOriginReply;
-  entryAddresses = other458.entryAddresses;
-  startReport = other458.startReport;
-  clockReading = other458.clockReading;
-  demandReport = other458.demandReport;
-  workReport = other458.workReport;
-  workTotals = other458.workTotals;
-  admissionReport = other458.admissionReport;
-  admissionTotals = other458.admissionTotals;
-  __isset = other458.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other459) {
-  hello = other459.hello;
-  agreement = other459.agreement;
-  fleetNews = other459.fleetNews;
-  freshnessPoll = other459.freshnessPoll;
-  freshnessReply = other459.freshnessReply;
-  routingSubmit = other459.routingSubmit;
-  routingSubmitReply = other459.routingSubmitReply;
-  routing = other459.routing;
-  uses = other459.uses;
-  keptPrompts = other459.keptPrompts;
-  routingDelta = other459.routingDelta;
-  promptEvidence = other459.promptEvidence;
-  promptFindings = other459.promptFindings;
-  limitReport = other459.limitReport;
-  limitUpdate = other459.limitUpdate;
-  streamOrigins = other459.streamOrigins;
-  streamOriginQuery = other459.streamOriginQuery;
-  streamOriginReply = other459.streamOriginReply;
-  entryAddresses = other459.entryAddresses;
-  startReport = other459.startReport;
-  clockReading = other459.clockReading;
-  demandReport = other459.demandReport;
-  workReport = other459.workReport;
-  workTotals = other459.workTotals;
-  admissionReport = other459.admissionReport;
-  admissionTotals = other459.admissionTotals;
-  __isset = other459.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other464) {
+  hello = other464.hello;
+  agreement = other464.agreement;
+  fleetNews = other464.fleetNews;
+  freshnessPoll = other464.freshnessPoll;
+  freshnessReply = other464.freshnessReply;
+  routingSubmit = other464.routingSubmit;
+  routingSubmitReply = other464.routingSubmitReply;
+  routing = other464.routing;
+  uses = other464.uses;
+  keptPrompts = other464.keptPrompts;
+  routingDelta = other464.routingDelta;
+  promptEvidence = other464.promptEvidence;
+  promptFindings = other464.promptFindings;
+  limitReport = other464.limitReport;
+  limitUpdate = other464.limitUpdate;
+  streamOrigins = other464.streamOrigins;
+  streamOriginQuery = other464.streamOriginQuery;
+  streamOriginReply = other464.streamOriginReply;
+  entryAddresses = other464.entryAddresses;
+  startReport = other464.startReport;
+  clockReading = other464.clockReading;
+  demandReport = other464.demandReport;
+  workReport = other464.workReport;
+  workTotals = other464.workTotals;
+  admissionReport = other464.admissionReport;
+  admissionTotals = other464.admissionTotals;
+  __isset = other464.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other465) {
+  hello = other465.hello;
+  agreement = other465.agreement;
+  fleetNews = other465.fleetNews;
+  freshnessPoll = other465.freshnessPoll;
+  freshnessReply = other465.freshnessReply;
+  routingSubmit = other465.routingSubmit;
+  routingSubmitReply = other465.routingSubmitReply;
+  routing = other465.routing;
+  uses = other465.uses;
+  keptPrompts = other465.keptPrompts;
+  routingDelta = other465.routingDelta;
+  promptEvidence = other465.promptEvidence;
+  promptFindings = other465.promptFindings;
+  limitReport = other465.limitReport;
+  limitUpdate = other465.limitUpdate;
+  streamOrigins = other465.streamOrigins;
+  streamOriginQuery = other465.streamOriginQuery;
+  streamOriginReply = other465.streamOriginReply;
+  entryAddresses = other465.entryAddresses;
+  startReport = other465.startReport;
+  clockReading = other465.clockReading;
+  demandReport = other465.demandReport;
+  workReport = other465.workReport;
+  workTotals = other465.workTotals;
+  admissionReport = other465.admissionReport;
+  admissionTotals = other465.admissionTotals;
+  __isset = other465.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
--- a/src/wire/gen/hickoryhollow_types.h
+++ b/src/wire/gen/hickoryhollow_types.h
@@ -53,6 +53,12 @@
 
 class StaleDiskNotice;
 
+class LeaveRequest;
+
+class LeaveReply;
+
+class HandOver;
+
 class AgreementPayload;
 
 class AgreementMessage;
@@ -716,11 +722,12 @@
 std::ostream& operator<<(std::ostream& out, const JournalSnapshot& obj);
 
 typedef struct _VoteRequest__isset {
-  _VoteRequest__isset() : isPreVote(false), term(false), lastIndex(false), lastTerm(false) {}
+  _VoteRequest__isset() : isPreVote(false), term(false), lastIndex(false), lastTerm(false), handedOver(false) {}
   bool isPreVote :1;
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
+  bool handedOver :1;
 } _VoteRequest__isset;
 
 class VoteRequest : public virtual ::apache::thrift::TBase {
@@ -732,7 +739,8 @@
               : isPreVote(0),
                 term(0),
                 lastIndex(0),
-                lastTerm(0) {
+                lastTerm(0),
+                handedOver(0) {
   }
 
   virtual ~VoteRequest() noexcept;
@@ -740,6 +748,7 @@
   int64_t term;
   int64_t lastIndex;
   int64_t lastTerm;
+  int64_t handedOver;
 
   _VoteRequest__isset __isset;
 
@@ -751,6 +760,8 @@
 
   void __set_lastTerm(const int64_t val);
 
+  void __set_handedOver(const int64_t val);
+
   bool operator == (const VoteRequest & rhs) const
   {
     if (!(isPreVote == rhs.isPreVote))
@@ -761,6 +772,10 @@
       return false;
     if (!(lastTerm == rhs.lastTerm))
       return false;
+    if (__isset.handedOver != rhs.__isset.handedOver)
+      return false;
+    else if (__isset.handedOver && !(handedOver == rhs.handedOver))
+      return false;
     return true;
   }
   bool operator != (const VoteRequest &rhs) const {
@@ -1107,8 +1122,132 @@
 
 std::ostream& operator<<(std::ostream& out, const StaleDiskNotice& obj);
 
+
+class LeaveRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaveRequest(const LeaveRequest&) noexcept;
+  LeaveRequest& operator=(const LeaveRequest&) noexcept;
+  LeaveRequest() noexcept {
+  }
+
+  virtual ~LeaveRequest() noexcept;
+
+  bool operator == (const LeaveRequest & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const LeaveRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaveRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaveRequest &a, LeaveRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaveRequest& obj);
+
+typedef struct _LeaveReply__isset {
+  _LeaveReply__isset() : isAwaited(false), isVoter(false) {}
+  bool isAwaited :1;
+  bool isVoter :1;
+} _LeaveReply__isset;
+
+class LeaveReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaveReply(const LeaveReply&) noexcept;
+  LeaveReply& operator=(const LeaveReply&) noexcept;
+  LeaveReply() noexcept
+             : isAwaited(0),
+               isVoter(0) {
+  }
+
+  virtual ~LeaveReply() noexcept;
+  bool isAwaited;
+  bool isVoter;
+
+  _LeaveReply__isset __isset;
+
+  void __set_isAwaited(const bool val);
+
+  void __set_isVoter(const bool val);
+
+  bool operator == (const LeaveReply & rhs) const
+  {
+    if (!(isAwaited == rhs.isAwaited))
+      return false;
+    if (!(isVoter == rhs.isVoter))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaveReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaveReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaveReply &a, LeaveReply &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaveReply& obj);
+
+typedef struct _HandOver__isset {
+  _HandOver__isset() : term(false) {}
+  bool term :1;
+} _HandOver__isset;
+
+class HandOver : public virtual ::apache::thrift::TBase {
+ public:
+
+  HandOver(const HandOver&) noexcept;
+  HandOver& operator=(const HandOver&) noexcept;
+  HandOver() noexcept
+           : term(0) {
+  }
+
+  virtual ~HandOver() noexcept;
+  int64_t term;
+
+  _HandOver__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  bool operator == (const HandOver & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    return true;
+  }
+  bool operator != (const HandOver &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HandOver & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HandOver &a, HandOver &b);
+
+std::ostream& operator<<(std::ostream& out, const HandOver& obj);
+
 typedef struct _AgreementPayload__isset {
-  _AgreementPayload__isset() : voteRequest(false), voteReply(false), appendRequest(false), appendReply(false), snapshotRequest(false), joinRequest(false), staleDiskNotice(false) {}
+  _AgreementPayload__isset() : voteRequest(false), voteReply(false), appendRequest(false), appendReply(false), snapshotRequest(false), joinRequest(false), staleDiskNotice(false), leaveRequest(false), leaveReply(false), handOver(false) {}
   bool voteRequest :1;
   bool voteReply :1;
   bool appendRequest :1;
@@ -1116,6 +1255,9 @@
   bool snapshotRequest :1;
   bool joinRequest :1;
   bool staleDiskNotice :1;
+  bool leaveRequest :1;
+  bool leaveReply :1;
+  bool handOver :1;
 } _AgreementPayload__isset;
 
 class AgreementPayload : public virtual ::apache::thrift::TBase {
@@ -1134,6 +1276,9 @@
   SnapshotRequest snapshotRequest;
   JoinRequest joinRequest;
   StaleDiskNotice staleDiskNotice;
+  LeaveRequest leaveRequest;
+  LeaveReply leaveReply;
+  HandOver handOver;
 
   _AgreementPayload__isset __isset;
 
@@ -1151,6 +1296,12 @@
 
   void __set_staleDiskNotice(const StaleDiskNotice& val);
 
+  void __set_leaveRequest(const LeaveRequest& val);
+
+  void __set_leaveReply(const LeaveReply& val);
+
+  void __set_handOver(const HandOver& val);
+
   bool operator == (const AgreementPayload & rhs) const
   {
     if (__isset.voteRequest != rhs.__isset.voteRequest)
@@ -1181,6 +1332,18 @@
       return false;
     else if (__isset.staleDiskNotice && !(staleDiskNotice == rhs.staleDiskNotice))
       return false;
+    if (__isset.leaveRequest != rhs.__isset.leaveRequest)
+      return false;
+    else if (__isset.leaveRequest && !(leaveRequest == rhs.leaveRequest))
+      return false;
+    if (__isset.leaveReply != rhs.__isset.leaveReply)
+      return false;
+    else if (__isset.leaveReply && !(leaveReply == rhs.leaveReply))
+      return false;
+    if (__isset.handOver != rhs.__isset.handOver)
+      return false;
+    else if (__isset.handOver && !(handOver == rhs.handOver))
+      return false;
     return true;
   }
   bool operator != (const AgreementPayload &rhs) const {
--- a/src/wire/hickoryhollow.thrift
+++ b/src/wire/hickoryhollow.thrift
@@ -18,13 +18,18 @@
 struct JournalBatch { 1: list<JournalRecord> records }
 struct JournalSnapshot { 1: IdentityRecord identity, 2: VoteRecord vote, 3: StateSnapshot snapshot, 4: list<LogEntry> entries }
 
-struct VoteRequest { 1: bool isPreVote, 2: i64 term, 3: i64 lastIndex, 4: i64 lastTerm }
+// `handedOver` is the term of a leader that has given up its lease for this election.
+struct VoteRequest { 1: bool isPreVote, 2: i64 term, 3: i64 lastIndex, 4: i64 lastTerm, 5: optional i64 handedOver }
 struct VoteReply { 1: bool isPreVote, 2: i64 term, 3: bool isGranted }
 struct AppendRequest { 1: i64 term, 2: i64 previousIndex, 3: i64 previousTerm, 4: list<LogEntry> entries, 5: i64 committed, 6: i64 round }
 struct AppendReply { 1: i64 term, 2: bool isAccepted, 3: i64 matched, 4: i64 round }
 struct SnapshotRequest { 1: i64 term, 2: StateSnapshot snapshot, 3: i64 round }
 struct JoinRequest { 1: bool isEmpty }
 struct StaleDiskNotice { }
+// A build that does not know the next three drops them: a voter that stops is then replaced as a silent one.
+struct LeaveRequest { }
+struct LeaveReply { 1: bool isAwaited, 2: bool isVoter }
+struct HandOver { 1: i64 term }
 
 union AgreementPayload {
   1: VoteRequest voteRequest
@@ -34,6 +39,9 @@
   5: SnapshotRequest snapshotRequest
   6: JoinRequest joinRequest
   7: StaleDiskNotice staleDiskNotice
+  8: LeaveRequest leaveRequest
+  9: LeaveReply leaveReply
+  10: HandOver handOver
 }
 
 struct AgreementMessage { 1: Member from_, 2: i64 fromIncarnation, 3: string to, 4: optional i64 toReplica, 5: AgreementPayload payload }
--- a/test/error/replica_votes.cpp
+++ b/test/error/replica_votes.cpp
@@ -174,3 +174,72 @@
     // The entries up to the snapshot are applied from the log, in order.
     CHECK_FALSE(installed.installedSnapshot);
 }
+
+// Guards the lease: a vote within the election timeout is granted only if the leader that made contact has given its lease up.
+TEST_CASE("a replica in contact with a leader votes only in an election that this leader asked for", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), recoveredReplica(Term(4)), random, at(0ms));
+    ReplicaOutput contact;
+    replica.receive(from(members[1], AppendRequest { .term = Term(5), .previousIndex = LogIndex(1), .previousTerm = Term(1), .entries = {}, .leaderCommit = LogIndex(0), .heartbeatRound = 1 }), at(1000ms), contact);
+    auto request = voteRequest(6);
+    SECTION("another one")
+    {
+        ReplicaOutput out;
+        replica.receive(from(members[2], request), at(1010ms), out);
+        CHECK_FALSE(grants(out));
+    }
+    SECTION("one that the leader of an earlier term asked for")
+    {
+        request.handedOver = Term(4);
+        ReplicaOutput out;
+        replica.receive(from(members[2], request), at(1010ms), out);
+        CHECK_FALSE(grants(out));
+    }
+    SECTION("one that it asked for")
+    {
+        request.handedOver = Term(5);
+        ReplicaOutput out;
+        replica.receive(from(members[2], request), at(1010ms), out);
+        CHECK(grants(out));
+        CHECK(replica.term() == Term(6));
+        // The request may arrive twice, and another candidate may have heard of the hand-over late.
+        ReplicaOutput again;
+        replica.receive(from(members[1], request), at(1020ms), again);
+        CHECK_FALSE(grants(again));
+    }
+    SECTION("one that it asked for, of a candidate that lacks an entry")
+    {
+        request.handedOver = Term(5);
+        request.lastIndex = LogIndex(0);
+        ReplicaOutput out;
+        replica.receive(from(members[2], request), at(1010ms), out);
+        CHECK_FALSE(grants(out));
+    }
+}
+
+TEST_CASE("a lead is taken over only from the leader of the present term", "[agreement]")
+{
+    SeededRandom random(1);
+    Replica replica(options(), recoveredReplica(Term(4)), random, at(0ms));
+    ReplicaOutput contact;
+    replica.receive(from(members[1], AppendRequest { .term = Term(5), .previousIndex = LogIndex(1), .previousTerm = Term(1), .entries = {}, .leaderCommit = LogIndex(0), .heartbeatRound = 1 }), at(1000ms), contact);
+    const auto receive = [&](const Member& sender, Term term) {
+        ReplicaOutput out;
+        replica.receive(from(sender, HandOver { .term = term }), at(1010ms), out);
+        return out;
+    };
+    CHECK(receive(members[2], Term(5)).messages.empty());
+    CHECK(receive(members[1], Term(4)).messages.empty());
+    const auto election = receive(members[1], Term(5));
+    REQUIRE(election.messages.size() == 2);
+    const auto* request = std::get_if<VoteRequest>(&election.messages[0].payload);
+    REQUIRE(request);
+    CHECK_FALSE(request->isPreVote);
+    CHECK(request->term == Term(6));
+    CHECK(request->handedOver == Term(5));
+    // It has voted for itself, durably.
+    REQUIRE(election.records.size() == 1);
+    CHECK(std::get<VoteRecord>(election.records[0]).votedFor == members[0].replica);
+    CHECK(receive(members[1], Term(5)).messages.empty());
+}
--- a/test/error/state_schedules.cpp
+++ b/test/error/state_schedules.cpp
@@ -124,7 +124,7 @@
     {
         const auto i = anyNode();
         auto& node = *m_fleet.nodes[i];
-        switch (m_random.below(9)) {
+        switch (m_random.below(10)) {
         case 0:
         case 1:
             m_fleet.crash(i, m_random.below(2) == 0);
@@ -154,6 +154,9 @@
         case 7:
             m_fleet.blockedLinks.clear();
             break;
+        case 8:
+            m_fleet.stop(i);
+            break;
         default:
             node.files.failAt(1 + m_random.below(4), FakeFileSystem::Fault::Error);
         }
@@ -217,7 +220,7 @@
             auto& node = *m_fleet.nodes[i];
             node.isFrozen = false;
             node.files.failAt(0, FakeFileSystem::Fault::None);
-            if (!node.core || node.core->failure()) {
+            if (!node.core || node.core->failure() || node.isStopping) {
                 m_fleet.crash(i, false);
                 m_fleet.start(i);
             }
--- a/test/fakes/StateFleet.h
+++ b/test/fakes/StateFleet.h
@@ -27,6 +27,8 @@
         double clockRate = 1; // Speed of its clock relative to simulated time.
         Duration clockOffset {};
         bool isFrozen = false; // The process neither runs nor receives messages, as if suspended.
+        bool isStopping = false; // It ends by itself once it may.
+        LeaveState leftAs = LeaveState::Staying; // What its last planned stop ended with; `Staying` if it was killed first.
     };
 
     StateFleet(std::size_t count, std::uint64_t seed)
@@ -87,6 +89,7 @@
     {
         auto& node = *nodes[i];
         node.core.reset();
+        node.isStopping = false;
         for (const auto& it : m_pendingProposals) {
             if (it.node == i)
                 lostProposals.insert(it.id);
@@ -97,6 +100,16 @@
         else
             node.files.restart();
     }
+    /** Tells the process to stop, as SIGTERM does: it ends once it need not wait for a successor. One of a former build ends at once. */
+    void stop(std::size_t i)
+    {
+        auto& node = *nodes[i];
+        node.leftAs = LeaveState::Staying;
+        if (formerBuilds.contains(i) || !node.core)
+            return crash(i, false);
+        node.isStopping = true;
+        node.core->leave(timeOf(node));
+    }
     void emptyDisk(std::size_t i) { nodes[i]->files = FakeFileSystem(); }
 
     bool isBlocked(std::size_t from, std::size_t to) const { return blockedLinks.contains({ from, to }); }
@@ -125,8 +138,10 @@
     {
         m_now += std::chrono::milliseconds(10);
         deliverDue();
-        for (std::size_t i = 0; i < nodes.size(); ++i)
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
             flush(i);
+            endIfLeft(i);
+        }
     }
     void run(Duration time)
     {
@@ -177,6 +192,7 @@
     unsigned maxDelaySteps = 1; // In steps of 10 ms. Above 1, messages on one link may arrive out of order.
     std::uint64_t compactAfterBytes = 2000;
     std::size_t maxVoters = 0;
+    std::set<std::size_t> formerBuilds; // Nodes whose build knows no planned end of a voter.
 
 private:
     struct InFlightMessage {
@@ -197,9 +213,29 @@
         return static_cast<std::size_t>(it - nodes.begin());
     }
 
-    void sendWithFaults(std::size_t from, const AgreementMessage& message)
+    void endIfLeft(std::size_t i)
+    {
+        auto& node = *nodes[i];
+        const auto state = node.core && !node.isFrozen ? node.core->leaveState(timeOf(node)) : LeaveState::Waiting;
+        if (!node.isStopping || state == LeaveState::Staying || state == LeaveState::Waiting)
+            return;
+        node.leftAs = state;
+        crash(i, false);
+    }
+
+    bool isUnknown(std::size_t build, const AgreementMessage& message) const
+    {
+        const auto& payload = message.payload;
+        return formerBuilds.contains(build) && (std::holds_alternative<LeaveRequest>(payload) || std::holds_alternative<LeaveReply>(payload) || std::holds_alternative<HandOver>(payload));
+    }
+
+    void sendWithFaults(std::size_t from, AgreementMessage message)
     {
         const auto to = indexOf(message.to);
+        if (isUnknown(from, message) || isUnknown(to, message))
+            return;
+        if (auto* vote = std::get_if<VoteRequest>(&message.payload); vote && formerBuilds.contains(to))
+            vote->handedOver.reset();
         if (const auto* append = std::get_if<AppendRequest>(&message.payload)) {
             for (const auto& it : append->entries)
                 sentCommandBytes += it.command.size();
