Take only a final status of HTTP for an answer

Reproduced: 000, 099, 101, 600 and 999 with the server's seal, on routes that run once and that may be repeated. After 100 or 103 before the answer the caller got 502, although the request had run, and the connection went back to the pool with the answer still to come.

Cause: the library's parser takes any three digits, and what is behind it takes a status as given.

Why it works: the question is asked once, where heads are read, so it holds for both request paths, for relays between instances, for the provider's answers, and for late answers to other requests that are skipped. Probes read nothing.

--- a/src/forwarding/RoutedExchangeAttempt.cpp
+++ b/src/forwarding/RoutedExchangeAttempt.cpp
@@ -174,7 +174,8 @@
         result.end = result.wasSent ? AttemptEnd::Failed : AttemptEnd::NotRun;
         const auto isSilent = head.ec == RouterError::UpstreamTimeout;
         result.outcome = result.wasSent ? (isSilent ? CallOutcome::Silent : CallOutcome::Broken) : CallOutcome::Unreachable;
-        result.cause = result.wasSent ? (isSilent ? "server-silent" : "answer-broken") : "unreachable";
+        const auto isMalformed = head.ec == RouterError::UpstreamMalformed;
+        result.cause = !result.wasSent ? "unreachable" : (isSilent ? "server-silent" : (isMalformed ? "answer-malformed" : "answer-broken"));
         result.hasBrokenOff = result.wasSent && head.ec == RouterError::UpstreamBroken;
         co_return opening;
     }
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -54,6 +54,11 @@
     std::string body;
 };
 
+/** True for the status of an interim response (1xx) that another one follows. Nobody asks for the change of protocol that 101 announces. */
+constexpr bool isInterimStatus(unsigned status) { return status >= 100 && status < 200 && status != 101; }
+/** True for a status that the answer to a request may have; HTTP has none above 599. */
+constexpr bool isFinalStatus(unsigned status) { return status >= 200 && status <= 599; }
+
 /** A response with a JSON body. */
 HttpResponse jsonResponse(unsigned status, std::string body);
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -207,12 +207,19 @@
         });
     }
 
-    Task<std::error_code> readHead()
+    void startParser()
     {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->skip(m_request->message.method() == http::verb::head);
         m_parser->header_limit(maxHeadBytes);
+    }
+
+    // Reads the head of a final response, and those of interim responses before it, which say nothing that a caller may be told: it gets
+    // the answer as a whole. Together they may be as long as one head.
+    Task<std::error_code> readHead()
+    {
+        startParser();
         auto& buf = m_connection->buf;
         // The parser's own limit is for what it is given at once, so that it never sees the end of many short reads.
         std::size_t parsed = 0;
@@ -232,8 +239,12 @@
             m_headRoom = headRoomOf(parsed, fields);
             if (!takeRoom())
                 co_return make_error_code(RouterError::UpstreamMalformed);
+            if (isDone && isInterimStatus(m_parser->get().result_int())) {
+                startParser();
+                continue;
+            }
             if (isDone)
-                co_return std::error_code();
+                co_return isFinalStatus(m_parser->get().result_int()) ? std::error_code() : make_error_code(RouterError::UpstreamMalformed);
             const auto [readEc, n] = co_await m_connection->stream.async_read_some(buf.prepare(headReadBytes), asTuple);
             buf.commit(n);
             if (readEc)
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -3,7 +3,7 @@
  * answer, and that its caller takes for complete.
  */
 #include "test/fakes/CountedStream.h"
-#include "test/fakes/RoutedBench.h"
+#include "test/fakes/SocketBench.h"
 #include "test/fakes/UnframedServer.h"
 
 #include <catch2/catch.hpp>
@@ -18,15 +18,9 @@
 constexpr std::uint64_t lastEvent = 6;
 using End = UnframedServer::End;
 
-/** The bench with sockets to servers of the services `models` and `orders`. */
-class SocketBench : public RoutedBench {
+/** The bench with servers of the services `models` and `orders`. */
+class UnframedBench : public SocketBench {
 public:
-    SocketBench()
-    {
-        for (const auto* it : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1" })
-            selector.recordLeaving(BackendId(it), Incarnation(1));
-    }
-
     UnframedServer& add(const std::string& service, std::vector<std::string> parts, End end, const std::string& fields = "", bool endsAtOnce = false)
     {
         const auto type = service == "models" ? "text/event-stream" : "application/json";
@@ -46,17 +40,11 @@
 
     void serve(const HttpRequest& http)
     {
-        auto isDone = false;
-        asio::co_spawn(loop, socketHandler.handle(http, writer), [&isDone](const auto&) { isDone = true; });
-        while (!isDone)
-            loop.run_one_for(100ms);
+        serveBySockets(http);
         for (const auto& it : servers)
             it->stop();
     }
 
-    std::unique_ptr<UpstreamClient> client = makeUpstreamClient(loop, { .connectTimeout = 300ms, .acceptsCloseDelimited = true });
-    ForwardingContext socketContext { .loop = loop, .codec = codec, .routing = routing, .selector = selector, .promptGuard = promptGuard, .admissionQueue = admissionQueue, .streamOrigins = streamOrigins, .upstream = *client, .relayPeers = relayPeers, .random = random, .metrics = metrics, .retryOptions = { .ratio = 0.2, .slack = 10, .window = std::chrono::seconds(10) }, .startedAt = context.startedAt };
-    RoutedHandler socketHandler { socketContext };
     std::vector<std::unique_ptr<UnframedServer>> servers;
 };
 
@@ -74,7 +62,7 @@
     const auto end = GENERATE(End::Crash, End::Restart);
     const auto endsAtOnce = GENERATE(false, true);
     CAPTURE(static_cast<int>(end), endsAtOnce);
-    SocketBench bench;
+    UnframedBench bench;
     bench.addStream(1, 3, end, "", endsAtOnce);
     SECTION("it may not go on elsewhere")
     {
@@ -97,7 +85,7 @@
 
 TEST_CASE("an unframed stream whose server goes on is complete", "[routed][streams][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     auto& server = bench.addStream(1, lastEvent, End::Orderly);
     auto& other = bench.addStream(1, lastEvent, End::Orderly);
     bench.serve(RoutedBench::request(GENERATE("/draft/7", "/chat/7")));
@@ -109,7 +97,7 @@
 // Servers reset connections beyond their limit; that is no end of their process.
 TEST_CASE("an unframed answer of a server that resets further connections is complete", "[routed][streams][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     SECTION("a stream")
     {
         bench.addStream(1, lastEvent, End::Full);
@@ -129,7 +117,7 @@
 
 TEST_CASE("an unframed stream whose server leaves after its last answer is complete", "[routed][streams][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     bench.addStream(1, lastEvent, GENERATE(End::Crash, End::Restart), "Server-Leaving: 1\r\n");
     bench.serve(RoutedBench::request(GENERATE("/draft/7", "/chat/7")));
     CHECK(bench.writer.streamed == countedEvents(1, lastEvent));
@@ -141,7 +129,7 @@
     const auto end = GENERATE(End::Crash, End::Restart);
     const auto endsAtOnce = GENERATE(false, true);
     CAPTURE(static_cast<int>(end), endsAtOnce);
-    SocketBench bench;
+    UnframedBench bench;
     bench.add("orders", { "{\"half\":" }, end, "", endsAtOnce);
     bench.serve(RoutedBench::request("/order/7"));
     REQUIRE(bench.writer.response);
@@ -150,7 +138,7 @@
 
 TEST_CASE("an unframed whole answer whose server goes on is complete", "[routed][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     auto& server = bench.add("orders", { "{\"half\":", "1}" }, End::Orderly);
     bench.serve(RoutedBench::request(GENERATE("/order/7", "/look/7")));
     REQUIRE(bench.writer.response);
@@ -161,7 +149,7 @@
 
 TEST_CASE("a stream that is taken up is at its end if a server that goes on has no event left", "[routed][streams][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     auto& server = bench.add("models", {}, End::Orderly);
     bench.serve(takeUpAfter(lastEvent));
     CHECK(server.requests() == 1);
@@ -172,7 +160,7 @@
 {
     const auto end = GENERATE(End::Crash, End::Restart);
     CAPTURE(static_cast<int>(end));
-    SocketBench bench;
+    UnframedBench bench;
     bench.add("models", {}, end);
     bench.add("models", {}, end);
     bench.serve(takeUpAfter(2));
@@ -181,7 +169,7 @@
 
 TEST_CASE("a stream whose server ends behind its last event is at its end if a server that goes on has no event left", "[routed][streams][unframed]")
 {
-    SocketBench bench;
+    UnframedBench bench;
     bench.addStream(1, lastEvent, GENERATE(End::Crash, End::Restart));
     auto& next = bench.add("models", {}, End::Orderly);
     bench.selector.recordLeaving(BackendId(next.address()), Incarnation(1));
