Don't take a reset answer for whole because the writer of its request took the error

What callers saw (MIXED): a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. The caller got the part as a complete answer: here in 24 of 32 calls with 4 MB, whatever the time to the reset (0 to 30 ms).

Cause: a socket reports its reset once. A request of over 8 KiB is written while its answer is read, and the event loop runs the writer first. Traced: in those 24 the writer got "Connection reset by peer", its handler dropped it, and the reader then got an end of file; in the other 8 the reader got the reset and the writer a broken pipe. Ruled out: other places that ask the socket. Idle connections are dropped with their errors, and poll() takes none.

Change: a failed write is remembered (RequestWrite), and an end of file behind it ends an answer without a length as a reset. Such a connection is not used again. Answers with a length or chunks need no such end.

Why it works: the reader sees a false end only because the writer took the error before, and both run on one loop, where the writer's handler comes first.

Failed before: "an answer without a length that is reset while its request is written is not complete" (48 of 64 assertions), the reset in "callers of configured routes get the answer behind an interim response, and none of a reset upload". "an answer that ends in an orderly way while its request is written is complete" keeps the other side.

--- a/src/http/ConnectionPool.cpp
+++ b/src/http/ConnectionPool.cpp
@@ -28,7 +28,7 @@
 }
 
 // The kernel takes a window without room for a lost host, although the host acknowledges every probe of it.
-Task<void> watchReader(std::weak_ptr<ServerConnection> weak, std::chrono::milliseconds longest, std::chrono::milliseconds usual, std::shared_ptr<bool> isWriting)
+Task<void> watchReader(std::weak_ptr<ServerConnection> weak, std::chrono::milliseconds longest, std::chrono::milliseconds usual, std::shared_ptr<const RequestWrite> write)
 {
     Timer pause(co_await asio::this_coro::executor);
     for (auto isOver = false; !isOver;) {
@@ -40,7 +40,7 @@
         const auto socket = connection->stream.socket().native_handle();
         const auto awaits = awaitsRoom(socket);
         setUserTimeout(socket, awaits ? std::max(longest, usual) : usual);
-        isOver = !awaits && !*isWriting;
+        isOver = !awaits && !write->isPending;
     }
 }
 
@@ -143,9 +143,9 @@
     co_return std::error_code();
 }
 
-void ConnectionPool::allowLateReads(const std::shared_ptr<ServerConnection>& connection, Duration longest, std::shared_ptr<bool> isWriting)
+void ConnectionPool::allowLateReads(const std::shared_ptr<ServerConnection>& connection, Duration longest, std::shared_ptr<const RequestWrite> write)
 {
-    asio::co_spawn(m_loop, watchReader(connection, std::chrono::duration_cast<std::chrono::milliseconds>(longest), m_limits.userTimeout, std::move(isWriting)), asio::detached);
+    asio::co_spawn(m_loop, watchReader(connection, std::chrono::duration_cast<std::chrono::milliseconds>(longest), m_limits.userTimeout, std::move(write)), asio::detached);
 }
 
 } // namespace HickoryHollow
--- a/src/http/ConnectionPool.h
+++ b/src/http/ConnectionPool.h
@@ -41,6 +41,13 @@
     Duration serverIdleTimeout = Duration::max(); // From the Keep-Alive field of the last response, on any connection until there is one on this.
 };
 
+/** Progress of a long request that is written while its answer is read. */
+struct RequestWrite {
+    bool isPending = true; ///< A part of the request has not been handed to the kernel.
+    /** The connection failed. A socket reports its reset once, so whoever reads from it may see an orderly end. */
+    bool hasFailed = false;
+};
+
 class PooledWatch;
 
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
@@ -62,9 +69,9 @@
     Task<std::error_code> open(std::shared_ptr<ServerConnection>, std::string address);
     /**
      * Lets the server leave a long request unread for `longest`, until its host has taken the whole of it. A host that does not
-     * acknowledge is lost after the usual time. `isWriting` tells whether a part of the request has not been handed to the kernel.
+     * acknowledge is lost after the usual time.
      */
-    void allowLateReads(const std::shared_ptr<ServerConnection>&, Duration longest, std::shared_ptr<bool> isWriting);
+    void allowLateReads(const std::shared_ptr<ServerConnection>&, Duration longest, std::shared_ptr<const RequestWrite>);
 
     /** See OpenConnections. */
     std::optional<TimePoint> serverRunsSince(const std::string& address) const { return m_open.runsSince(address); }
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -62,7 +62,7 @@
         head.verdict = Verdict::MayHaveRun;
         if (checked.body.size() > maxSynchronousBodyBytes) {
             startWrite();
-            m_pool->allowLateReads(m_connection, m_timeouts.head, m_isWriting);
+            m_pool->allowLateReads(m_connection, m_timeouts.head, m_write);
         } else {
             const auto [writeEc, written] = co_await http::async_write(m_connection->stream, m_request->message, asTuple);
             if (writeEc) {
@@ -199,11 +199,11 @@
 
     void startWrite()
     {
-        m_isWriting = std::make_shared<bool>(true);
+        m_write = std::make_shared<RequestWrite>();
         // The call may end before the write does, so the handler keeps the connection and the request alive.
-        http::async_write(m_connection->stream, m_request->message, [connection = m_connection, outgoing = m_request, isWriting = m_isWriting](const boost::system::error_code& ec, std::size_t) {
-            if (!ec)
-                *isWriting = false;
+        http::async_write(m_connection->stream, m_request->message, [connection = m_connection, outgoing = m_request, write = m_write](const boost::system::error_code& ec, std::size_t) {
+            write->isPending = false;
+            write->hasFailed = ec.failed();
         });
     }
 
@@ -273,6 +273,8 @@
             buf.commit(n);
             if (readEc && readEc != asio::error::eof)
                 co_return readEc;
+            if (readEc && m_write && m_write->hasFailed)
+                co_return asio::error::connection_reset;
             if (readEc) {
                 ec = {};
                 m_parser->put_eof(ec);
@@ -311,7 +313,7 @@
     // Returns the connection to the pool, unless it sent an extra response or its request is not written completely.
     void release()
     {
-        const auto mayReuse = m_connection && m_parser->keep_alive() && !m_skippedResponse && !(m_isWriting && *m_isWriting);
+        const auto mayReuse = m_connection && m_parser->keep_alive() && !m_skippedResponse && (!m_write || (!m_write->isPending && !m_write->hasFailed));
         if (mayReuse) {
             m_connection->serverIdleTimeout = parseServerIdleTimeout();
             m_pool->put(m_address, std::move(m_connection));
@@ -340,7 +342,7 @@
     std::size_t m_headRoom = 0; // For the header.
     IsMismatchedResponse m_isMismatched;
     BeforeSend m_beforeSend;
-    std::shared_ptr<bool> m_isWriting; // True until an asynchronous write of the request succeeds; null if begin writes it.
+    std::shared_ptr<RequestWrite> m_write; // Of the request; null if begin writes it.
     bool m_skippedResponse = false;
     bool m_reusedConnection = false;
     std::optional<TimePoint> m_serverRunsSince;
--- a/test/error/odd_answers.cpp
+++ b/test/error/odd_answers.cpp
@@ -203,6 +203,33 @@
     CHECK(outcomes[0].isComplete);
 }
 
+// Guards against a part of an answer that looked whole: the reset came while a long request was still written, and the writer took the
+// error, so that the reader saw an orderly end.
+TEST_CASE("an answer without a length that is reset while its request is written is not complete", "[http][mixed]")
+{
+    constexpr std::size_t longBody = 4UL << 20U;
+    const Duration endAfter = GENERATE(as<Duration> {}, 0ms, 1ms, 5ms, 30ms);
+    CAPTURE(endAfter.count());
+    for (int i = 0; i < 8; ++i) {
+        const auto outcomes = callsTo({ .answers = { "HTTP/1.1 200 OK\r\n\r\npart" }, .end = End::Reset, .endAfter = endAfter }, 1, longBody);
+        CHECK(outcomes[0].ec == RouterError::UpstreamBroken);
+        CHECK_FALSE(outcomes[0].isComplete);
+    }
+}
+
+TEST_CASE("an answer that ends in an orderly way while its request is written is complete", "[http]")
+{
+    constexpr std::size_t longBody = 4UL << 20U;
+    const Duration endAfter = GENERATE(as<Duration> {}, 0ms, 5ms);
+    const auto unframed = callsTo({ .answers = { "HTTP/1.1 200 OK\r\n\r\nwhole" }, .end = End::HalfClose, .endAfter = endAfter }, 1, longBody);
+    CHECK(unframed[0].isComplete);
+    CHECK(unframed[0].body == "whole");
+    // A length says that an answer is whole, however its connection ends.
+    const auto framed = callsTo({ .answers = { answer("whole") }, .end = End::Reset, .endAfter = 50ms }, 1, longBody);
+    CHECK(framed[0].isComplete);
+    CHECK(framed[0].body == "whole");
+}
+
 TEST_CASE("callers of configured routes get no answer that is not the server's", "[routed][mixed]")
 {
     const auto* status = GENERATE("000 No", "099 x", "101 Switching Protocols", "600 x", "999 x");
@@ -223,7 +250,7 @@
     }
 }
 
-TEST_CASE("callers of configured routes get the answer behind an interim response", "[routed][mixed]")
+TEST_CASE("callers of configured routes get the answer behind an interim response, and none of a reset upload", "[routed][mixed]")
 {
     OddBench bench;
     SECTION("an interim response")
@@ -235,4 +262,11 @@
         CHECK(response.fields.count("Link") == 0);
         CHECK(server.requests() == 1);
     }
+    SECTION("a reset")
+    {
+        bench.add({ .answers = { "HTTP/1.1 200 OK\r\nAttempt-Id: " + attemptId + "\r\nRunner-Seal: seal\r\n\r\npart" }, .end = End::Reset });
+        auto http = RoutedBench::request("/order/7");
+        http.body = std::string(4UL << 20U, 'x');
+        CHECK(bench.serve(http).status == 502);
+    }
 }
