--- a/test/error/http_framing.cpp
+++ b/test/error/http_framing.cpp
@@ -6,6 +6,7 @@
 #include "http/HttpServer.h"
 #include "http/ResponseWriter.h"
 #include "net/EventLoops.h"
+#include "test/fakes/BrokenFields.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -79,6 +80,18 @@
     CHECK(targets.empty());
 }
 
+// As in answers: see test/error/odd_answers.cpp.
+TEST_CASE("a request whose head has a broken field is refused", "[http][loopback]")
+{
+    for (const auto& it : Fakes::brokenFields()) {
+        CAPTURE(it.what);
+        const auto [answers, targets] = exchange("POST /first HTTP/1.1\r\nHost: x\r\n" + it.line + "\r\n\r\n" + smuggled);
+        CHECK(answers.starts_with("HTTP/1.1 400"));
+        CHECK(answers.find("HTTP/1.1", 8) == std::string::npos);
+        CHECK(targets.empty());
+    }
+}
+
 TEST_CASE("a request without a Host field is refused", "[http][loopback]")
 {
     const auto [answers, targets] = exchange("GET /first HTTP/1.1\r\n\r\n" + smuggled);
--- a/test/error/odd_answers.cpp
+++ b/test/error/odd_answers.cpp
@@ -2,13 +2,16 @@
  * What a server writes that is not an answer, or not a whole one: statuses out of range, interim responses, heads that no parser may
  * accept, and connections that are reset while a long request is still written.
  */
+#include "base/Check.h"
 #include "base/RouterError.h"
+#include "ctl/OperatorClient.h"
 #include "http/UpstreamClient.h"
 #include "test/fakes/BrokenFields.h"
 #include "test/fakes/RawServer.h"
 #include "test/fakes/SocketBench.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace HickoryHollow;
 using namespace HickoryHollow::Fakes;
@@ -270,3 +273,30 @@
         CHECK(bench.serve(http).status == 502);
     }
 }
+
+TEST_CASE("the operators' client takes only a whole answer of HTTP", "[ctl][mixed]")
+{
+    const auto callWith = [](RawServer::Options options) {
+        asio::io_context loop;
+        RawServer server(loop, std::move(options));
+        const OperatorClient client({ .address = server.address(), .key = "key" });
+        std::thread thread([&loop] { loop.run(); });
+        HttpResponse response { .status = 0, .fields = {}, .body = {} };
+        try {
+            response = client.call("POST", "/x", "body");
+        } catch (const UserError&) {
+            response.body = "no answer";
+        }
+        asio::post(loop, [&server] { server.stop(); });
+        thread.join();
+        return response;
+    };
+    const auto odd = GENERATE(answer("odd", "000 x"), answer("odd", "101 x"), answer("odd", "600 x"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"));
+    CAPTURE(odd);
+    const auto response = callWith({ .answers = { odd }, .end = End::Close });
+    CHECK(response.status == 0);
+    CHECK(response.body == "no answer");
+    const auto late = callWith({ .answers = { "HTTP/1.1 100 Continue\r\n\r\n" + answer("right") } });
+    CHECK(late.status == 200);
+    CHECK(late.body == "right");
+}
