Have the bodies of one owner wait only where there are places for them in a test

Eight callers of one owner and two of another began at once. If the two were served first, one of the eight was held and seven would have had to wait, so one was refused: 503 `overloaded`, Retry-After 1. Traced: "refused size 1048576 large 1 waiters 6". The refusal is the rule, which body_room.cpp tests ("one owner does not fill it"); the test assumed an order of threads.

Change: the two begin once two of the eight are held, so that six wait. A failure shows the answer.

--- a/test/error/request_memory.cpp
+++ b/test/error/request_memory.cpp
@@ -161,13 +161,17 @@
 {
     const auto isChunked = GENERATE(false, true);
     LimitedServer server;
+    // Two of them are held, so that the other six take all the places in which bodies of one owner may wait.
     LargeCallers callers(8, "a", isChunked);
+    await([&] { return server.handler.held == 2; });
     LargeCallers others(2, "b", isChunked);
-    await([&] { return server.handler.held >= 2; });
+    await([&] { return server.handler.held == bodiesThatFit; });
     server.handler.isReleased = true;
     for (const auto& answers : { callers.join(), others.join() }) {
-        for (const auto& it : answers)
+        for (const auto& it : answers) {
+            CAPTURE(it);
             CHECK(it.ends_with("\r\n\r\n" + std::to_string(bodyBytes)));
+        }
     }
     CHECK(server.handler.most <= bodiesThatFit);
     await([&] { return server.bodies->used() == 0; });
