--- a/src/agreement/ReplicaMembership.cpp
+++ b/src/agreement/ReplicaMembership.cpp
@@ -186,7 +186,7 @@
         if (!last || peer.matchIndex < last->matchIndex)
             last = &peer;
     }
-    if (const auto unresponsive = unresponsiveVoter(now))
+    if (auto unresponsive = unresponsiveVoter(now))
         return unresponsive;
     // A new leader does not know yet which voters respond.
     const auto isNewLeader = now - m_leaderSince <= m_options.voterReplacementTimeout;
