Judge the end of a leaving server's answer by the time for which it has to serve

Cause: the end of an unframed answer of a server that leaves counted as whole even where its other connections had ended too, as its process ends with its last answer. But a server that leaves serves for a stated time first, and an end before that is a crash. Ruled out: the watching connection was there, and the same crash without the announcement gave 502.

Change: an instance records when the announcement came. Within `server-drain-ms` (new, from the platform's bounds) less a second for the announcement's way, the end is judged like that of any other server. Why it works: the server counts from the acknowledgement, which is older than the announcement's arrival by its way only.

--- a/src/forwarding/ForwardingContext.h
+++ b/src/forwarding/ForwardingContext.h
@@ -59,6 +59,7 @@
     StartCounter* starts = nullptr; ///< Null if the provider gets no usage reports.
     DemandMeter* demand = nullptr; ///< Null if no servers are ordered from the provider.
     bool limitsOverload = false; ///< Learn how long requests take at engines, and refuse early those that would not end in time.
+    Duration serverDrainTime = std::chrono::seconds(2); ///< A server serves for so long after it has announced that it leaves.
     Duration minSilence = std::chrono::milliseconds(1200); ///< A paused or slowed server can be silent this long.
     /** Longer than another instance that relays a request waits for a silent server before it tries a further one. */
     Duration minPeerSilence = std::chrono::milliseconds(2500);
--- a/src/forwarding/RoutedExchangeStream.cpp
+++ b/src/forwarding/RoutedExchangeStream.cpp
@@ -9,6 +9,13 @@
 
 namespace HickoryHollow {
 
+namespace {
+
+// From the time at which a server hears that its announcement has come until it has come here.
+constexpr Duration maxNoticeDelay = std::chrono::seconds(1);
+
+} // namespace
+
 Task<std::error_code> RoutedExchange::startStream(const UpstreamHead& head)
 {
     if (m_streamStarted)
@@ -34,7 +41,10 @@
 
 Task<UnframedEnd> RoutedExchange::judgeEnd(UnframedAnswer& answer) const
 {
+    const auto endTime = monotonicNow();
     auto facts = co_await answer.learnFacts();
+    const auto leavingFor = m_context.selector.leavingFor(m_lastPlacement, endTime);
+    facts.isBoundToServe = leavingFor && *leavingFor < m_context.serverDrainTime - maxNoticeDelay;
     facts.isLeaving = m_context.selector.isLeaving(m_lastPlacement);
     co_return judgeUnframedEnd(facts);
 }
--- a/src/forwarding/UnframedEnd.cpp
+++ b/src/forwarding/UnframedEnd.cpp
@@ -9,7 +9,7 @@
     if (facts.runsSinceNow && *facts.runsSinceNow <= *facts.runsSince)
         return UnframedEnd::Whole;
     // Its connections end with its last answer, whole or not.
-    if (facts.isLeaving)
+    if (facts.isLeaving && !facts.isBoundToServe)
         return UnframedEnd::Unknown;
     return facts.wasWatched || !facts.isReached ? UnframedEnd::BrokenOff : UnframedEnd::Unknown;
 }
--- a/src/forwarding/UnframedEnd.h
+++ b/src/forwarding/UnframedEnd.h
@@ -18,6 +18,7 @@
     bool wasWatched = false; ///< A connection beside that of the answer was open meanwhile, and was not idle for long.
     bool isReached = false; ///< The connection behind the end was opened.
     bool isLeaving = false; ///< The server has said that it leaves, so its process ends behind its last answer.
+    bool isBoundToServe = false; ///< It has said so for less time than a server that leaves serves on.
 };
 
 enum class UnframedEnd {
--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -57,7 +57,7 @@
     , m_upstream(makeUpstreamClient(m_loop, { .connectTimeout = connectTimeout, .tcpUserTimeout = upstreamSilenceLimit, .acceptsCloseDelimited = true, .maxIdlePerServer = maxIdleConnectionsPerServer }))
     , m_streams(m_loop, m_feed)
     , m_reports(settings, Incarnation(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count())))
-    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .relayPeers = m_relayPeers, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .instance = settings.instance, .maxRetryAfter = settings.bounds.maxRetryAfter, .limitsOverload = settings.limitsOverload }
+    , m_context { .loop = m_loop, .codec = codec, .routing = m_routing, .selector = m_selector, .promptGuard = m_promptGuard, .admissionQueue = m_admissionQueue, .streamOrigins = m_streams, .upstream = *m_upstream, .relayPeers = m_relayPeers, .random = *m_random, .metrics = m_metrics, .retryOptions = { .ratio = settings.bounds.retryRatio, .slack = settings.bounds.retrySlack, .window = settings.bounds.retryWindow }, .answerBytes = BufferBudget(planMemory(settings.memoryBytes).answers * 4 / 5), .instance = settings.instance, .maxRetryAfter = settings.bounds.maxRetryAfter, .limitsOverload = settings.limitsOverload, .serverDrainTime = settings.bounds.serverDrainTime }
     , m_prober(m_loop, m_selector, *m_upstream)
     , m_handler(m_context)
     , m_relayHandler(m_context, planMemory(settings.memoryBytes).connections / relayedShare)
@@ -70,7 +70,7 @@
               .backends = [this](const auto& records) {
                   for (const auto& it : records) {
                       recordAddress(it.id);
-                      if (m_selector.merge(it))
+                      if (m_selector.merge(it, monotonicNow()))
                           logEvent(LogEvent::BackendChanged, "backend={} server={} service={} version={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), it.softwareVersion.value(), toString(it.state), it.incarnation.value(), it.sequence);
                   } },
               .usage = [this](const auto& report) { applyUsage(report); },
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -93,6 +93,7 @@
     bounds.keyLease = reader.milliseconds("key-lease-ms", bounds.keyLease, millisecondsRange);
     bounds.configurationDelay = reader.milliseconds("config-apply-ms", bounds.configurationDelay, millisecondsRange);
     bounds.announceInterval = reader.milliseconds("announce-ms", bounds.announceInterval, millisecondsRange);
+    bounds.serverDrainTime = reader.milliseconds("server-drain-ms", bounds.serverDrainTime, millisecondsRange);
     bounds.retryRatio = readNonNegative(reader, "retry-ratio", bounds.retryRatio);
     bounds.retrySlack = static_cast<std::uint64_t>(readNonNegative(reader, "retry-slack", static_cast<double>(bounds.retrySlack)));
     bounds.retryWindow = readSeconds(reader, "retry-window-s", bounds.retryWindow);
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -21,6 +21,7 @@
     Duration keyLease = std::chrono::seconds(5); ///< Longest time for which a revoked key is still accepted.
     Duration configurationDelay = std::chrono::seconds(2); ///< Longest time from the acceptance of a routing configuration until it is in force everywhere.
     Duration announceInterval = std::chrono::milliseconds(1200); ///< Interval at which backend servers announce themselves.
+    Duration serverDrainTime = std::chrono::seconds(2); ///< Backend servers serve for so long after they have announced that they leave.
     double retryRatio = 0.2; ///< Retries permitted for each first send within `retryWindow`, over all instances.
     std::uint64_t retrySlack = 10; ///< Further retries permitted within `retryWindow`, over all instances.
     Duration retryWindow = std::chrono::seconds(10); ///< Sliding window over which the retry budget is counted.
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -43,7 +43,7 @@
     server.cache.setCapacity(static_cast<std::uint64_t>(cacheMemoryShare * static_cast<double>(engineCapacity(server.record.service).tokenCapacity)));
 }
 
-bool BackendSelector::merge(const BackendRecord& record)
+bool BackendSelector::merge(const BackendRecord& record, std::optional<TimePoint> now)
 {
     const auto* known = m_servers.find(record.id);
     if (known && record.rank() <= known->record.rank())
@@ -69,6 +69,11 @@
         m_index.leaveService(server);
         m_reservations.leaveService(server);
     }
+    const auto beginsToLeave = known && !isNewStart && server.record.state == BackendState::Serving && record.state == BackendState::Leaving;
+    if (beginsToLeave)
+        server.leavingSince = now;
+    else if (isNewStart)
+        server.leavingSince.reset();
     const auto previousStart = server.start;
     m_servers.setRecord(server, record);
     if (known && isNewStart)
@@ -136,6 +141,14 @@
     return !server || (server->record.incarnation == placement.incarnation && server->record.state == BackendState::Leaving);
 }
 
+std::optional<Duration> BackendSelector::leavingFor(const Placement& placement, TimePoint now) const
+{
+    const auto* server = m_servers.find(placement.backend);
+    if (!server || server->record.incarnation != placement.incarnation || !server->leavingSince)
+        return std::nullopt;
+    return now - *server->leavingSince;
+}
+
 bool BackendSelector::mayReceive(const Placement& placement, TimePoint now) const
 {
     if (!isSameStart(placement))
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -41,8 +41,8 @@
     /** `random` outlives the selector. */
     BackendSelector(Options, RandomSource& random);
 
-    /** Takes over a newer record of a backend server. Returns false and changes nothing if the known record is as new. */
-    bool merge(const BackendRecord&);
+    /** Takes over a newer record of a backend server. Returns false and changes nothing if the known record is as new. `leavingFor` needs `now`. */
+    bool merge(const BackendRecord&, std::optional<TimePoint> now = std::nullopt);
     /** Records that this start of the server shuts down; only a later start of it is selected again. */
     void recordLeaving(const BackendId&, Incarnation);
     /** Records that this start of the server wants no request of this instance until then. */
@@ -60,6 +60,8 @@
     bool mayReceive(const Placement&, TimePoint now) const;
     /** Returns true if that start of the server has said that it leaves, or has taken itself off. */
     bool isLeaving(const Placement&) const;
+    /** For how long it has been known that this start leaves; nothing if it is not known when that was announced. */
+    std::optional<Duration> leavingFor(const Placement&, TimePoint now) const;
     /** Returns true if no later start of the server, and no change of its version, is known. */
     bool isSameStart(const Placement&) const;
     /**
--- a/src/placement/KnownServer.h
+++ b/src/placement/KnownServer.h
@@ -30,6 +30,7 @@
     BackendRecord record;
     BackendHealth health;
     CallWindow recentCalls; ///< Calls of this instance.
+    std::optional<TimePoint> leavingSince; ///< When the announcement came that it leaves, if it was known to serve before.
     TimePoint backoffUntil {}; ///< The server wants no request of this instance before.
     std::uint32_t fleetFailures = 0; ///< Recent failed calls of all instances, as of their last report.
     ServerStartId start; ///< Identifies the present start.
--- a/test/correctness/unframed_end.cpp
+++ b/test/correctness/unframed_end.cpp
@@ -30,7 +30,7 @@
     CHECK(judge(true, false, false) == UnframedEnd::BrokenOff);
     CHECK(judge(false, false, false) == UnframedEnd::BrokenOff);
     CHECK(judge(false, true, false) == UnframedEnd::Unknown);
-    // A server that leaves ends its connections with its last answer.
+    // A server that leaves ends its connections with its last answer, but serves for a while after it has said so.
     for (const auto wasWatched : { false, true }) {
         for (const auto isReached : { false, true })
             CHECK(judge(wasWatched, isReached, true) == UnframedEnd::Unknown);
@@ -42,3 +42,17 @@
     CHECK(judgeUnframedEnd({}) == UnframedEnd::Unknown);
     CHECK(judgeUnframedEnd({ .runsSinceNow = TimePoint { 100s }, .wasWatched = true }) == UnframedEnd::Unknown);
 }
+
+// Guards against halves of answers that passed for whole ones because the server that crashed had said that it leaves.
+TEST_CASE("an unframed answer is broken off if its server ends sooner than one that leaves may", "[routed][unframed]")
+{
+    const TimePoint start { 100s };
+    const auto judge = [&](bool wasWatched, bool isReached) {
+        return judgeUnframedEnd({ .runsSince = start, .wasWatched = wasWatched, .isReached = isReached, .isLeaving = true, .isBoundToServe = true });
+    };
+    CHECK(judge(true, true) == UnframedEnd::BrokenOff);
+    CHECK(judge(true, false) == UnframedEnd::BrokenOff);
+    CHECK(judge(false, false) == UnframedEnd::BrokenOff);
+    CHECK(judge(false, true) == UnframedEnd::Unknown);
+    CHECK(judgeUnframedEnd({ .runsSince = start, .runsSinceNow = start, .wasWatched = true, .isReached = true, .isLeaving = true, .isBoundToServe = true }) == UnframedEnd::Whole);
+}
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -136,6 +136,28 @@
     CHECK(bench.writer.response->status == 502);
 }
 
+// Guards against halves of answers that their callers took for whole: their server crashed after it had announced that it leaves.
+TEST_CASE("an unframed answer whose server ends right after it has announced that it leaves is not complete", "[routed][streams][unframed]")
+{
+    UnframedBench bench;
+    const auto isStream = GENERATE(false, true);
+    auto& server = isStream ? bench.addStream(1, 3, End::Crash) : bench.add("orders", { "{\"half\":", "1," }, End::Crash);
+    Timer pause(bench.loop, 3ms);
+    const auto drainTime = GENERATE(as<Duration> {}, 2s, 1s);
+    bench.socketContext.serverDrainTime = drainTime;
+    pause.async_wait([&](const auto&) { bench.leave(server.address(), isStream ? "models" : "orders"); });
+    bench.serve(RoutedBench::request(isStream ? "/chat/7" : "/order/7"));
+    // With 1 s, the announcement may have been on its way for so long that the server need not serve any more.
+    const auto isComplete = drainTime == 1s;
+    if (isStream) {
+        CHECK(bench.writer.isFinished == isComplete);
+        CHECK(bench.writer.isAbandoned == !isComplete);
+    } else {
+        REQUIRE(bench.writer.response);
+        CHECK(bench.writer.response->status == (isComplete ? 200 : 502));
+    }
+}
+
 TEST_CASE("an unframed whole answer whose server goes on is complete", "[routed][unframed]")
 {
     UnframedBench bench;
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -73,6 +73,14 @@
         selector.merge(record);
     }
 
+    /** The server announces that it leaves. */
+    void leave(const std::string& address, const std::string& service)
+    {
+        BackendRecord record { .id = BackendId(address), .incarnation = Incarnation(1), .sequence = 2, .state = BackendState::Leaving, .service = ServiceId(service), .serverName = "name-of-" + address, .softwareVersion = SoftwareVersion("v1") };
+        record.slots = 8;
+        selector.merge(record, monotonicNow());
+    }
+
     /** Confirms the configuration as the newest one; its lease starts now. */
     void confirm(Duration lease) { routing.confirm(routing.version(), monotonicNow(), lease); }
 
