--- a/test/error/odd_answers.cpp
+++ b/test/error/odd_answers.cpp
@@ -5,8 +5,8 @@
 #include "base/Check.h"
 #include "base/RouterError.h"
 #include "ctl/OperatorClient.h"
-#include "http/UpstreamClient.h"
 #include "test/fakes/BrokenFields.h"
+#include "test/fakes/CompletedCall.h"
 #include "test/fakes/RawServer.h"
 #include "test/fakes/SocketBench.h"
 
@@ -32,39 +32,20 @@
     return answer(body, status, "Attempt-Id: " + attemptId + "\r\nRunner-Seal: seal\r\n");
 }
 
-struct Outcome {
-    std::error_code ec;
-    Verdict verdict = Verdict::NotRun;
-    unsigned status = 0;
-    std::string body;
-    bool isComplete = false;
-    bool reusedConnection = false;
-};
-
-Task<void> call(UpstreamClient& client, const std::string& address, std::size_t bodyBytes, Outcome& outcome)
+Task<void> call(UpstreamClient& client, const std::string& address, std::size_t bodyBytes, CompletedCall& outcome)
 {
     const auto it = client.open(address);
     const HttpRequest request { .method = "POST", .target = "/", .fields = {}, .body = std::string(bodyBytes, 'x') };
-    const auto head = co_await it->begin(request);
-    outcome.ec = head.ec;
-    outcome.verdict = head.verdict;
-    outcome.status = head.status;
-    outcome.reusedConnection = it->reusedConnection();
-    while (!outcome.ec && !outcome.isComplete) {
-        const auto chunk = co_await it->readChunk();
-        outcome.ec = chunk.ec;
-        outcome.body += chunk.bytes;
-        outcome.isComplete = !chunk.ec && chunk.isLast;
-    }
+    co_await makeCall(*it, request, outcome);
 }
 
 /** Makes calls to one server, one after the other. */
-std::vector<Outcome> callsTo(const RawServer::Options& options, std::size_t n, std::size_t bodyBytes = 4)
+std::vector<CompletedCall> callsTo(const RawServer::Options& options, std::size_t n, std::size_t bodyBytes = 4)
 {
     asio::io_context loop;
     RawServer server(loop, options);
     const auto client = makeUpstreamClient(loop, { .acceptsCloseDelimited = true });
-    std::vector<Outcome> outcomes(n);
+    std::vector<CompletedCall> outcomes(n);
     asio::co_spawn(
         loop, [&]() -> Task<void> {
             for (auto& it : outcomes)
@@ -76,7 +57,7 @@
     return outcomes;
 }
 
-bool isMalformed(const Outcome& outcome)
+bool isMalformed(const CompletedCall& outcome)
 {
     return outcome.ec == RouterError::UpstreamMalformed && outcome.verdict == Verdict::MayHaveRun && outcome.body.empty();
 }
--- a/test/error/upstream_answers.cpp
+++ b/test/error/upstream_answers.cpp
@@ -2,8 +2,8 @@
  * Unusual and faulty responses of backend servers: late responses to other requests, responses before the request is read,
  * bodies without a length, truncated responses.
  */
-#include "http/UpstreamClient.h"
 #include "net/EventLoops.h"
+#include "test/fakes/CompletedCall.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +14,7 @@
 #include <thread>
 
 using namespace HickoryHollow;
+using namespace HickoryHollow::Fakes;
 
 namespace {
 
@@ -59,38 +60,21 @@
     std::thread m_thread;
 };
 
-struct Outcome {
-    std::error_code ec;
-    unsigned status = 0;
-    std::string body;
-    bool isComplete = false;
-    bool reusedConnection = false;
-};
-
-Task<void> call(UpstreamClient& client, std::string id, std::string body, Outcome& outcome, std::string method = "POST")
+Task<void> call(UpstreamClient& client, std::string id, std::string body, CompletedCall& outcome, std::string method = "POST")
 {
     const auto it = client.open("127.0.0.1:" + std::to_string(port));
     it->skipMismatchedResponses([id](unsigned, const HttpFields& fields) { return !fields.find("Id").empty() && fields.find("Id") != id; });
     const HttpRequest request { .method = std::move(method), .target = "/", .fields = {}, .body = std::move(body) };
-    const auto head = co_await it->begin(request);
-    outcome.ec = head.ec;
-    outcome.status = head.status;
-    outcome.reusedConnection = it->reusedConnection();
-    while (!outcome.ec && !outcome.isComplete) {
-        const auto chunk = co_await it->readChunk();
-        outcome.ec = chunk.ec;
-        outcome.body += chunk.bytes;
-        outcome.isComplete = !chunk.ec && chunk.isLast;
-    }
+    co_await makeCall(*it, request, outcome);
 }
 
 /** Makes one call for each id with the same client, one after the other. */
-std::vector<Outcome> calls(const std::vector<std::string>& ids, std::vector<std::string> answers, bool resets = false, std::size_t bodyBytes = 4)
+std::vector<CompletedCall> calls(const std::vector<std::string>& ids, std::vector<std::string> answers, bool resets = false, std::size_t bodyBytes = 4)
 {
     const ScriptedServer server(std::move(answers), resets);
     boost::asio::io_context loop;
     const auto client = makeUpstreamClient(loop, { .acceptsCloseDelimited = true });
-    std::vector<Outcome> outcomes(ids.size());
+    std::vector<CompletedCall> outcomes(ids.size());
     asio::co_spawn(
         loop, [&]() -> Task<void> {
             for (std::size_t i = 0; i < ids.size(); ++i)
@@ -117,12 +101,12 @@
     const ScriptedServer server({ answer("1", "one") + answer("1", "extra") }, false);
     boost::asio::io_context loop;
     const auto client = makeUpstreamClient(loop, {});
-    Outcome first;
+    CompletedCall first;
     asio::co_spawn(loop, call(*client, "1", "body", first), asio::detached);
     loop.run();
     CHECK(first.body == "one");
     loop.restart();
-    Outcome second;
+    CompletedCall second;
     asio::co_spawn(loop, call(*client, "2", "body", second), asio::detached);
     loop.run();
     CHECK_FALSE(second.reusedConnection);
@@ -161,7 +145,7 @@
     const ScriptedServer server({ "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\n" }, false);
     boost::asio::io_context loop;
     const auto client = makeUpstreamClient(loop, {});
-    Outcome outcome;
+    CompletedCall outcome;
     asio::co_spawn(loop, call(*client, "1", "", outcome, "HEAD"), asio::detached);
     loop.run();
     CHECK(outcome.isComplete);
@@ -173,12 +157,12 @@
     const ScriptedServer server({ answer("1", "one") }, false);
     boost::asio::io_context loop;
     const auto client = makeUpstreamClient(loop, {});
-    Outcome first;
+    CompletedCall first;
     asio::co_spawn(loop, call(*client, "1", "body", first), asio::detached);
     loop.run();
     client->setMaxIdleConnections(0);
     loop.restart();
-    Outcome second;
+    CompletedCall second;
     asio::co_spawn(loop, call(*client, "2", "body", second), asio::detached);
     loop.run();
     CHECK(first.isComplete);
