Look again at a server that refuses connections before its unframed answer counts as whole

Cause: the kernel closes the connections of a process that ends one after the other, and lets others run in between. The instance judged an end while later connections were still open, and took them for evidence that the process runs.

Change: if the connection that is tried behind the end is refused, those that are still open are looked at 100 ms later. Why it works: what accepts connections is opened, and so closed, before the connections; a process that runs on still has them then.

Result: "an unframed answer whose server ends one connection after the other is not complete" failed before (3 of 5 assertions) and holds; [unframed] passes (15 test cases).

--- a/src/forwarding/UnframedAnswer.cpp
+++ b/src/forwarding/UnframedAnswer.cpp
@@ -2,11 +2,19 @@
 
 #include "http/ServerWatch.h"
 #include "http/UpstreamClient.h"
+#include "net/Timer.h"
 
+#include <boost/asio/this_coro.hpp>
 #include <utility>
 
 namespace HickoryHollow {
 
+namespace {
+
+constexpr Duration processEndTime = std::chrono::milliseconds(100); // For one that has to wait for a processor meanwhile.
+
+} // namespace
+
 UnframedAnswer::UnframedAnswer(UpstreamClient& upstream, std::string address, std::optional<TimePoint> runsSince)
     : m_upstream(upstream)
     , m_address(std::move(address))
@@ -38,6 +46,12 @@
     // A connection that was opened behind the start of another process is of that one.
     const auto watchedSince = m_watch ? m_watch->runsSince() : std::nullopt;
     facts.isReached = !co_await m_upstream.connect(m_address);
+    // The kernel closes the connections of a process that ends one after the other, and what accepts new ones usually first. So if none is
+    // accepted any more, one that is still open shows only later that the process runs.
+    if (!facts.isReached && m_upstream.serverRunsSince(m_address)) {
+        Timer timer(co_await asio::this_coro::executor, processEndTime);
+        co_await timer.async_wait(asTuple);
+    }
     facts.wasWatched = watchedSince && *watchedSince <= *m_runsSince && !m_watch->wasReset();
     facts.runsSinceNow = m_upstream.serverRunsSince(m_address);
     co_return facts;
--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -158,6 +158,25 @@
     }
 }
 
+// Guards against halves of answers that passed for whole ones because the process that ended had not closed all its connections yet.
+TEST_CASE("an unframed answer whose server ends one connection after the other is not complete", "[routed][streams][unframed]")
+{
+    UnframedBench bench;
+    const auto isStream = GENERATE(false, true);
+    if (isStream) {
+        bench.addStream(1, 3, End::SlowCrash);
+        bench.serve(RoutedBench::request("/chat/7"));
+        CHECK(bench.writer.streamed == countedEvents(1, 3));
+        CHECK_FALSE(bench.writer.isFinished);
+        CHECK(bench.writer.isAbandoned);
+    } else {
+        bench.add("orders", { "{\"half\":", "1," }, End::SlowCrash);
+        bench.serve(RoutedBench::request("/order/7"));
+        REQUIRE(bench.writer.response);
+        CHECK(bench.writer.response->status == 502);
+    }
+}
+
 TEST_CASE("an unframed whole answer whose server goes on is complete", "[routed][unframed]")
 {
     UnframedBench bench;
--- a/test/fakes/UnframedServer.h
+++ b/test/fakes/UnframedServer.h
@@ -24,6 +24,7 @@
         Orderly, ///< Only the connection of the answer.
         Full, ///< The same; each connection beside it is reset as soon as it is accepted.
         Crash, ///< All connections, and no new one is accepted.
+        SlowCrash, ///< The same, but connections beside that of the answer end a step later.
         Restart, ///< All connections; new ones are accepted at once.
     };
 
@@ -39,6 +40,7 @@
         , m_options(std::move(options))
         , m_acceptor(loop, { asio::ip::address_v4::loopback(), 0 })
         , m_port(m_acceptor.local_endpoint().port())
+        , m_slowEnd(loop)
     {
         accept();
     }
@@ -141,6 +143,16 @@
             peer.end();
             return;
         }
+        if (m_options.end == End::SlowCrash) {
+            m_acceptor.close();
+            peer.end();
+            m_slowEnd.expires_after(step);
+            m_slowEnd.async_wait([this](const auto& ec) {
+                if (!ec)
+                    stop();
+            });
+            return;
+        }
         stop();
         m_peers.clear();
         if (m_options.end == End::Restart) {
@@ -153,6 +165,7 @@
     Options m_options;
     asio::ip::tcp::acceptor m_acceptor;
     unsigned short m_port;
+    Timer m_slowEnd;
     std::vector<std::shared_ptr<Peer>> m_peers;
     std::size_t m_requests = 0;
 };
