Assert that a server that accepts no more connections ends its answers whole

Change: "an unframed whole answer whose server goes on is complete" also has a server that closes its listening socket.

--- a/test/error/unframed_ends.cpp
+++ b/test/error/unframed_ends.cpp
@@ -180,7 +180,7 @@
 TEST_CASE("an unframed whole answer whose server goes on is complete", "[routed][unframed]")
 {
     UnframedBench bench;
-    auto& server = bench.add("orders", { "{\"half\":", "1}" }, End::Orderly);
+    auto& server = bench.add("orders", { "{\"half\":", "1}" }, GENERATE(End::Orderly, End::Closed));
     bench.serve(RoutedBench::request(GENERATE("/order/7", "/look/7")));
     REQUIRE(bench.writer.response);
     CHECK(bench.writer.response->status == 200);
--- a/test/fakes/UnframedServer.h
+++ b/test/fakes/UnframedServer.h
@@ -22,7 +22,8 @@
 public:
     enum class End {
         Orderly, ///< Only the connection of the answer.
-        Full, ///< The same; each connection beside it is reset as soon as it is accepted.
+        Closed, ///< The same; no new one is accepted.
+        Full, ///< As Orderly; each connection beside it is reset as soon as it is accepted.
         Crash, ///< All connections, and no new one is accepted.
         SlowCrash, ///< The same, but connections beside that of the answer end a step later.
         Restart, ///< All connections; new ones are accepted at once.
@@ -143,9 +144,11 @@
             peer.end();
             return;
         }
-        if (m_options.end == End::SlowCrash) {
+        if (m_options.end == End::Closed || m_options.end == End::SlowCrash) {
             m_acceptor.close();
             peer.end();
+            if (m_options.end == End::Closed)
+                return;
             m_slowEnd.expires_after(step);
             m_slowEnd.async_wait([this](const auto& ec) {
                 if (!ec)
