--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -264,8 +264,9 @@
             m_network = "127." + std::to_string(64 + random() % 128) + "." + std::to_string(random() % 250);
             m_basePort = 20000 + static_cast<int>(random() % 1000) * 10;
         } while (!arePortsFree());
-        for (int i = 0; i < machines(); ++i)
-            m_machines.push_back({});
+        m_machines.resize(static_cast<std::size_t>(machines()) + 1); // With one spare.
+        for (int i = 0; i < m_options.states; ++i)
+            m_states.push_back(i);
         for (int i = 0; i < machines(); ++i)
             start(i, true);
         m_platform = std::thread([this] { watch(); });
@@ -295,13 +296,23 @@
     const Options& options() const { return m_options; }
     /** Times that the process of a machine has ended by itself, or was killed because it used more memory than its limit. */
     int ends(int number) const { return m_machines[static_cast<std::size_t>(number)].ends; }
-    /** Kills the process of a machine, as a disruption. The platform starts it again. */
-    void kill(int number)
+    /** Removes a core machine for good. Another one takes its place after a second, at a new address and with an empty disk. */
+    void replaceState(int number)
     {
-        m_machines[static_cast<std::size_t>(number)].isKilled = true;
-        ::kill(m_machines[static_cast<std::size_t>(number)].pid, SIGKILL);
-        m_record.add("disruption: the process of machine n" + std::to_string(number) + " is killed");
+        auto& machine = m_machines[static_cast<std::size_t>(number)];
+        machine.isGone = true;
+        ::kill(machine.pid, SIGKILL);
+        ::waitpid(machine.pid, nullptr, 0);
+        machine.pid = 0;
+        m_record.add("disruption: core machine n" + std::to_string(number) + " at " + ip(number) + " is gone for good");
+        std::erase(m_states, number);
+        pause(1000);
+        m_states.push_back(machines());
+        start(machines(), false);
+        m_record.add("platform: core machine n" + std::to_string(machines()) + " at " + ip(machines()) + " takes its place");
     }
+    /** The core machines that the operator's list has. */
+    const std::vector<int>& states() const { return m_states; }
     std::size_t peakMb(int number) const { return m_machines[static_cast<std::size_t>(number)].peakKb / 1000; }
     bool isReady(int entry) const { return call(ready(entry), "GET /readyz", "Host: ready\r\n", "", 1000).status == 200; }
     bool awaitReady(int seconds) const
@@ -319,8 +330,8 @@
     int replaceConfig(const std::string& document, int seconds = 20)
     {
         for (const auto end = Clock::now() + std::chrono::seconds(seconds); Clock::now() < end; pause(50)) {
-            m_nextState = (m_nextState + 1) % m_options.states;
-            const auto status = call(control(m_nextState), "POST /config/replace", "Host: control\r\nContent-Type: application/json\r\n", document, 3000).status;
+            m_nextState = (m_nextState + 1) % static_cast<int>(m_states.size());
+            const auto status = call(control(m_states[static_cast<std::size_t>(m_nextState)]), "POST /config/replace", "Host: control\r\nContent-Type: application/json\r\n", document, 3000).status;
             if (status == 200 || (status >= 400 && status < 500))
                 return status;
         }
@@ -331,7 +342,7 @@
     struct Machine {
         pid_t pid = 0;
         int ends = 0;
-        bool isKilled = false; ///< By the script.
+        bool isGone = false;
         std::size_t peakKb = 0;
         Clock::time_point startAt {}; ///< When an ended process is started again.
     };
@@ -354,7 +365,7 @@
     // platform/daemon.ini, filled in with the fields of a settings file of the small deployment.
     std::string writeSettings(int number, bool isFirstStart) const
     {
-        const auto isState = number < m_options.states;
+        const auto isState = number < m_options.states || number >= machines();
         const auto file = m_folder + "/settings-" + std::to_string(number);
         std::ofstream out(file);
         out << "[instance]\nname = n" << number << "\nfailure-domain = zone-" << number % 3 << "\n";
@@ -369,7 +380,7 @@
             out << "callers = " << callers(number - m_options.states).text() << "\nready = " << ready(number - m_options.states).text() << "\n";
         out << "\n[membership]\nseeds = ";
         for (int i = 0; i < std::min(3, m_options.states); ++i)
-            out << (i > 0 ? "," : "") << control(i).text();
+            out << (i > 0 ? "," : "") << control(m_states[static_cast<std::size_t>(i)]).text();
         out << "\nseed-port = " << m_basePort << "\nfirst-start = " << (isFirstStart ? "true" : "false") << "\nbearable-losses = " << (m_options.states - 1) / 2
             << "\n\n[limits]\nmemory-mb = " << (isState ? m_options.stateMemoryMb : m_options.entryMemoryMb)
             << "\n\n[bounds]\ndrain-s = 8\nkey-lease-ms = 5000\nconfig-apply-ms = 2000\nannounce-ms = 1200\nserver-drain-ms = 2000\nretry-ratio = 0.2\nretry-slack = 58\nretry-window-s = 10\nretry-after-s = 10\n";
@@ -429,12 +440,10 @@
                         m_record.add("platform: the process of machine n" + std::to_string(i) + " has ended, status " + std::to_string(status));
                         machine.pid = 0;
                         machine.startAt = Clock::now() + milliseconds(500);
-                        machine.ends += machine.isKilled ? 0 : 1;
-                        machine.isKilled = false;
+                        ++machine.ends;
                     }
-                } else if (Clock::now() >= machine.startAt) {
+                } else if (!machine.isGone && Clock::now() >= machine.startAt) {
                     start(i, false);
-                    m_record.add("platform: the process of machine n" + std::to_string(i) + " is started again, with first-start = false");
                 }
             }
             pause(10);
@@ -447,6 +456,7 @@
     std::string m_network;
     int m_basePort = 0;
     int m_nextState = 0;
+    std::vector<int> m_states;
     std::vector<Machine> m_machines;
     std::atomic<bool> m_isOver = false;
     std::thread m_platform;
@@ -493,8 +503,9 @@
             std::string report = "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.text() + "\",\"zone\":\"zone-0\",\"version\":\"v1\",\"slots\":" + (m_isEngine ? "64" : "6")
                 + ",\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(born);
             report += m_isEngine ? ",\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}" : "}";
-            for (int i = 0; i < m_deployment.options().states; ++i) {
-                const auto state = (i + static_cast<int>(sequence)) % m_deployment.options().states;
+            const auto states = m_deployment.states();
+            for (std::size_t i = 0; i < states.size(); ++i) {
+                const auto state = states[(i + sequence) % states.size()];
                 if (call(m_deployment.control(state), "POST /instances/" + m_id + "/heartbeat", "Host: control\r\nContent-Type: application/json\r\n", report, 1000).status == 200)
                     break;
             }
