--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -20,6 +20,7 @@
 #include <mutex>
 #include <netinet/tcp.h>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
@@ -271,7 +272,11 @@
             start(i, true);
         m_platform = std::thread([this] { watch(); });
     }
-    ~Deployment()
+    Deployment(const Deployment&) = delete;
+    Deployment& operator=(const Deployment&) = delete;
+
+    /** Ends all processes and removes their files. */
+    void stop()
     {
         m_isOver = true;
         m_platform.join();
@@ -462,9 +467,22 @@
     std::thread m_platform;
 };
 
-/** A sound backend server: announces itself, and answers requests with its seal. */
+/** What a start of a server is known by; the defaults are those of a server outside of updates. */
+struct ServerStart {
+    std::string id; ///< Empty for a new one.
+    std::string version = "v1"; ///< Of its software.
+    int reportDelayMs = 0; ///< Its status reports arrive so much late.
+};
+
+/** A sound backend server: announces itself, and answers requests with its seal, until it crashes. */
 class Server {
 public:
+    /** How an engine streams; a longer stream takes its time. */
+    struct Stream {
+        int events = 3;
+        int pauseMs = 0; ///< Before each event but the first.
+    };
+
     struct Request {
         std::string method;
         std::string target;
@@ -474,13 +492,14 @@
     using OnRun = std::function<void(const Server&, const Request&)>;
 
     /** `onRun` is called for each request that the server runs. */
-    Server(const Deployment& deployment, int number, std::string service, bool isEngine, OnRun onRun = {})
+    Server(const Deployment& deployment, int number, std::string service, bool isEngine, OnRun onRun = {}, ServerStart start = {})
         : m_deployment(deployment)
         , m_address(deployment.server(number))
         , m_service(std::move(service))
         , m_isEngine(isEngine)
         , m_onRun(std::move(onRun))
-        , m_id("i-" + std::to_string(number) + "-" + newAttemptId())
+        , m_start(std::move(start))
+        , m_id(m_start.id.empty() ? "i-" + std::to_string(number) + "-" + newAttemptId() : m_start.id)
         , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const int on = 1;
@@ -494,13 +513,27 @@
 
     const std::string& id() const { return m_id; }
     const std::string& service() const { return m_service; }
+    void setStream(Stream stream) { m_stream = stream; }
+    /** Requests that are being answered. */
+    int active() const { return m_active; }
+    /** Ends like a process that is killed: its listener and all connections close, and it says nothing any more. */
+    void crash()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hasCrashed = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        for (const auto fd : m_connections)
+            ::shutdown(fd, SHUT_RDWR);
+    }
 
 private:
     void announce()
     {
         const auto born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-        for (std::uint64_t sequence = 1;; ++sequence) {
-            std::string report = "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.text() + "\",\"zone\":\"zone-0\",\"version\":\"v1\",\"slots\":" + (m_isEngine ? "64" : "6")
+        pause(m_start.reportDelayMs);
+        for (std::uint64_t sequence = 1; !m_hasCrashed; ++sequence) {
+            std::string report = "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.text() + "\",\"zone\":\"zone-0\",\"version\":\"" + m_start.version + "\",\"slots\":" + (m_isEngine ? "64" : "6")
                 + ",\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(born);
             report += m_isEngine ? ",\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}" : "}";
             const auto states = m_deployment.states();
@@ -517,8 +550,13 @@
     {
         for (;;) {
             const auto fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd >= 0)
-                std::thread([this, fd] { serve(fd); }).detach();
+            const std::lock_guard lock(m_mutex);
+            if (m_hasCrashed)
+                return;
+            if (fd < 0)
+                continue;
+            m_connections.insert(fd);
+            std::thread([this, fd] { serve(fd); }).detach();
         }
     }
 
@@ -527,6 +565,13 @@
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         Connection connection(fd);
+        serveRequests(connection);
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(fd); // Before it is closed.
+    }
+
+    void serveRequests(Connection& connection)
+    {
         for (;;) {
             Request request;
             request.head = parseHead(connection.readUntil("\r\n\r\n"));
@@ -535,11 +580,34 @@
                 return;
             if (!connection.readBytes(std::strtoul(request.head.field("content-length").c_str(), nullptr, 10), request.body))
                 return;
-            if (!connection.send(answer(request)))
+            ++m_active;
+            const auto isSent = m_isEngine && m_stream.load().pauseMs > 0 && request.target != "/healthz" ? sendStream(connection, request) : connection.send(answer(request));
+            --m_active;
+            if (!isSent)
                 return;
         }
     }
 
+    bool sendStream(Connection& connection, const Request& request)
+    {
+        const auto whole = answer(request);
+        const auto stream = m_stream.load();
+        // The head, and then one event after the other; each is a chunk.
+        auto at = whole.find("\r\n\r\n") + 4;
+        if (!connection.send(whole.substr(0, at)))
+            return false;
+        while (at < whole.size()) {
+            const auto end = whole.find("\n\n\r\n", at);
+            const auto next = end == std::string::npos ? whole.size() : end + 4;
+            if (!connection.send(whole.substr(at, next - at)))
+                return false;
+            at = next;
+            if (end != std::string::npos)
+                pause(stream.pauseMs);
+        }
+        return true;
+    }
+
     std::string answer(const Request& request)
     {
         const auto attempt = request.head.field("attempt-id");
@@ -556,8 +624,8 @@
             return "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + (request.method == "HEAD" ? "" : body);
         }
         std::string events;
-        for (int i = std::atoi(request.head.field("last-event-id").c_str()) + 1; i <= 3; ++i) {
-            const auto event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + "\n\n";
+        for (int i = std::atoi(request.head.field("last-event-id").c_str()) + 1; i <= m_stream.load().events; ++i) {
+            const auto event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + " of " + m_start.version + "\n\n";
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
             events += size + event + "\r\n";
@@ -570,8 +638,14 @@
     std::string m_service;
     bool m_isEngine;
     OnRun m_onRun;
+    ServerStart m_start;
     std::string m_id;
     int m_listener;
+    std::atomic<Stream> m_stream = Stream();
+    std::atomic<int> m_active = 0;
+    std::atomic<bool> m_hasCrashed = false;
+    std::mutex m_mutex;
+    std::set<int> m_connections; // Open ones; guarded by m_mutex.
 };
 
 /** A desired state with one route of each type: `/chat/`, `/order/` and `/look/` of host `caption.example`. */
@@ -602,6 +676,26 @@
     return "Host: caption.example\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: 3000\r\n" + (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n");
 }
 
+/** A server for the whole run: its threads use it until the end of the program. */
+template <typename... Args>
+Server& startServer(Args&&... args)
+{
+    return *new Server(std::forward<Args>(args)...);
+}
+
+/** Runs a case and ends the program with its result. The arguments are the folder of the repository and the file for the record. */
+inline int runCase(int argc, char** argv, Deployment::Options options, const std::function<int(Deployment&, Record&)>& body)
+{
+    if (argc != 3)
+        return exitNotRun;
+    auto& record = *new Record(argv[2]);
+    options.root = argv[1];
+    auto& deployment = *new Deployment(options, record);
+    const auto result = body(deployment, record);
+    deployment.stop();
+    std::_Exit(result); // Threads of the servers still run.
+}
+
 /** False with TROUBLE=0. */
 inline bool hasTrouble()
 {
