--- a/review/standins-3/HeadOfRemovedRoute.cpp
+++ b/review/standins-3/HeadOfRemovedRoute.cpp
@@ -5,17 +5,13 @@
 
 using namespace Review;
 
-int main(int argc, char** argv)
+int runCaseBody(Deployment& deployment, Record& record)
 {
-    if (argc != 3)
-        return exitNotRun;
-    Record record(argv[2]);
-    Deployment deployment({ .root = argv[1] }, record);
     const auto onRun = [&](const Server& server, const Server::Request& request) {
         record.add("server " + server.id() + " runs " + request.method + " " + request.target + " id=" + request.head.field("attempt-id"));
     };
-    const Server plain(deployment, 0, "plain", false, onRun);
-    const Server engine(deployment, 1, "engines", true, onRun);
+    startServer(deployment, 0, "plain", false, onRun);
+    startServer(deployment, 1, "engines", true, onRun);
     DesiredState state;
     if (deployment.replaceConfig(state.text()) != 200 || !deployment.awaitReady(20))
         return exitNotRun;
@@ -69,3 +65,8 @@
     record.add("result: " + std::to_string(broken) + " times bytes that are no answer came on a kept connection");
     return broken > 0 ? exitBroken : exitHeld;
 }
+
+int main(int argc, char** argv)
+{
+    return runCase(argc, argv, {}, runCaseBody);
+}
--- a/review/standins-3/KeysOfLastTenant.cpp
+++ b/review/standins-3/KeysOfLastTenant.cpp
@@ -6,12 +6,8 @@
 
 using namespace Review;
 
-int main(int argc, char** argv)
+int runCaseBody(Deployment& deployment, Record& record)
 {
-    if (argc != 3)
-        return exitNotRun;
-    Record record(argv[2]);
-    Deployment deployment({ .root = argv[1] }, record);
     std::mutex mutex;
     std::map<std::string, std::string> runs; // Requests that a server ran, by attempt id, with the tenant that it was told.
     const auto onRun = [&](const Server& server, const Server::Request& request) {
@@ -19,8 +15,8 @@
         runs[request.head.field("attempt-id")] = request.head.field("tenant");
         record.add("server " + server.id() + " runs " + request.method + " " + request.target + " id=" + request.head.field("attempt-id") + " tenant=" + request.head.field("tenant"));
     };
-    const Server orders(deployment, 0, "plain", false, onRun);
-    const Server engine(deployment, 1, "engines", true, onRun);
+    startServer(deployment, 0, "plain", false, onRun);
+    startServer(deployment, 1, "engines", true, onRun);
 
     DesiredState state;
     const auto first = deployment.replaceConfig(state.text());
@@ -65,3 +61,8 @@
     record.add("result: " + std::to_string(broken) + " requests ran with a key that was taken away over 5 s before");
     return broken > 0 ? exitBroken : exitHeld;
 }
+
+int main(int argc, char** argv)
+{
+    return runCase(argc, argv, {}, runCaseBody);
+}
--- a/review/standins-3/LargeDesiredStates.cpp
+++ b/review/standins-3/LargeDesiredStates.cpp
@@ -14,14 +14,10 @@
 
 } // namespace
 
-int main(int argc, char** argv)
+int runCaseBody(Deployment& deployment, Record& record)
 {
-    if (argc != 3)
-        return exitNotRun;
-    Record record(argv[2]);
-    Deployment deployment({ .root = argv[1] }, record);
-    const Server plain(deployment, 0, "plain", false);
-    const Server engine(deployment, 1, "engines", true);
+    startServer(deployment, 0, "plain", false);
+    startServer(deployment, 1, "engines", true);
     DesiredState state;
     if (deployment.replaceConfig(state.text()) != 200 || !deployment.awaitReady(20))
         return exitNotRun;
@@ -52,3 +48,8 @@
     record.add("result: " + std::to_string(acknowledged) + " changes acknowledged; on " + std::to_string(machinesThatEnded()) + " of " + std::to_string(deployment.options().states) + " core machines processes ended three times or more");
     return isBroken() ? exitBroken : (acknowledged > 100 ? exitHeld : exitNotRun);
 }
+
+int main(int argc, char** argv)
+{
+    return runCase(argc, argv, {}, runCaseBody);
+}
--- a/review/standins-3/PromptsOfManyParts.cpp
+++ b/review/standins-3/PromptsOfManyParts.cpp
@@ -32,17 +32,13 @@
 
 } // namespace
 
-int main(int argc, char** argv)
+int runCaseBody(Deployment& deployment, Record& record)
 {
-    if (argc != 3)
-        return exitNotRun;
-    Record record(argv[2]);
-    Deployment deployment({ .root = argv[1] }, record);
     std::atomic<std::uint64_t> runs = 0;
-    std::vector<std::unique_ptr<Server>> servers;
+    std::vector<Server*> servers;
     for (int i = 0; i < 9; ++i)
-        servers.push_back(std::make_unique<Server>(deployment, i, "engines", true, [&](const auto&, const auto&) { ++runs; }));
-    servers.push_back(std::make_unique<Server>(deployment, 9, "plain", false));
+        servers.push_back(&startServer(deployment, i, "engines", true, [&](const auto&, const auto&) { ++runs; }));
+    servers.push_back(&startServer(deployment, 9, "plain", false));
     if (deployment.replaceConfig(DesiredState().text()) != 200 || !deployment.awaitReady(20))
         return exitNotRun;
     pause(2000);
@@ -86,3 +82,8 @@
     record.add("result: processes ended " + std::to_string(deployment.ends(first)) + " and " + std::to_string(deployment.ends(first + 1)) + " times on the 2 entry machines");
     return broken ? exitBroken : (answered > 0 ? exitHeld : exitNotRun);
 }
+
+int main(int argc, char** argv)
+{
+    return runCase(argc, argv, {}, runCaseBody);
+}
