--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -659,7 +659,8 @@
     {
         const std::string plain = R"("timeout-ms":1500,"slo-ms":300,"priority":2,"service":"plain","public":false,"sticky":false)";
         std::string routes = R"({"name":"chat","host":"caption.example","path-prefix":"/chat/","type":"streaming","timeout-ms":12000,"slo-ms":400,"priority":0,"service":"engines","max-attempts":2,"public":false,"sticky":true,"resumable":true,"itl-target-ms":200},)"
-            R"({"name":"order","host":"caption.example","path-prefix":"/order/","type":"unsafe","max-attempts":1,)" + plain + "}";
+                             R"({"name":"order","host":"caption.example","path-prefix":"/order/","type":"unsafe","max-attempts":1,)"
+            + plain + "}";
         if (hasLookUps)
             routes += R"(,{"name":"look","host":"caption.example","path-prefix":"/look/","type":"safe","max-attempts":2,)" + plain + "}";
         for (int i = 0; i < furtherRoutes; ++i) {
@@ -667,7 +668,8 @@
             routes += R"(,{"name":"r-)" + number + R"(","host":"further)" + std::to_string(i % 50) + R"(.example","path-prefix":"/p)" + number + R"(/","type":"safe","max-attempts":2,)" + plain + "}";
         }
         return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"engines","health-path":"/healthz","max-conns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":411823,"kv-bytes":35136,"link-mbps":180000.0,"moves":true,"backups":true,"stride":4,"most":12,"pin-ms":4000.0,"hold-ms":2000.0,"session-ttl-s":5.0,"models":[{"name":"m"}]}},)"
-            R"({"name":"plain","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":)" + tenants + "}";
+                                                                                        R"({"name":"plain","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":)"
+            + tenants + "}";
     }
 };
 
