Log whether the configuration in force asks for keys, and how many there are

Two explanations were open: the new version is not in force at the entry instances, or it is and opens the routes. Event 4105 named the version only.

It now also says `access=keys` or `access=open`, and the number of keys.

--- a/src/node/EntryInstance.cpp
+++ b/src/node/EntryInstance.cpp
@@ -159,7 +159,7 @@
     m_selector.setInteractiveServices(m_routing.table()->interactiveServices(), monotonicNow());
     if (!m_routing.hasValidLease(monotonicNow()))
         m_feed.pollNow();
-    logEvent(LogEvent::RoutingApplied, "version={}", document.version.value());
+    logEvent(LogEvent::RoutingApplied, "version={} access={} keys={}", document.version.value(), m_routing.table()->needsKeys() ? "keys" : "open", m_routing.table()->keyCount());
 }
 
 // A backend server resets connections beyond its limit, which counts the connections of all entry instances. Each entry
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -36,6 +36,8 @@
     std::uint32_t lowestPriority(const ServiceId&) const;
     /** Returns false if the configuration names no workspaces; requests then need no key. */
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
+    /** Number of keys of all workspaces. */
+    std::size_t keyCount() const { return m_byKey.size(); }
 
 private:
     void findInteractiveServices();
