Ask for keys when the list of workspaces is there and empty

Cause: RoutingConfiguration held the workspaces as a vector, in which "no list" and "an empty list" are one value. The decoder knew the difference and had no way to say it.

The list is now optional, so every reader decides. Two neighbours where nothing meant everything go with it, as they are the same fault: a list that is null was taken for a missing one, and is refused now like any other value that is no list; an empty key, which is what a request without a key is looked up with, belongs to nobody.

--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -25,10 +25,8 @@
         m_byHost[normalisedHost(it.host)].push_back(&it);
     for (auto& [host, routes] : m_byHost)
         std::stable_sort(routes.begin(), routes.end(), [](const auto* a, const auto* b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
-    for (const auto& workspace : m_configuration.workspaces) {
-        for (const auto& key : workspace.keys)
-            m_byKey.emplace(key, &workspace);
-    }
+    if (m_configuration.workspaces)
+        addKeys(*m_configuration.workspaces);
     for (const auto& it : m_configuration.services)
         m_services.emplace(it.id, &it);
     for (const auto& route : m_configuration.routes) {
@@ -40,6 +38,17 @@
     findInteractiveServices();
 }
 
+void RouteTable::addKeys(const std::vector<KeyedWorkspace>& workspaces)
+{
+    for (const auto& workspace : workspaces) {
+        for (const auto& key : workspace.keys) {
+            // A request without a key is looked up with an empty one.
+            if (!key.empty())
+                m_byKey.emplace(key, &workspace);
+        }
+    }
+}
+
 std::uint32_t RouteTable::lowestPriority(const ServiceId& service) const
 {
     const auto it = m_lowestPriorities.find(service);
--- a/src/routing/RouteTable.h
+++ b/src/routing/RouteTable.h
@@ -21,7 +21,7 @@
     const CallerLimits& limits() const { return m_configuration.limits; }
     /** Returns the host's route with the longest matching path prefix; null if none matches. Ignores the port. */
     const RouteRule* find(std::string_view host, std::string_view path) const;
-    /** Returns the workspace that owns the key; null for an unknown key. */
+    /** Returns the workspace that owns the key; null for an unknown key and for an empty one. */
     const KeyedWorkspace* workspaceOf(std::string_view key) const;
     /** Returns null for an unknown service. */
     const RoutedService* service(const ServiceId&) const;
@@ -34,12 +34,13 @@
     std::set<ServiceId> interactiveServices() const;
     /** Returns the largest priority number, which is the least urgent, of the service's routes; 0 if it has none. */
     std::uint32_t lowestPriority(const ServiceId&) const;
-    /** Returns false if the configuration names no workspaces; requests then need no key. */
-    bool needsKeys() const { return !m_configuration.workspaces.empty(); }
-    /** Number of keys of all workspaces. */
+    /** Returns false if the configuration has no list of workspaces; requests then need no key. */
+    bool needsKeys() const { return m_configuration.workspaces.has_value(); }
+    /** Number of keys of all workspaces that are not empty. */
     std::size_t keyCount() const { return m_byKey.size(); }
 
 private:
+    void addKeys(const std::vector<KeyedWorkspace>&);
     void findInteractiveServices();
 
     RoutingConfiguration m_configuration;
--- a/src/routing/RoutingConfiguration.cpp
+++ b/src/routing/RoutingConfiguration.cpp
@@ -42,7 +42,9 @@
             return fmt::format("route `{}`: another route has the same host `{}` and path prefix `{}`", it.id.value(), it.host, it.pathPrefix);
     }
     std::set<std::string> keys;
-    for (const auto& workspace : configuration.workspaces) {
+    if (!configuration.workspaces)
+        return std::nullopt;
+    for (const auto& workspace : *configuration.workspaces) {
         for (const auto& key : workspace.keys) {
             if (!keys.insert(key).second)
                 return fmt::format("workspace `{}`: one of its keys is listed twice or belongs to another workspace too", workspace.id.value());
--- a/src/routing/RoutingConfiguration.h
+++ b/src/routing/RoutingConfiguration.h
@@ -37,7 +37,7 @@
     std::string pathPrefix; ///< Begins and ends with a slash.
     RequestKind kind = RequestKind::Once;
     bool isResumable = false; ///< A broken stream may continue at another backend server after its last delivered event.
-    bool needsKey = true; ///< Requests must carry the key of a workspace, if the configuration names any.
+    bool needsKey = true; ///< Requests must carry the key of a workspace, if the configuration has a list of them.
     bool hasPrompt = false; ///< Requests describe the parts of their prompts; see Prompt.
     std::uint32_t priority = 0; ///< 0 is served first.
     std::uint32_t maxAttempts = 1; ///< Largest number of backend servers that one request may be sent to; at least 1.
@@ -88,7 +88,7 @@
 /** A workspace with the keys that its requests carry. */
 struct KeyedWorkspace {
     WorkspaceId id;
-    std::vector<std::string> keys; ///< No other workspace has the same key.
+    std::vector<std::string> keys; ///< No other workspace has the same key. An empty key admits nobody.
     /** Compared before the route's priority, which decides between requests of workspaces with equal priority. */
     std::optional<std::uint32_t> priority;
 };
@@ -97,7 +97,8 @@
     RoutingVersion version;
     std::vector<RouteRule> routes;
     std::vector<RoutedService> services;
-    std::vector<KeyedWorkspace> workspaces; ///< If there are none, requests need no key.
+    /** Without a list, requests need no key. An empty list admits no request to a route that needs one. */
+    std::optional<std::vector<KeyedWorkspace>> workspaces;
     CallerLimits limits;
 };
 
--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -71,7 +71,8 @@
     CHECK_FALSE(it.routes[1].needsKey);
     CHECK(it.routes[1].services[1].weight * 180 == it.routes[1].services[0].weight);
     CHECK(it.services[0].engine->tokenCapacity == 411823);
-    CHECK(it.workspaces[0].priority == 1U);
+    REQUIRE(it.workspaces);
+    CHECK(it.workspaces->at(0).priority == 1U);
     CHECK(it.limits.idleTimeout == 15s);
 }
 
@@ -94,6 +95,22 @@
     CHECK_FALSE(RoutingJson().decode(invalid).isValid());
 }
 
+// Guards against reading an empty list of workspaces, or one that can't be read, like a document without any.
+TEST_CASE("a missing list of workspaces is told from an empty one, and from one that can't be read", "[platform]")
+{
+    const auto with = [](const std::string& members) { return RoutingJson().decode(R"({"version":7,"routes":[],"services":[])" + members + "}"); };
+    CHECK_FALSE(with("").configuration.workspaces);
+    const auto list = GENERATE(as<std::string> {}, R"("tenants":[])", R"("tenants":[{"name":"t","api-keys":["k1"]}],"tenants":[])");
+    const auto empty = with("," + list);
+    REQUIRE(empty.isValid());
+    REQUIRE(empty.configuration.workspaces);
+    CHECK(empty.configuration.workspaces->empty());
+    const auto unreadable = GENERATE(as<std::string> {}, "null", "{}", "0", "\"\"", "false", "[{}]", R"([{"name":"t"}])", R"([{"name":"t","api-keys":null}])");
+    CAPTURE(unreadable);
+    CHECK_FALSE(with(R"(,"tenants":)" + unreadable).isValid());
+    CHECK_FALSE(with("," + list + R"(,"tenants":)" + unreadable).isValid());
+}
+
 TEST_CASE("a status report becomes a record", "[platform]")
 {
     std::string error;
--- a/test/correctness/routing_configuration.cpp
+++ b/test/correctness/routing_configuration.cpp
@@ -24,7 +24,7 @@
     RoutingConfiguration configuration { .version = RoutingVersion(version) };
     configuration.routes = { route("all", "/a/"), route("part", "/a/b/") };
     configuration.services = { { .id = ServiceId("s") } };
-    configuration.workspaces = { { .id = WorkspaceId("w"), .keys = { "k1", "k2" } }, { .id = WorkspaceId("v"), .keys = { "k3" } } };
+    configuration.workspaces = std::vector<KeyedWorkspace> { { .id = WorkspaceId("w"), .keys = { "k1", "k2" } }, { .id = WorkspaceId("v"), .keys = { "k3" } } };
     return configuration;
 }
 
@@ -48,6 +48,20 @@
     CHECK(table.workspaceOf("k4") == nullptr);
 }
 
+TEST_CASE("requests need keys if there is a list of workspaces, whatever it holds", "[routing]")
+{
+    auto configuration = validConfiguration();
+    configuration.workspaces.reset();
+    CHECK_FALSE(RouteTable(configuration).needsKeys());
+    configuration.workspaces.emplace();
+    CHECK(RouteTable(configuration).needsKeys());
+    configuration.workspaces = std::vector<KeyedWorkspace> { { .id = WorkspaceId("w"), .keys = { "" } }, { .id = WorkspaceId("v"), .keys = {} } };
+    const RouteTable table(configuration);
+    CHECK(table.needsKeys());
+    CHECK(table.workspaceOf("") == nullptr);
+    CHECK(table.keyCount() == 0);
+}
+
 TEST_CASE("a faulty configuration is rejected", "[routing]")
 {
     CHECK_FALSE(findFault(validConfiguration()));
@@ -56,7 +70,7 @@
     SECTION("two routes at one place") { configuration.routes[1].pathPrefix = "/a/"; }
     SECTION("weights that add up to 0") { configuration.routes[0].services[0].weight = 0; }
     SECTION("no timeout") { configuration.routes[0].timeout = 0s; }
-    SECTION("a key of two workspaces") { configuration.workspaces[1].keys[0] = "k1"; }
+    SECTION("a key of two workspaces") { configuration.workspaces->at(1).keys[0] = "k1"; }
     CHECK(findFault(configuration));
 }
 
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -38,7 +38,8 @@
         startState();
         for (int i = 0; i < m_options.entries; ++i)
             addEntry();
-        submit();
+        submit(m_options.configuration);
+        announceServers();
     }
     ~LoopbackDeployment()
     {
@@ -69,6 +70,24 @@
             m_entries[i] = startEntry(static_cast<int>(i));
     }
 
+    /** Submits a configuration as an operator, and repeats it until it is accepted. */
+    void submit(const std::string& configuration) const
+    {
+        Answer submitted;
+        for (int i = 0; i < 20 && submitted.status != 200; ++i)
+            submitted = call(controlPort(), boost::beast::http::verb::post, "/config/replace", configuration);
+        REQUIRE(submitted.status == 200);
+    }
+
+    /** Announces the servers, which a state instance that starts does not know. */
+    void announceServers() const
+    {
+        for (std::size_t i = 0; i < m_options.servers.size(); ++i) {
+            const auto report = R"({"service":"s","address":")" + serverAddress(i) + R"(","zone":"a","version":")" + (i < m_options.versions.size() ? m_options.versions[i] : "v1") + R"(","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
+            REQUIRE(call(controlPort(), boost::beast::http::verb::post, "/instances/i-" + std::to_string(i) + "/heartbeat", report).status == 200);
+        }
+    }
+
     /** Tells an entry instance to stop. */
     void drainEntry(int entry) { m_entries[static_cast<std::size_t>(entry)]->requestDrain(); }
 
@@ -79,6 +98,8 @@
         return instance->stop();
     }
 
+    /** Port of the state instance for operators and servers. */
+    int controlPort() const { return m_options.firstPort + 1; }
     /** Port of an entry instance for callers. */
     int entryPort(int number) const { return m_options.firstPort + 2 + 3 * number; }
 
@@ -103,7 +124,6 @@
 
     static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
     int linkPort() const { return m_options.firstPort; }
-    int controlPort() const { return m_options.firstPort + 1; }
     std::string serverAddress(std::size_t number) const { return address(m_options.firstPort + 20 + static_cast<int>(number)); }
 
     std::string commonSettings() const
@@ -111,19 +131,6 @@
         return "[membership]\nseeds = " + address(controlPort()) + "\nseed-port = " + std::to_string(linkPort()) + "\nfirst-start = true\nbearable-losses = 0\n[bounds]\ndrain-s = " + m_options.drainSeconds + "\nkey-lease-ms = 5000\nannounce-ms = 20000\n";
     }
 
-    void submit() const
-    {
-        namespace http = boost::beast::http;
-        Answer submitted;
-        for (int i = 0; i < 20 && submitted.status != 200; ++i)
-            submitted = call(controlPort(), http::verb::post, "/config/replace", m_options.configuration);
-        REQUIRE(submitted.status == 200);
-        for (std::size_t i = 0; i < m_options.servers.size(); ++i) {
-            const auto report = R"({"service":"s","address":")" + serverAddress(i) + R"(","zone":"a","version":")" + (i < m_options.versions.size() ? m_options.versions[i] : "v1") + R"(","slots":4,"state":"ready","cold-left-ms":0,"seq":1,"born":17})";
-            REQUIRE(call(controlPort(), http::verb::post, "/instances/i-" + std::to_string(i) + "/heartbeat", report).status == 200);
-        }
-    }
-
     Options m_options;
     std::filesystem::path m_folder;
     EventLoops m_loops { 1 };
--- a/test/fakes/RoutedBench.h
+++ b/test/fakes/RoutedBench.h
@@ -62,7 +62,7 @@
         open.needsKey = false;
         result.routes = { resumable, route("chat", RequestKind::Stream, "models"), route("order", RequestKind::Once, "orders"), route("look", RequestKind::Idempotent, "orders"), open };
         result.services = { { .id = ServiceId("models") }, { .id = ServiceId("orders") } };
-        result.workspaces = { { .id = WorkspaceId("w"), .keys = { "good-key" } } };
+        result.workspaces = std::vector<KeyedWorkspace> { { .id = WorkspaceId("w"), .keys = { "good-key" } } };
         return result;
     }
 
