Keep a server's address against reports of services that nobody configured

Cause: BackendDirectory held one record for an address, and the newest start won, whatever service it named. The related path is a deregistration: it went to the newest start of that name at any address, so after a foreign report under a server's name the server's own deregistration did nothing.

Ruled out: refusing reports of unknown services, because servers of a new service report before the version that names it, and all do before the first one.

Change: the directory keeps a record for each address and service and decides when it is read whose address it is: services that the configuration names first, then lapsed after announced, then the later start. Services that were never named wait apart (PendingRecords), bounded by bytes and a lease, unseen by other instances and entry instances. State instances send all records of an address, the valid one last, as entry instances keep one for each. A deregistration is judged for each server of its name.

--- a/src/membership/BackendDirectory.h
+++ b/src/membership/BackendDirectory.h
@@ -1,6 +1,10 @@
 /** \file
  * One instance's directory of backend servers, kept as soft state under leases.
  *
+ * A record is held for each address and service: an address may be announced by servers of several services, of which at most one is
+ * really there. A server of a service that the configuration names goes before any other, so an announcement that names an unknown
+ * service takes no address away. Which of several records has an address is decided when they are read.
+ *
  * Rendezvous hashing over the reachable instances assigns each backend server to one owner instance. Only the owner may
  * declare that the server's lease lapsed. Instances broadcast state transitions to each other; plain heartbeats go only
  * to the owner, as renewals. The class does no input or output: it takes time and events, and returns records to send.
@@ -9,12 +13,15 @@
 
 #include "base/Time.h"
 #include "membership/BackendRecord.h"
+#include "membership/PendingRecords.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace HickoryHollow {
@@ -42,11 +49,14 @@
     enum class Outcome {
         Accepted, ///< The record was stored.
         Stale, ///< Not newer than the stored record, or of an incarnation that has left; ignored.
+        Pending, ///< No configuration has named its service yet; kept for a lease in case one does.
         NoRoom, ///< There are too many records; ignored.
     };
 
     explicit BackendDirectory(Options);
 
+    /** Sets the services that the configuration in force names. Before the first call, all services count as named. */
+    void setServices(std::set<ServiceId>, TimePoint now);
     /** Applies an announcement that a backend server made to this instance. */
     Outcome announce(const BackendRecord&, TimePoint now);
     /** Applies a renewal that another instance received; ignored unless it is newer than the stored record. */
@@ -63,40 +73,69 @@
 
     /** The instance that may declare a lapse of the backend server, known or not. */
     InstanceId ownerOf(const BackendId&) const;
-    /** Records in state Serving, in order of their ids. */
+    /** Records in state Serving, in order of their ids; at most one for an address. */
     std::vector<BackendRecord> serving() const;
-    /** Records in any state, in order of their ids. */
+    /** The valid record of each address, in any state, in order of their ids. */
+    std::vector<BackendRecord> inForce() const;
+    /** All records, for another directory. In order of their ids; several for an address if several services were announced there. */
     std::vector<BackendRecord> all() const;
+    /**
+     * All records for a receiver that keeps one for an address, by supersedes(). The valid record of an address comes after those
+     * that it has to supersede.
+     */
+    std::vector<BackendRecord> allForReaders() const;
 
     /** Records to broadcast to all peers, collected since the last call. */
     std::vector<BackendRecord> takeTransitions();
     /** Renewals to forward to the owners, collected since the last call; the latest for each backend server. */
     std::vector<Renewal> takeRenewals();
-    /** Records that changed since the last call, whatever the cause. A new sequence number alone is no change. */
+    /**
+     * Records of addresses where one changed since the last call, whatever the cause, as allForReaders() returns them. A new sequence
+     * number alone is no change.
+     */
     std::vector<BackendRecord> takeChanges();
-    /** The record with that server name; the one with the newest incarnation if there are several. */
-    std::optional<BackendRecord> findByName(const std::string& serverName) const;
+    /**
+     * Marks the servers of that name as leaving, except those that started after the incarnation. The incarnation may be newer than the
+     * one known, whose successor was never announced then. Returns false if there are none.
+     */
+    bool retire(const std::string& serverName, std::optional<Incarnation>, TimePoint now);
+    /** Number of records that wait for a configuration that names their service. */
+    std::size_t pendingCount() const { return m_pending.size(); }
+    /** Number of servers that announce themselves, and whose address belongs to another one. */
+    std::size_t supersededCount() const;
     /** True if serving() may have changed since the last call, apart from sequence numbers. */
     bool takeServingChanged();
 
 private:
+    using Key = std::pair<BackendId, ServiceId>;
     struct Entry {
         BackendRecord record;
         TimePoint renewedAt; // Last announcement, renewal or broadcast received, or when the owner changed.
     };
+    using Entries = std::map<Key, Entry>;
 
+    static Key keyOf(const BackendRecord& record) { return { record.id, record.service }; }
+    bool isNamed(const ServiceId& service) const { return !m_services || m_services->contains(service); }
+    Outcome announcePending(const BackendRecord&, TimePoint now);
     /** Returns false if there is no room for a record that is not held yet. */
     bool store(const BackendRecord&, TimePoint now);
-    void queueBroadcast(const BackendId& id) { m_transitions.insert(id); }
+    void queueBroadcast(const Key& key) { m_transitions.insert(key); }
     void recordChange(const BackendId&);
+    /** Records of the services at the address that the configuration names, or of all if it names none; the valid one is the last. */
+    std::vector<const BackendRecord*> recordsAt(const BackendId&) const;
+    /** Calls `visit` with recordsAt() of each address. */
+    template <typename Visit>
+    void forEachAddress(Visit) const;
 
     Options m_options;
     std::set<InstanceId> m_peers;
-    std::map<BackendId, Entry> m_entries;
+    std::optional<std::set<ServiceId>> m_services; // Named by the configuration in force; nothing before setServices().
+    Entries m_entries;
     std::size_t m_bytes = 0; // Sum of the sizes of the records in m_entries.
-    std::set<BackendId> m_transitions; // Records to broadcast; each has an entry in m_entries.
-    std::map<BackendId, Renewal> m_renewals; // To forward; received here for backend servers with another owner.
-    std::set<BackendId> m_changes; // Changed since takeChanges(); each has an entry in m_entries.
+    PendingRecords m_pending; // Announced here, of services that were never named; takes only room that m_entries leaves.
+    std::set<Key> m_transitions; // Records to broadcast; each has an entry in m_entries.
+    std::map<Key, Renewal> m_renewals; // To forward; received here for backend servers with another owner.
+    std::set<BackendId> m_changes; // Addresses where a record changed since takeChanges().
     bool m_servingChanged = false; // Set by any change since takeServingChanged().
 };
 
--- a/src/membership/BackendRecord.h
+++ b/src/membership/BackendRecord.h
@@ -6,6 +6,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,7 +61,7 @@
     std::optional<Duration> leavesIn; ///< Leaving: time from the announcement until it ends, if it says so.
 
     /**
-     * Orders the records of one backend server; the record with the largest rank is the valid one. Within an incarnation
+     * Orders the records of the servers of one service at one address; the record with the largest rank is the valid one. Within an incarnation
      * Leaving outranks every other state, and a lapse outranks the announcement that it follows but no later one.
      */
     auto rank() const
@@ -69,4 +70,24 @@
     }
 };
 
+/**
+ * Returns true if the first of two records with the same address is the valid one. Of servers of different services, the later start
+ * has the address, unless its lease has lapsed while the other one is announced. The numbers of their announcements don't count: two
+ * servers of the same start would take the address from each other with each announcement.
+ */
+inline bool supersedes(const BackendRecord& record, const BackendRecord& other)
+{
+    if (record.service == other.service)
+        return record.rank() > other.rank();
+    const auto rank = [](const auto& it) { return std::make_tuple(it.state != BackendState::Lapsed, it.incarnation, it.state == BackendState::Leaving, it.service); };
+    return rank(record) > rank(other);
+}
+
+/** The memory of a record with its place in a map, in bytes; the names in its key are counted as well. */
+inline std::size_t sizeOf(const BackendRecord& record)
+{
+    constexpr std::size_t fixedBytes = 256;
+    return fixedBytes + 2 * record.id.value().size() + record.serverName.size() + 2 * record.service.value().size() + record.softwareVersion.value().size() + record.failureDomain.value().size();
+}
+
 } // namespace HickoryHollow
--- a/src/node/StateInstance.cpp
+++ b/src/node/StateInstance.cpp
@@ -6,6 +6,7 @@
 #include "node/ReportSource.h"
 #include "node/ServerScaling.h"
 #include "node/UsageCodec.h"
+#include "routing/RoutingDecoder.h"
 #include "wire/AdmissionCodec.h"
 #include "wire/AgreementCodec.h"
 #include "wire/FleetCodec.h"
@@ -119,6 +120,7 @@
     }))
 {
     m_limits.setName(sourceOf(m_mesh.self()));
+    m_directory.setServices({}, monotonicNow());
     createProviderReports();
 }
 
@@ -207,8 +209,7 @@
         expireOriginLookups();
         tickScaling(now);
         if (tick % ticksPerVersionCheck == 0) {
-            for (const auto& it : m_directory.all())
-                observeVersion(it);
+            observeVersions();
         }
     }
 }
@@ -241,6 +242,12 @@
         return;
     m_routing = std::make_shared<const RoutingDocument>(std::move(document));
     logEvent(LogEvent::RoutingCommitted, "version={} bytes={}", m_routing->version.value(), m_routing->text.size());
+    // Before the configuration, so that the entry instances know the servers of a new service when they use it.
+    if (auto services = m_decoder.decodeServices(m_routing->text)) {
+        m_directory.setServices(std::move(*services), monotonicNow());
+        observeVersions();
+        publishBackendChanges();
+    }
     m_broadcast.publish(m_routing);
     for (const auto& it : m_broadcast.dueLinks())
         sendRoutingWhenFree(it);
@@ -254,7 +261,7 @@
 void StateInstance::sendInitialStateToEntry(EntryLinkId id)
 {
     if (!m_recordsFrame) {
-        const FleetUpdate update { .records = m_directory.all(), .renewals = {}, .loads = {} };
+        const FleetUpdate update { .records = m_directory.allForReaders(), .renewals = {}, .loads = {} };
         Wire::LinkMessage message;
         message.__set_fleetNews(toWire(update));
         m_recordsFrame = makeSharedFrame(message);
@@ -269,33 +276,6 @@
     m_mesh.sendToEntry(id, prompts);
 }
 
-void StateInstance::sendRecordsToState(const InstanceId& id)
-{
-    const FleetUpdate update { .records = m_directory.all(), .renewals = {}, .loads = {} };
-    Wire::LinkMessage message;
-    message.__set_fleetNews(toWire(update));
-    m_mesh.sendToState(id, message);
-}
-
-void StateInstance::publishBackendChanges()
-{
-    const FleetUpdate transitions { .records = m_directory.takeTransitions(), .renewals = m_directory.takeRenewals(), .loads = {} };
-    if (!transitions.isEmpty()) {
-        Wire::LinkMessage message;
-        message.__set_fleetNews(toWire(transitions));
-        m_mesh.sendToStates(message);
-    }
-    const FleetUpdate changes { .records = m_directory.takeChanges(), .renewals = {}, .loads = {} };
-    if (changes.isEmpty())
-        return;
-    m_recordsFrame = nullptr;
-    for (const auto& it : changes.records)
-        logEvent(LogEvent::BackendChanged, "backend={} server={} service={} version={} state={} incarnation={} sequence={}", it.id.value(), it.serverName, it.service.value(), it.softwareVersion.value(), toString(it.state), it.incarnation.value(), it.sequence);
-    Wire::LinkMessage message;
-    message.__set_fleetNews(toWire(changes));
-    m_mesh.sendToEntries(message);
-}
-
 void StateInstance::reportUsage(bool evenIfUnchanged)
 {
     auto local = m_usage.sum(entrySources);
@@ -344,32 +324,6 @@
     }
 }
 
-BackendDirectory::Outcome StateInstance::announce(const BackendRecord& record)
-{
-    const auto outcome = m_directory.announce(record, monotonicNow());
-    if (outcome == BackendDirectory::Outcome::NoRoom) {
-        ++m_announcementsRefused;
-        logEvent(LogEvent::AnnouncementRefused, "server={} service={}", record.serverName, record.service.value());
-        return outcome;
-    }
-    observeVersion(record);
-    if (record.state != BackendState::Serving)
-        publishBackendChanges();
-    return outcome;
-}
-
-bool StateInstance::retire(const std::string& serverName, std::optional<Incarnation> incarnation)
-{
-    auto record = m_directory.findByName(serverName);
-    if (!record || (incarnation && *incarnation < record->incarnation))
-        return false;
-    record->incarnation = incarnation.value_or(record->incarnation);
-    record->state = BackendState::Leaving;
-    ++record->sequence;
-    announce(*record);
-    return true;
-}
-
 void StateInstance::handleStateMessage(const InstanceId& from, const Wire::LinkMessage& message)
 {
     const auto& isset = message.__isset;
--- a/src/node/StateInstance.h
+++ b/src/node/StateInstance.h
@@ -122,6 +122,8 @@
     void expireOriginLookups();
     void replyOriginToEntry(EntryLinkId, std::uint64_t id, std::optional<VersionId>);
     void observeVersion(const BackendRecord&);
+    /** Observes the versions of all servers in force. */
+    void observeVersions();
 
     void handleEntryHello(EntryLinkId, const StateMesh::EntryHello&);
     /** Sends changed lists of the entry instances here to the state instances, and changed selections to the entry instances. */
@@ -162,6 +164,7 @@
     std::shared_ptr<bool> m_isAlive; // Set to false by the destructor; checked by callbacks that were posted to the loop.
     StateMesh m_mesh;
     std::uint64_t m_announcementsRefused = 0;
+    std::uint64_t m_announcementsOld = 0; // Not newer than what is known of the server.
     BackendDirectory m_directory;
     UsageAggregator m_usage;
     UsageReport m_lastReportToStates; // Usage of the entry instances attached here, as sent last.
--- a/src/node/StateInstanceStreams.cpp
+++ b/src/node/StateInstanceStreams.cpp
@@ -59,6 +59,12 @@
         m_versions.observe(record.service, record.softwareVersion, monotonicNow());
 }
 
+void StateInstance::observeVersions()
+{
+    for (const auto& it : m_directory.inForce())
+        observeVersion(it);
+}
+
 // An entry instance may have learned of a server from another state instance whose record has not arrived here, because the link
 // between the two is cut, slow or not open yet. So the only version known here counts only if all of them know no other one.
 void StateInstance::answerOriginQuery(EntryLinkId from, std::uint64_t id, StreamId stream, const ServiceId& service)
--- a/src/placement/BackendSelector.cpp
+++ b/src/placement/BackendSelector.cpp
@@ -46,7 +46,7 @@
 bool BackendSelector::merge(const BackendRecord& record, std::optional<TimePoint> now)
 {
     const auto* known = m_servers.find(record.id);
-    if (known && record.rank() <= known->record.rank())
+    if (known && !supersedes(record, known->record))
         return false;
     auto& server = m_servers.findOrAdd(record.id);
     const auto isNewStart = server.record.incarnation != record.incarnation;
--- a/src/placement/BackendSelector.h
+++ b/src/placement/BackendSelector.h
@@ -41,7 +41,7 @@
     /** `random` outlives the selector. */
     BackendSelector(Options, RandomSource& random);
 
-    /** Takes over a newer record of a backend server. Returns false and changes nothing if the known record is as new. `leavingFor` needs `now`. */
+    /** Takes over a record that supersedes the known one. Returns false and changes nothing if it does not. `leavingFor` needs `now`. */
     bool merge(const BackendRecord&, std::optional<TimePoint> now = std::nullopt);
     /** Records that this start of the server shuts down; only a later start of it is selected again. */
     void recordLeaving(const BackendId&, Incarnation);
--- a/src/routing/RoutingDecoder.h
+++ b/src/routing/RoutingDecoder.h
@@ -5,6 +5,8 @@
 
 #include "routing/RoutingConfiguration.h"
 
+#include <optional>
+#include <set>
 #include <string_view>
 
 namespace HickoryHollow {
@@ -23,6 +25,8 @@
 
     /** Decodes the whole document and checks it with findFault(). Returns an error in the result and never throws. */
     virtual DecodedRouting decode(std::string_view text) const = 0;
+    /** Returns the services that the document names, without reading the rest of it; nothing if it can't be read. */
+    virtual std::optional<std::set<ServiceId>> decodeServices(std::string_view text) const = 0;
 };
 
 } // namespace HickoryHollow
--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -76,6 +76,14 @@
     CHECK(it.limits.idleTimeout == 15s);
 }
 
+TEST_CASE("the services of a document are read without the rest of it", "[platform]")
+{
+    CHECK(RoutingJson().decodeServices(document) == std::set<ServiceId> { ServiceId("m"), ServiceId("o") });
+    CHECK(RoutingJson().decodeServices(R"({"services":[{"name":"a"}],"services":[1,{"name":2},{"name":"b"}],"routes":7})") == std::set<ServiceId> { ServiceId("b") });
+    CHECK_FALSE(RoutingJson().decodeServices(document.substr(0, document.size() - 1)));
+    CHECK_FALSE(RoutingJson().decodeServices(R"({"services":{}})"));
+}
+
 TEST_CASE("a malformed or invalid document is rejected", "[platform]")
 {
     const auto invalid = GENERATE_COPY(
--- a/test/correctness/server_scaling_node.cpp
+++ b/test/correctness/server_scaling_node.cpp
@@ -25,6 +25,8 @@
         decoded.configuration.services = { service };
         return decoded;
     }
+
+    std::optional<std::set<ServiceId>> decodeServices(std::string_view) const override { return std::set { ServiceId("s") }; }
 };
 
 struct FakeProvider final : ProviderApi {
--- a/test/error/first_start_on_full_disk.cpp
+++ b/test/error/first_start_on_full_disk.cpp
@@ -47,6 +47,7 @@
         decoded.configuration.version = RoutingVersion(1);
         return decoded;
     }
+    std::optional<std::set<ServiceId>> decodeServices(std::string_view) const override { return std::set<ServiceId>(); }
 };
 
 RoutingSubmission::Outcome submit(asio::io_context& loop, StateInstance& instance)
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -98,6 +98,7 @@
         return instance->stop();
     }
 
+    std::string serverAddress(std::size_t number) const { return address(m_options.firstPort + 20 + static_cast<int>(number)); }
     /** Port of the state instance for operators and servers. */
     int controlPort() const { return m_options.firstPort + 1; }
     /** Port of an entry instance for callers. */
@@ -124,7 +125,6 @@
 
     static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
     int linkPort() const { return m_options.firstPort; }
-    std::string serverAddress(std::size_t number) const { return address(m_options.firstPort + 20 + static_cast<int>(number)); }
 
     std::string commonSettings() const
     {
