Renew only the lease of the service that a server announces

Cause: a renewal from the instance that received an announcement to the owner of the server names address and start, no service. So one report of another program, with the start of the server and another configured service, could keep the address for good: its lease never lapsed at the owner.

Change: where the sender knows two records of that address and start, it sends the whole record, which names its service.

--- a/src/membership/BackendDirectory.cpp
+++ b/src/membership/BackendDirectory.cpp
@@ -99,16 +99,25 @@
     const auto isTransition = it == m_entries.end() || !equalsExceptSequence(it->second.record, record);
     if (!store(record, now))
         return Outcome::NoRoom;
-    if (isTransition)
+    if (isTransition || hasNamesake(record))
         queueBroadcast(key);
     else if (ownerOf(record.id) != m_options.self)
         m_renewals[key] = { .id = record.id, .incarnation = record.incarnation, .sequence = record.sequence };
     return Outcome::Accepted;
 }
 
+bool BackendDirectory::hasNamesake(const BackendRecord& record) const
+{
+    for (auto it = m_entries.lower_bound({ record.id, ServiceId() }); it != m_entries.end() && it->first.first == record.id; ++it) {
+        if (it->first.second != record.service && it->second.record.incarnation == record.incarnation)
+            return true;
+    }
+    return false;
+}
+
 void BackendDirectory::renew(const Renewal& renewal, TimePoint now)
 {
-    // A renewal does not name the service. The records of an address differ in their incarnations, except by chance.
+    // It does not name the service; a sender that knows two of the same start sends their records instead.
     for (auto it = m_entries.lower_bound({ renewal.id, ServiceId() }); it != m_entries.end() && it->first.first == renewal.id; ++it) {
         auto& record = it->second.record;
         const auto isNewer = renewal.incarnation == record.incarnation && renewal.sequence > record.sequence;
--- a/test/error/foreign_announcements.cpp
+++ b/test/error/foreign_announcements.cpp
@@ -184,6 +184,44 @@
     CHECK(serviceAt(directory) == other);
 }
 
+// Guards against a server that is lost because its own announcements renew the lease of another service with the same start.
+TEST_CASE("announcements renew only the lease of their own service, at the owner too", "[membership]")
+{
+    const InstanceId names[] { InstanceId("a"), InstanceId("b") };
+    BackendDirectory receiver({ .self = names[0], .lease = 6s });
+    BackendDirectory owner({ .self = names[1], .lease = 6s });
+    receiver.setPeers({ names[1] }, at(0ms));
+    owner.setPeers({ names[0] }, at(0ms));
+    receiver.setServices(sAndT, at(0ms));
+    owner.setServices(sAndT, at(0ms));
+    BackendId id("10.0.0.1:9");
+    for (int port = 10; owner.ownerOf(id) != names[1]; ++port)
+        id = BackendId("10.0.0.1:" + std::to_string(port));
+    const auto exchange = [&](TimePoint now) {
+        for (const auto& it : receiver.takeTransitions())
+            owner.merge(it, names[0], now);
+        for (const auto& it : receiver.takeRenewals())
+            owner.renew(it, now);
+        for (const auto& it : owner.takeTransitions())
+            receiver.merge(it, names[1], now);
+    };
+    const std::string real(GENERATE("s", "t"));
+    const std::string foreign(real == "s" ? "t" : "s");
+    receiver.announce(announced(real, 5, 1, BackendState::Serving, id), at(0ms));
+    receiver.announce(announced(foreign, 5, 1, BackendState::Serving, id), at(100ms));
+    for (std::uint64_t i = 1; i <= 40; ++i) {
+        const auto now = at(static_cast<std::int64_t>(i) * 1000ms);
+        CHECK(receiver.announce(announced(real, 5, 1 + i, BackendState::Serving, id), now) == Outcome::Accepted);
+        exchange(now);
+        owner.tick(now);
+        exchange(now);
+        if (i < 8)
+            continue;
+        CHECK(serviceAt(receiver) == real);
+        CHECK(serviceAt(owner) == real);
+    }
+}
+
 // Guards against a server that is lost to an announcement that was wrong, or of a start that has ended, beyond the lease of that one.
 TEST_CASE("a server whose address another service took gets it back once that one's lease has lapsed", "[membership]")
 {
