--- a/src/membership/BackendDirectory.cpp
+++ b/src/membership/BackendDirectory.cpp
@@ -99,14 +99,14 @@
     const auto isTransition = it == m_entries.end() || !equalsExceptSequence(it->second.record, record);
     if (!store(record, now))
         return Outcome::NoRoom;
-    if (isTransition || hasNamesake(record))
+    if (isTransition || isStartShared(record))
         queueBroadcast(key);
     else if (ownerOf(record.id) != m_options.self)
         m_renewals[key] = { .id = record.id, .incarnation = record.incarnation, .sequence = record.sequence };
     return Outcome::Accepted;
 }
 
-bool BackendDirectory::hasNamesake(const BackendRecord& record) const
+bool BackendDirectory::isStartShared(const BackendRecord& record) const
 {
     for (auto it = m_entries.lower_bound({ record.id, ServiceId() }); it != m_entries.end() && it->first.first == record.id; ++it) {
         if (it->first.second != record.service && it->second.record.incarnation == record.incarnation)
--- a/src/membership/BackendDirectory.h
+++ b/src/membership/BackendDirectory.h
@@ -120,7 +120,7 @@
     /** Returns false if there is no room for a record that is not held yet. */
     bool store(const BackendRecord&, TimePoint now);
     /** True if another service was announced at the address with the same incarnation. A renewal can't tell the two apart. */
-    bool hasNamesake(const BackendRecord&) const;
+    bool isStartShared(const BackendRecord&) const;
     void queueBroadcast(const Key& key) { m_transitions.insert(key); }
     void recordChange(const BackendId&);
     /** Records of the services at the address that the configuration names, or of all if it names none; the valid one is the last. */
