Wait for a status at all entry instances in one place

Change: LoopbackDeployment::awaitStatus() serves both, with the same number of tries and the same REQUIRE. No other check changes.

--- a/test/error/keys_taken_away.cpp
+++ b/test/error/keys_taken_away.cpp
@@ -58,16 +58,7 @@
     }
 
     /** Waits until all entry instances serve the present version. */
-    void awaitVersion() const
-    {
-        constexpr int maxTries = 5000;
-        for (int entry = 0; entry < entries; ++entry) {
-            unsigned status = 0;
-            for (int i = 0; i < maxTries && status != ok; ++i)
-                status = deployment.ask(entry, fmt::format("/version-{}/x", m_version), "", "").status;
-            REQUIRE(status == ok);
-        }
-    }
+    void awaitVersion() const { deployment.awaitStatus(fmt::format("/version-{}/x", m_version), ok); }
 
     /** Asserts the status of an order with that key at each entry instance; without a key if it is empty. */
     void checkOrders(const std::string& key, unsigned status) const
--- a/test/error/reports_of_other_writers.cpp
+++ b/test/error/reports_of_other_writers.cpp
@@ -53,7 +53,7 @@
     ReportedDeployment()
         : deployment({ .name = "reports", .firstPort = firstPort, .configuration = configuration(3, false), .servers = { &m_server, &m_server }, .entries = entries })
     {
-        awaitStatus("/s/x", ok);
+        deployment.awaitStatus("/s/x", ok);
     }
 
     unsigned report(const std::string& name, const std::string& address, const Report& report) const
@@ -67,17 +67,6 @@
         return call(deployment.controlPort(), http::verb::post, "/instances/" + name + "/deregister", body).status;
     }
 
-    void awaitStatus(const std::string& path, unsigned status) const
-    {
-        constexpr int maxTries = 5000;
-        for (int entry = 0; entry < entries; ++entry) {
-            unsigned last = 0;
-            for (int i = 0; i < maxTries && last != status; ++i)
-                last = deployment.ask(entry, path, "plate", "").status;
-            REQUIRE(last == status);
-        }
-    }
-
     /**
      * Waits until the entry instances have what was reported so far: a server that is reported now has the address of i-1, which ended,
      * and is used as soon as the next version names its service.
@@ -86,7 +75,7 @@
     {
         REQUIRE(report("i-more", deployment.serverAddress(1), { .service = "more" }) == ok);
         deployment.submit(configuration(4, true));
-        awaitStatus("/more/x", ok);
+        deployment.awaitStatus("/more/x", ok);
     }
 
     /** Asserts that each entry instance uses i-0, and no other server, for the service `s`. */
@@ -132,5 +121,5 @@
     CHECK(reported.report("i-0", "127.0.0.1:1", { .service = "another", .born = largest }) == ok);
     CHECK(reported.deregister("i-0", R"({"born":17})") == ok);
     CHECK(reported.deregister("i-1", R"({"born":17})") == ok);
-    reported.awaitStatus("/s/x", unavailable);
+    reported.deployment.awaitStatus("/s/x", unavailable);
 }
--- a/test/fakes/LoopbackDeployment.h
+++ b/test/fakes/LoopbackDeployment.h
@@ -88,6 +88,18 @@
         }
     }
 
+    /** Asks each entry instance without a key until it answers with that status. */
+    void awaitStatus(const std::string& path, unsigned status) const
+    {
+        constexpr int maxTries = 5000;
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            unsigned last = 0;
+            for (int i = 0; i < maxTries && last != status; ++i)
+                last = ask(static_cast<int>(entry), path, "plate", "").status;
+            REQUIRE(last == status);
+        }
+    }
+
     /** Tells an entry instance to stop. */
     void drainEntry(int entry) { m_entries[static_cast<std::size_t>(entry)]->requestDrain(); }
 
